--- /dev/null
+++ b/cmd/rosemaryhill/main.go
@@ -0,0 +1,4 @@
+// Command rosemaryhill is a placeholder until its subcommands exist.
+package main
+
+func main() {}
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,2 @@
+// Package load drives a running system from an experiment file.
+package load
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,2 @@
+// Package engine is a stand-in for a model engine.
+package engine
