--- /dev/null
+++ b/core/sched/session.go
@@ -0,0 +1,48 @@
+package sched
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// SessionID is the text "issuer.incarnation.number". A dispatcher never uses a number twice, so a
+// second try of an attempt is another session and a late answer of the first cannot pass for its own.
+type SessionID string
+
+// NewSessionID builds a session id.
+func NewSessionID(issuer ident.HostID, inc ident.Incarnation, number uint64) SessionID {
+	return SessionID(string(issuer) + "." + inc.String() + "." + strconv.FormatUint(number, 10))
+}
+
+// Parse splits a session id. The issuer may itself contain dots.
+func (s SessionID) Parse() (issuer ident.HostID, inc ident.Incarnation, number uint64, err error) {
+	parts := strings.Split(string(s), ".")
+	if len(parts) < 3 {
+		return "", 0, 0, fmt.Errorf("session id %q: want issuer.incarnation.number", string(s))
+	}
+	n := len(parts)
+	if inc, err = ident.ParseIncarnation(parts[n-2]); err != nil {
+		return "", 0, 0, err
+	}
+	if number, err = strconv.ParseUint(parts[n-1], 10, 64); err != nil {
+		return "", 0, 0, fmt.Errorf("session id %q: %w", string(s), err)
+	}
+	return ident.HostID(strings.Join(parts[:n-2], ".")), inc, number, nil
+}
+
+// PrefixBytes is the length of the prompt's start that decides its cache key: 1,024 tokens. Shorter
+// keys would join unrelated prompts that share only a system line.
+const PrefixBytes = 1024 * ident.BytesPerToken
+
+// PrefixKey returns the cache key of a prompt, or "" if it is too short for a reuse to matter.
+func PrefixKey(prompt []byte) string {
+	if len(prompt) < PrefixBytes {
+		return ""
+	}
+	return strconv.FormatUint(xxhash.Sum64(prompt[:PrefixBytes]), 16)
+}
