Schedule attempts on owned engines

Cause: the published scheduler refused every attempt. Change: reservation of engine memory, queues by class, prediction of time to first token, reserves for short prompts, gangs over KV export and import, hang detection, cancels of sessions past their deadline or of older incarnations, and the round robin and least outstanding baselines. Property tests run the scheduler against engines that die, hang, lose cancels and report late, with clock jumps. Conclusion: mutations that release KV caches early, release unaccepted sessions by a report, forget to repeat cancels, ignore memory of others or say "not run" after a send each fail the property test.

--- /dev/null
+++ b/core/sched/predict.go
@@ -0,0 +1,167 @@
+package sched
+
+import "time"
+
+const (
+	// chunkTokens is the prefill that an engine does between two looks at its queue: work of lower
+	// priority delays a prompt by at most this much.
+	chunkTokens = 2048
+	// rateSampleTokens is the least work from which a prefill rate is learnt; below it the fixed part
+	// of the time to first token dominates.
+	rateSampleTokens = 4096
+	// learnWeight is the weight of a new sample in the learnt rates.
+	learnWeight = 0.1
+	// prefixTokens is what a prefix hit saves: the part of the prompt that PrefixKey covers.
+	prefixTokens = 1024
+)
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+// rate returns the engine's prefill rate in tokens per second: learnt, else reported, else assumed.
+func (e *engine) rate(s *Scheduler) float64 {
+	switch {
+	case e.learnt:
+		return e.learntRate
+	case e.reportedRate > 0:
+		return e.reportedRate
+	}
+	return s.cfg.PrefillTokensPerS
+}
+
+func (e *engine) prefillTotal() int {
+	n := 0
+	for _, v := range e.prefill {
+		n += v
+	}
+	return n
+}
+
+// ahead returns the prefill tokens that run before a new prompt of the priority.
+func (e *engine) ahead(priority int) int {
+	n, lower := e.foreignQueued, 0
+	for p, v := range e.prefill {
+		if p <= priority {
+			n += v
+		} else {
+			lower += v
+		}
+	}
+	return n + min(lower, chunkTokens)
+}
+
+// predictFirst returns the predicted time to first token of a prompt sent now.
+func (e *engine) predictFirst(s *Scheduler, priority, prompt int, prefix string) time.Duration {
+	if e.prefixes.has(prefix) {
+		prompt = max(1, prompt-prefixTokens)
+	}
+	return e.base + seconds(float64(e.ahead(priority)+prompt)/e.rate(s))
+}
+
+// learnFirst learns from the time to first token of a session.
+func (e *engine) learnFirst(s *Scheduler, h *hold) {
+	e.learn(s, h, s.now-h.sentAt)
+}
+
+// learnSegment learns from a prefill-only session.
+func (e *engine) learnSegment(s *Scheduler, h *hold) { e.learn(s, h, s.now-h.sentAt) }
+
+func (e *engine) learn(s *Scheduler, h *hold, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	work := float64(h.work) + float64(e.passing[h.priority]-h.passedBy)
+	if work >= rateSampleTokens {
+		sample := work / took.Seconds()
+		if !e.learnt {
+			e.learnt, e.learntRate = true, e.rate(s)
+		}
+		// A sample far off comes from a queue that was seen wrongly, not from the engine's speed.
+		sample = min(max(sample, e.learntRate/4), e.learntRate*4)
+		e.learntRate += learnWeight * (sample - e.learntRate)
+		return
+	}
+	rest := max(0, took-seconds(work/e.rate(s)))
+	e.base += time.Duration(learnWeight * float64(min(rest, time.Second)-e.base))
+}
+
+// learnToken learns the time per output token from n tokens that took d.
+func (e *engine) learnToken(d time.Duration, n int) {
+	sample := min(d/time.Duration(n), time.Second)
+	e.tokenTime += time.Duration(learnWeight / 2 * float64(sample-e.tokenTime))
+}
+
+// service returns the predicted time from sending to the last token on this engine.
+func (e *engine) service(s *Scheduler, a *attempt) time.Duration {
+	left := max(1, a.MaxOutputTokens-a.count)
+	return e.predictFirst(s, int(a.Class), a.PromptTokens, a.Prefix) + time.Duration(left)*e.tokenTime
+}
+
+// bestService returns the shortest possible time from sending to the last token on an idle engine.
+func (s *Scheduler) bestService(a *attempt) time.Duration {
+	best := never
+	for _, e := range s.order {
+		if e.owned && e.model == a.Model {
+			left := max(1, a.MaxOutputTokens-a.count)
+			t := seconds(float64(a.PromptTokens)/e.rate(s)) + time.Duration(left)*e.tokenTime
+			best = min(best, t)
+		}
+	}
+	if best == never {
+		return 0
+	}
+	return best
+}
+
+// queueWait predicts the wait of an attempt in its queue. Memory is the first bound: the reserved
+// token-seconds of all that runs or waits before it, over the tokens that its class may reserve.
+// Prefill is the second: the tokens before it, over the summed rates.
+func (s *Scheduler) queueWait(a *attempt) time.Duration {
+	var memory, rate, work, prompts float64
+	for _, e := range s.order {
+		if !e.owned || e.model != a.Model || !s.allowed(e, a, s.planFor(a)) {
+			continue
+		}
+		memory += float64(e.memory - e.others)
+		rate += e.rate(s)
+		prompts += float64(e.ahead(int(a.Class)))
+		for _, h := range e.holds {
+			if h.att != nil && !h.freed {
+				work += float64(h.tokens) * s.remaining(h).Seconds()
+			}
+		}
+	}
+	if memory <= 0 || rate <= 0 {
+		return 0
+	}
+	for c := 0; c <= int(a.Class); c++ {
+		for _, o := range s.queues[c] {
+			if o.Model != a.Model || (c == int(a.Class) && before(o, a) >= 0) {
+				continue
+			}
+			service := seconds(float64(o.PromptTokens)/(rate/float64(len(s.order)))) +
+				time.Duration(o.MaxOutputTokens)*s.cfg.DecodeTokenTime
+			work += float64(o.need) * service.Seconds()
+			prompts += float64(o.PromptTokens)
+		}
+	}
+	return max(seconds(work/memory), seconds(prompts/rate))
+}
+
+// remaining predicts the time for which a hold of a live attempt stays.
+func (s *Scheduler) remaining(h *hold) time.Duration {
+	left := time.Duration(max(1, h.att.MaxOutputTokens-h.att.count)) * h.eng.tokenTime
+	if !h.first {
+		left += max(0, h.sentAt+h.predicted-s.now)
+	}
+	return left
+}
+
+// gangService predicts the time from sending the first segment to the last token.
+func (s *Scheduler) gangService(a *attempt, parts []part) time.Duration {
+	var t time.Duration
+	for _, p := range parts {
+		t += p.eng.predictFirst(s, int(a.Class), p.prompt, "")
+	}
+	last := parts[len(parts)-1].eng
+	return t + time.Duration(max(1, a.MaxOutputTokens-a.count))*last.tokenTime
+}
--- /dev/null
+++ b/core/sched/queue.go
@@ -0,0 +1,69 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+const classes = int(ident.Batch) + 1
+
+// queue holds the waiting attempts of a class, most urgent first.
+type queue []*attempt
+
+// urgency orders a queue. Under predict it is the deadline plus the time of submission: earliest
+// deadline first, where a second of waiting weighs as much as a second of deadline, so that a stream
+// of requests with short deadlines cannot pass an old one for ever. The baselines take turns by age.
+func (s *Scheduler) urgency(a *attempt) time.Duration {
+	if s.cfg.Policy == Predict {
+		return a.Deadline + a.submitted
+	}
+	return a.submitted
+}
+
+func before(a, b *attempt) int {
+	switch {
+	case a.urgency < b.urgency:
+		return -1
+	case a.urgency > b.urgency:
+		return 1
+	case a.seq < b.seq:
+		return -1
+	case a.seq > b.seq:
+		return 1
+	}
+	return 0
+}
+
+func (q *queue) insert(a *attempt) {
+	i, _ := slices.BinarySearchFunc(*q, a, before)
+	*q = slices.Insert(*q, i, a)
+}
+
+func (q *queue) remove(a *attempt) {
+	if i, ok := slices.BinarySearchFunc(*q, a, before); ok {
+		*q = slices.Delete(*q, i, i+1)
+	}
+}
+
+func (q queue) position(a *attempt) int {
+	i, _ := slices.BinarySearchFunc(q, a, before)
+	return i
+}
+
+// waiting returns the queued attempts in the order in which they are placed: aged ones first, then by
+// class and urgency.
+func (s *Scheduler) waiting() []*attempt {
+	var aged, rest []*attempt
+	for c := range s.queues {
+		for _, a := range s.queues[c] {
+			if c > 0 && s.now-a.submitted >= s.cfg.AgeingLimit {
+				aged = append(aged, a)
+				continue
+			}
+			rest = append(rest, a)
+		}
+	}
+	return append(aged, rest...)
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -3,29 +3,99 @@
 import (
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
 // Scheduler holds the state of one dispatcher. It is not safe for concurrent use.
+//
+// Maps are only looked up, never ranged over where order shows, so that equal inputs give equal
+// actions.
 type Scheduler struct {
 	cfg Config
 	now time.Duration
 	out []Action
+
+	engines  map[ident.BackendID]*engine
+	order    []*engine // by id
+	attempts map[AttemptID]*attempt
+	holds    map[SessionID]*hold // every session sent, until a newer report confirmed its end
+	queues   [classes]queue
+	issuers  map[ident.HostID]*issuer
+	timers   timerHeap
+
+	nextSession uint64
+	nextSeq     uint64
+	turn        int           // round robin position
+	lastWake    time.Duration // last Wake returned
+	dirty       bool          // capacity or queue changed since the last dispatch
+	running     int
+	counters    Counters
 }
 
 // New returns a scheduler without engines.
-func New(cfg Config) *Scheduler { return &Scheduler{cfg: cfg.withDefaults()} }
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg:      cfg.withDefaults(),
+		engines:  map[ident.BackendID]*engine{},
+		attempts: map[AttemptID]*attempt{},
+		holds:    map[SessionID]*hold{},
+		issuers:  map[ident.HostID]*issuer{},
+		lastWake: never,
+	}
+}
 
 // Step applies one event and returns the actions to carry out, in order. The slice is valid until the
-// next call.
+// next call. Due timers come before the event: an answer that arrives at or after the deadline, for
+// example after a pause of the process, does not count any more.
 func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
 	s.now = max(s.now, now)
 	s.out = s.out[:0]
-	if e, ok := ev.(Submit); ok {
-		s.out = append(s.out, Refuse{Attempt: e.Attempt, Reason: outcome.NoBackend, RetryAfter: time.Second})
+	s.expire()
+	s.apply(ev)
+	if s.dirty {
+		s.dirty = false
+		s.dispatch()
 	}
+	s.settleSubmit(ev)
+	s.wake()
 	return s.out
 }
 
-// Status returns a snapshot.
-func (s *Scheduler) Status() Status { return Status{} }
+func (s *Scheduler) apply(ev Event) {
+	switch e := ev.(type) {
+	case Submit:
+		s.submit(e)
+	case Cancelled:
+		s.cancelled(e)
+	case EngineAccepted:
+		s.accepted(e)
+	case FirstToken:
+		s.token(e.Session, e.Count)
+	case TokenProgress:
+		s.token(e.Session, e.Count)
+	case EngineEnded:
+		s.engineEnded(e)
+	case EngineFailed:
+		s.engineFailed(e)
+	case CancelAcked:
+		s.cancelAcked(e.Session)
+	case CancelFailed:
+		s.cancelFailed(e.Session)
+	case KVReleased:
+		s.kvReleased(e.Engine, e.Handle)
+	case KVReleaseFailed:
+	case Report:
+		s.report(e)
+	case CacheEvent:
+		s.cacheEvent(e)
+	case EnginesChanged:
+		s.enginesChanged(e.Engines)
+	case EngineGone:
+		s.engineGone(e.Engine)
+	case IssuerSeen:
+		s.issuerSeen(e)
+	case Tick:
+	}
+}
+
+func (s *Scheduler) emit(a Action) { s.out = append(s.out, a) }
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -52,3 +54,46 @@
 	ReleasedByAbsent uint64 // reservations released because a newer report lacked the session
 	StaleReports     uint64
 }
+
+// Status returns a snapshot.
+func (s *Scheduler) Status() Status {
+	st := Status{Running: s.running, Counters: s.counters}
+	for c := range s.queues {
+		st.Queued[c] = len(s.queues[c])
+	}
+	for _, e := range s.order {
+		es := EngineStatus{
+			ID: e.id, Model: e.model, Owned: e.owned, Usable: e.usable(s), Leaving: e.leaving,
+			MemoryTokens: e.memory, OwnTokens: e.own, OthersTokens: e.others,
+			QueuedPrefill: e.prefillTotal(), Concurrency: e.limit.Limit(),
+			PrefillPerS: e.rate(s), ContestedUntil: e.contested,
+		}
+		for _, h := range e.holds {
+			if !h.freed {
+				es.Sessions++
+			}
+		}
+		st.Engines = append(st.Engines, es)
+	}
+	st.Models = s.modelLoads()
+	return st
+}
+
+func (s *Scheduler) modelLoads() []ModelLoad {
+	var out []ModelLoad
+	for _, e := range s.order {
+		if !e.usable(s) {
+			continue
+		}
+		delay := e.predictFirst(s, int(ident.Interactive), 1, "")
+		i := slices.IndexFunc(out, func(m ModelLoad) bool { return m.Model == e.model })
+		if i < 0 {
+			out = append(out, ModelLoad{Model: e.model, QueueDelay: delay})
+			i = len(out) - 1
+		}
+		out[i].FreeTokens += e.room(s)
+		out[i].QueueDelay = min(out[i].QueueDelay, delay)
+	}
+	slices.SortFunc(out, func(a, b ModelLoad) int { return strings.Compare(string(a.Model), string(b.Model)) })
+	return out
+}
