Add the state machines of tickets, configuration, orders, answers and drain

Cause: gateways, dispatchers and stand-ins build against these packages. Change: core/ticket, core/config, core/orders, core/answer, core/pause and core/drain with their exported interfaces and first bodies.

--- /dev/null
+++ b/core/answer/answer.go
@@ -0,0 +1,105 @@
+// Package answer puts the stream of one request together from its attempts. Frames are numbered from
+// 1; a stream is whole only when its end event arrives with the number of the last frame.
+package answer
+
+// Verdict tells the gateway what to do with a frame.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Deliver     Verdict = iota // pass the token to the caller
+	Complete                   // the answer is whole: send the end event
+	Duplicate                  // drop: the caller has this token
+	OldAttempt                 // drop: the frame belongs to an attempt that was given up, or to another request
+	Gap                        // a frame was lost: give the attempt up and resume from ResumeFrom
+	WrongCount                 // the end's count is below the frames delivered: the answers disagree, end the request
+	AfterEnd                   // drop: the stream is over
+	verdictsEnd = iota
+)
+
+// Counters counts frames by verdict.
+type Counters [verdictsEnd]uint64
+
+// Stream is the answer of one request across its attempts.
+type Stream struct {
+	attempt   uint64
+	open      bool // attempt is current
+	over      bool
+	delivered int
+	counters  Counters
+}
+
+// Start makes attempt the current one and returns the number of the last token that the caller has,
+// from which the attempt resumes. Frames of all other attempts are dropped from now on.
+func (s *Stream) Start(attempt uint64) (resumeFrom int) {
+	s.attempt = attempt
+	s.open = !s.over
+	return s.delivered
+}
+
+// Abandon gives the current attempt up.
+func (s *Stream) Abandon() { s.open = false }
+
+// Token decides about token n of an attempt.
+func (s *Stream) Token(attempt uint64, n int) Verdict { return s.count(s.token(attempt, n)) }
+
+func (s *Stream) token(attempt uint64, n int) Verdict {
+	switch {
+	case s.over:
+		return AfterEnd
+	case !s.open || attempt != s.attempt:
+		return OldAttempt
+	case n <= s.delivered:
+		return Duplicate
+	case n > s.delivered+1:
+		s.open = false
+		return Gap
+	}
+	s.delivered = n
+	return Deliver
+}
+
+// End decides about the end event of an attempt. count is the number of the last token of the whole
+// answer, tokens of earlier attempts included.
+func (s *Stream) End(attempt uint64, count int) Verdict { return s.count(s.end(attempt, count)) }
+
+func (s *Stream) end(attempt uint64, count int) Verdict {
+	switch {
+	case s.over:
+		return AfterEnd
+	case !s.open || attempt != s.attempt:
+		return OldAttempt
+	case count > s.delivered:
+		s.open = false
+		return Gap
+	case count < s.delivered:
+		s.open = false
+		return WrongCount
+	}
+	s.over = true
+	s.open = false
+	return Complete
+}
+
+// Close ends the stream without an answer. Nothing is delivered afterwards.
+func (s *Stream) Close() {
+	s.over = true
+	s.open = false
+}
+
+// ResumeFrom returns the number of the last token delivered.
+func (s *Stream) ResumeFrom() int { return s.delivered }
+
+// Attempt returns the current attempt; ok is false when there is none.
+func (s *Stream) Attempt() (attempt uint64, ok bool) { return s.attempt, s.open }
+
+// Over reports whether the stream has ended.
+func (s *Stream) Over() bool { return s.over }
+
+// Counters returns the counts of frames by verdict.
+func (s *Stream) Counters() Counters { return s.counters }
+
+func (s *Stream) count(v Verdict) Verdict {
+	s.counters[v]++
+	return v
+}
--- /dev/null
+++ b/core/config/journal.go
@@ -0,0 +1,200 @@
+package config
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+)
+
+// Bounds of what a process keeps of the log. Peers that are further behind get a snapshot.
+const (
+	maxJournalEntries = 8_192
+	maxJournalBytes   = 4 << 20
+	maxHistory        = 1_024 // versions whose digests are kept
+	// maxServedBytes bounds one answer to a peer.
+	maxServedBytes = 4 << 20
+	// partBytes leaves room below MaxValueBytes for the names around the members.
+	partBytes = 900 << 10
+)
+
+// journal keeps the newest judged entries, at least those from the accepted version on.
+type journal struct {
+	entries []platformapi.Entry
+	bytes   int
+	served  []platformapi.Entry // snapshot made for peers
+	version ident.Version       // of served
+}
+
+func (j *journal) reset() { *j = journal{} }
+
+func (j *journal) append(whole []platformapi.Entry, accepted bool, accept ident.Version) {
+	for _, e := range whole {
+		j.entries = append(j.entries, e)
+		j.bytes += len(e.Body)
+	}
+	keep := uint64(accept)
+	if accepted {
+		keep = whole[0].Number
+	}
+	drop := 0
+	for drop < len(j.entries) && j.entries[drop].Number < keep &&
+		(j.bytes > maxJournalBytes || len(j.entries)-drop > maxJournalEntries) {
+		j.bytes -= len(j.entries[drop].Body)
+		drop++
+	}
+	if drop > 0 {
+		j.entries = slices.Clone(j.entries[drop:])
+	}
+}
+
+// find returns the held entry with the number and part of e.
+func (j *journal) find(e platformapi.Entry) (platformapi.Entry, bool) {
+	i, _ := slices.BinarySearchFunc(j.entries, e.Number, func(h platformapi.Entry, n uint64) int {
+		return int(int64(h.Number) - int64(n))
+	})
+	for ; i < len(j.entries) && j.entries[i].Number == e.Number; i++ {
+		if h := j.entries[i]; h.Part == e.Part || h.Kind != e.Kind {
+			return h, true
+		}
+	}
+	return platformapi.Entry{}, false
+}
+
+// Since returns the judged log after a number for a peer, in the form of the platform's answer. A
+// log that is no longer held is replaced by a snapshot of the accepted version. limit bounds the
+// number of entries; a snapshot is served whole.
+func (f *Fold) Since(after uint64, limit int) platformapi.Entries {
+	out := platformapi.Entries{Head: f.cursor}
+	held := f.log.entries
+	if len(held) > 0 && after+1 < held[0].Number {
+		out.Entries = f.served()
+		after = uint64(f.version)
+	}
+	i, _ := slices.BinarySearchFunc(held, after+1, func(h platformapi.Entry, n uint64) int {
+		return int(int64(h.Number) - int64(n))
+	})
+	bytes := 0
+	for ; i < len(held) && len(out.Entries) < limit && bytes < maxServedBytes; i++ {
+		out.Entries = append(out.Entries, held[i])
+		bytes += len(held[i].Body)
+	}
+	return out
+}
+
+// served returns a snapshot of the accepted version in parts that share its number.
+func (f *Fold) served() []platformapi.Entry {
+	if f.log.version == f.version {
+		return slices.Clone(f.log.served)
+	}
+	bodies := f.doc.split()
+	entries := make([]platformapi.Entry, len(bodies))
+	for i, b := range bodies {
+		entries[i] = platformapi.Entry{Number: uint64(f.version), Kind: platformapi.KindSnapshot, Body: b}
+		if len(bodies) > 1 {
+			entries[i].Part = i + 1
+			entries[i].Parts = len(bodies)
+		}
+	}
+	f.log.served = entries
+	f.log.version = f.version
+	return slices.Clone(entries)
+}
+
+// Body returns the accepted configuration as one JSON value.
+func (f *Fold) Body() json.RawMessage {
+	body, _ := join(f.doc.split()) // the document was checked
+	return body
+}
+
+// split writes the document as objects of at most about partBytes.
+func (d *document) split() []json.RawMessage {
+	s := splitter{part: make(map[string]map[string]json.RawMessage)}
+	write(&s, d.models)
+	write(&s, d.teams)
+	write(&s, d.servers)
+	write(&s, d.services)
+	if p, ok := d.policy.members[""]; ok {
+		var fields map[string]json.RawMessage
+		_ = json.Unmarshal(mustMarshal(p), &fields) // the value was encoded right here
+		s.part[sectionPolicy] = fields
+	}
+	s.flush()
+	return s.parts
+}
+
+type splitter struct {
+	parts []json.RawMessage
+	part  map[string]map[string]json.RawMessage
+	bytes int
+}
+
+func write[V any](s *splitter, sec *section[V]) {
+	for _, key := range slices.Sorted(maps.Keys(sec.members)) {
+		raw := mustMarshal(sec.members[key])
+		if s.bytes+len(raw)+len(key) > partBytes {
+			s.flush()
+		}
+		if s.part[sec.name] == nil {
+			s.part[sec.name] = make(map[string]json.RawMessage)
+		}
+		s.part[sec.name][key] = raw
+		s.bytes += len(raw) + len(key) + len(`"":,`)
+	}
+}
+
+func (s *splitter) flush() {
+	s.parts = append(s.parts, mustMarshal(s.part))
+	s.part = make(map[string]map[string]json.RawMessage)
+	s.bytes = 0
+}
+
+// history keeps the digests of the newest accepted versions.
+type history struct {
+	versions []ident.Version
+	digests  map[ident.Version]Digest
+}
+
+func (h *history) add(v ident.Version, d Digest) {
+	if h.digests == nil {
+		h.digests = make(map[ident.Version]Digest)
+	}
+	h.versions = append(h.versions, v)
+	h.digests[v] = d
+	if len(h.versions) > maxHistory {
+		delete(h.digests, h.versions[0])
+		h.versions = h.versions[1:]
+	}
+}
+
+func (h *history) digest(v ident.Version) (Digest, bool) {
+	d, ok := h.digests[v]
+	return d, ok
+}
+
+// Agreement compares a peer's version and digest with the own ones.
+type Agreement uint8
+
+// Agreements.
+const (
+	Same     Agreement = iota // the peer holds a version that this process holds or held
+	Ahead                     // the peer's version is newer: fetch it
+	Differs                   // one version with two digests: raise an alarm, keep the own
+	Untested                  // the peer's version is older than the digests kept here, or was not accepted here
+)
+
+// Compare judges what a peer says it holds.
+func (f *Fold) Compare(v ident.Version, d Digest) Agreement {
+	own, ok := f.history.digest(v)
+	switch {
+	case v > f.version:
+		return Ahead
+	case !ok:
+		return Untested
+	case own != d:
+		return Differs
+	}
+	return Same
+}
--- /dev/null
+++ b/core/drain/backend.go
@@ -0,0 +1,150 @@
+// Package drain decides which backend servers take new work, and runs the shutdown of the own process.
+package drain
+
+import (
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// ListLag bounds how far the host list is behind. A list that arrives later than this after the last
+// sign of leaving was made after the server started to leave.
+const ListLag = 60 * time.Second
+
+// Source tells where a mark comes from.
+type Source uint8
+
+// Sources of marks.
+const (
+	HostList Source = iota // the platform's list, lagging
+	Report                 // the server's own load report
+	Refusal                // the server refused a call because it leaves
+	Gossip                 // another process saw one of the above
+)
+
+// Stamp orders what is known about a server: by incarnation, then by host list version.
+type Stamp struct {
+	Incarnation uint64 // rises with each start of the server; zero when unknown
+	ListVersion uint64 // newest host list that the observer held
+}
+
+// Newer reports whether s is newer than o.
+func (s Stamp) Newer(o Stamp) bool {
+	if s.Incarnation != o.Incarnation {
+		return s.Incarnation > o.Incarnation
+	}
+	return s.ListVersion > o.ListVersion
+}
+
+// Mark is one observation of a server's state.
+type Mark struct {
+	Server  ident.BackendID
+	Source  Source
+	Leaving bool
+	Stamp   Stamp
+}
+
+// Config sets up Backends. Zero fields take the package's defaults.
+type Config struct {
+	// ListLag is the age from which a host list counts against reports, refusals and gossip. Shorter
+	// sends work to a leaving server when the list lags more; longer keeps a returned server idle.
+	ListLag time.Duration
+}
+
+type server struct {
+	leaving   bool
+	listed    bool // the host list itself showed the server leaving since the mark
+	known     Stamp
+	lastMark  time.Duration
+	returned  bool
+	returnKey Stamp // older marks are about a stay that is over
+}
+
+// Backends holds the state of all backend servers. Leaving wins: a server returns only with a newer
+// incarnation or a newer host list version.
+type Backends struct {
+	cfg     Config
+	servers map[ident.BackendID]*server
+}
+
+// NewBackends returns a table in which every server is live.
+func NewBackends(cfg Config) *Backends {
+	if cfg.ListLag == 0 {
+		cfg.ListLag = ListLag
+	}
+	return &Backends{cfg: cfg, servers: make(map[ident.BackendID]*server)}
+}
+
+// Observe takes a mark. It reports whether the server's state changed; a change to leaving must be
+// spread to the members at once.
+func (b *Backends) Observe(now time.Duration, m Mark) (changed bool) {
+	s := b.servers[m.Server]
+	if s == nil {
+		s = &server{}
+		b.servers[m.Server] = s
+	}
+	if m.Leaving {
+		return s.leave(now, m)
+	}
+	return s.live(now, m, b.cfg.ListLag)
+}
+
+func (s *server) leave(now time.Duration, m Mark) bool {
+	if m.Stamp.Incarnation != 0 && m.Stamp.Incarnation < s.known.Incarnation {
+		return false
+	}
+	secondHand := m.Source == Gossip || m.Source == HostList
+	if secondHand && s.returned && s.returnKey.Newer(m.Stamp) {
+		return false
+	}
+	changed := !s.leaving
+	if changed {
+		s.listed = false
+	}
+	s.leaving = true
+	s.listed = s.listed || m.Source == HostList
+	s.lastMark = now
+	s.raise(m.Stamp)
+	return changed
+}
+
+func (s *server) live(now time.Duration, m Mark, lag time.Duration) bool {
+	if !s.leaving {
+		s.raise(m.Stamp)
+		return false
+	}
+	restarted := m.Stamp.Incarnation > s.known.Incarnation && s.known.Incarnation != 0
+	relisted := m.Source == HostList && m.Stamp.ListVersion > s.known.ListVersion &&
+		(s.listed || now-s.lastMark >= lag)
+	if !restarted && !relisted {
+		return false
+	}
+	s.leaving = false
+	s.raise(m.Stamp)
+	s.returned = true
+	s.returnKey = s.known
+	return true
+}
+
+func (s *server) raise(to Stamp) {
+	s.known.Incarnation = max(s.known.Incarnation, to.Incarnation)
+	s.known.ListVersion = max(s.known.ListVersion, to.ListVersion)
+}
+
+// Leaving reports whether the server takes no new work.
+func (b *Backends) Leaving(id ident.BackendID) bool {
+	s := b.servers[id]
+	return s != nil && s.leaving
+}
+
+// Mark returns the mark to gossip about a server; ok is false when nothing is known about it.
+func (b *Backends) Mark(id ident.BackendID) (m Mark, ok bool) {
+	s := b.servers[id]
+	if s == nil {
+		return Mark{}, false
+	}
+	return Mark{Server: id, Source: Gossip, Leaving: s.leaving, Stamp: s.known}, true
+}
+
+// Forget drops a server that neither the configuration nor the host list names any more.
+func (b *Backends) Forget(id ident.BackendID) { delete(b.servers, id) }
