--- a/transport/wire/wire.go
+++ b/transport/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire defines the messages between gateways and dispatchers and their frame encoding:
-// uint32 length (big endian), uint8 type, msgpack body.
+// uint32 length (big endian, of type and body), uint8 type, msgpack body.
 package wire
 
 // Size limits in bytes.
@@ -24,14 +24,15 @@
 	TypeAccepted
 	TypeToken
 	TypeEnd
+	TypeKeepalive
 )
 
 // Head is carried by every message.
 type Head struct {
-	Sender        string `msgpack:"s"` // host id and role, "host/role"
-	Incarnation   uint64 `msgpack:"i"`
-	ConfigVersion uint64 `msgpack:"v"`
-	Seq           uint64 `msgpack:"q"` // rises by one for each message of a link
+	Sender        string // host id and role, "host/role"
+	Incarnation   uint64
+	ConfigVersion uint64
+	Seq           uint64 // rises by one for each message of a link
 }
 
 // Message is one of the message types of this package.
@@ -44,81 +45,88 @@
 
 // Hello opens a link, in both directions.
 type Hello struct {
-	Head Head   `msgpack:"h"`
-	Role string `msgpack:"r"`
+	Head Head
+	Role string
 }
 
 // Submit hands an attempt to a dispatcher. Its prompt follows in Chunks Chunk messages.
 type Submit struct {
-	Head            Head   `msgpack:"h"`
-	Request         string `msgpack:"rq"`
-	Attempt         uint64 `msgpack:"a"` // unique per gateway incarnation
-	Team            string `msgpack:"t"`
-	Model           string `msgpack:"m"`
-	Class           uint8  `msgpack:"c"`
-	PromptTokens    int    `msgpack:"p"`
-	MaxOutputTokens int    `msgpack:"o"`
-	RemainingMS     int64  `msgpack:"d"` // time left until the caller's deadline
-	ResumeFrom      int    `msgpack:"f"` // last token number that the caller has
-	TraceParent     string `msgpack:"tp"`
-	Chunks          int    `msgpack:"n"`
+	Head            Head
+	Request         string
+	Attempt         uint64 // unique per gateway incarnation
+	Team            string
+	Model           string
+	Class           uint8
+	PromptTokens    int
+	MaxOutputTokens int
+	RemainingMS     int64 // time left until the caller's deadline
+	ResumeFrom      int   // last token number that the caller has
+	TraceParent     string
+	Chunks          int
 }
 
 // Chunk carries a piece of a prompt.
 type Chunk struct {
-	Head    Head   `msgpack:"h"`
-	Attempt uint64 `msgpack:"a"`
-	Index   int    `msgpack:"x"` // from 0
-	Data    []byte `msgpack:"b"`
+	Head    Head
+	Attempt uint64
+	Index   int // from 0
+	Data    []byte
 }
 
 // Cancel gives an attempt up.
 type Cancel struct {
-	Head    Head   `msgpack:"h"`
-	Attempt uint64 `msgpack:"a"`
-	Reason  string `msgpack:"r"`
+	Head    Head
+	Attempt uint64
+	Reason  string
 }
 
 // Accepted tells that an attempt is queued or sent.
 type Accepted struct {
-	Head     Head   `msgpack:"h"`
-	Attempt  uint64 `msgpack:"a"`
-	Engine   string `msgpack:"e"` // empty while queued
-	Position int    `msgpack:"p"`
+	Head     Head
+	Attempt  uint64
+	Engine   string // empty while queued
+	Position int
 }
 
 // Token carries one token of an answer.
 type Token struct {
-	Head    Head   `msgpack:"h"`
-	Attempt uint64 `msgpack:"a"`
-	N       int    `msgpack:"n"` // from 1
-	Text    string `msgpack:"t"`
+	Head    Head
+	Attempt uint64
+	N       int // from 1
+	Text    string
 }
 
 // End closes an attempt. Nothing follows it.
 type End struct {
-	Head         Head   `msgpack:"h"`
-	Attempt      uint64 `msgpack:"a"`
-	Count        int    `msgpack:"c"`
-	Outcome      uint8  `msgpack:"k"` // outcome.Kind
-	Reason       string `msgpack:"r"`
-	RetryAfterMS int64  `msgpack:"w"`
-	Step         string `msgpack:"s"`
-	Peer         string `msgpack:"p"`
+	Head         Head
+	Attempt      uint64
+	Count        int
+	Outcome      uint8 // outcome.Kind
+	Reason       string
+	RetryAfterMS int64
+	Step         string
+	Peer         string
 }
 
-func (m *Hello) Type() Type    { return TypeHello }
-func (m *Submit) Type() Type   { return TypeSubmit }
-func (m *Chunk) Type() Type    { return TypeChunk }
-func (m *Cancel) Type() Type   { return TypeCancel }
-func (m *Accepted) Type() Type { return TypeAccepted }
-func (m *Token) Type() Type    { return TypeToken }
-func (m *End) Type() Type      { return TypeEnd }
+// Keepalive shows that the sender is alive while it has nothing else to send.
+type Keepalive struct {
+	Head Head
+}
+
+func (m *Hello) Type() Type     { return TypeHello }
+func (m *Submit) Type() Type    { return TypeSubmit }
+func (m *Chunk) Type() Type     { return TypeChunk }
+func (m *Cancel) Type() Type    { return TypeCancel }
+func (m *Accepted) Type() Type  { return TypeAccepted }
+func (m *Token) Type() Type     { return TypeToken }
+func (m *End) Type() Type       { return TypeEnd }
+func (m *Keepalive) Type() Type { return TypeKeepalive }
 
-func (m *Hello) Header() *Head    { return &m.Head }
-func (m *Submit) Header() *Head   { return &m.Head }
-func (m *Chunk) Header() *Head    { return &m.Head }
-func (m *Cancel) Header() *Head   { return &m.Head }
-func (m *Accepted) Header() *Head { return &m.Head }
-func (m *Token) Header() *Head    { return &m.Head }
-func (m *End) Header() *Head      { return &m.Head }
+func (m *Hello) Header() *Head     { return &m.Head }
+func (m *Submit) Header() *Head    { return &m.Head }
+func (m *Chunk) Header() *Head     { return &m.Head }
+func (m *Cancel) Header() *Head    { return &m.Head }
+func (m *Accepted) Header() *Head  { return &m.Head }
+func (m *Token) Header() *Head     { return &m.Head }
+func (m *End) Header() *Head       { return &m.Head }
+func (m *Keepalive) Header() *Head { return &m.Head }
