--- /dev/null
+++ b/node/enginehttp/enginehttp.go
@@ -0,0 +1,162 @@
+// Package enginehttp calls one model engine over HTTP.
+//
+// Errors are *outcome.Error. NotRun means that the engine holds nothing of the request: no connection
+// stood, or the engine refused it. Any other failure is MayHaveRun, and the caller must cancel the
+// session, because an engine keeps it when the client goes away.
+package enginehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
+)
+
+// Config says how to reach one engine.
+type Config struct {
+	Peer           string        // backend server id, for errors
+	Address        string        // host:port or http URL
+	DialTimeout    time.Duration // default 1 s; longer delays the detection of a dead engine
+	RequestTimeout time.Duration // bound of unary calls, default 2 s; streams end by their context
+	MaxLineBytes   int           // bound of one stream line, default 64 KiB
+	MaxAnswerBytes int64         // bound of a unary answer, default 4 MiB (a long session list)
+}
+
+// Client calls one engine. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	base string
+	tr   *http.Transport
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = time.Second
+	}
+	if cfg.RequestTimeout == 0 {
+		cfg.RequestTimeout = 2 * time.Second
+	}
+	if cfg.MaxLineBytes == 0 {
+		cfg.MaxLineBytes = 64 << 10
+	}
+	if cfg.MaxAnswerBytes == 0 {
+		cfg.MaxAnswerBytes = 4 << 20
+	}
+	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), tr: httpcall.Transport(cfg.DialTimeout)}
+}
+
+// Close drops idle connections; running streams go on.
+func (c *Client) Close() { c.tr.CloseIdleConnections() }
+
+// Cancel ends a session and returns the memory that the engine gave back. An unknown session
+// releases nothing and is no error.
+func (c *Client) Cancel(ctx context.Context, session string) (backendapi.Cancelled, error) {
+	var r backendapi.Cancelled
+	err := c.unary(ctx, "engine_cancel", http.MethodDelete, "/v1/sessions/"+url.PathEscape(session), nil, &r)
+	return r, err
+}
+
+// DeleteKV deletes an exported KV cache.
+func (c *Client) DeleteKV(ctx context.Context, handle string) error {
+	return c.unary(ctx, "engine_delete_kv", http.MethodDelete, "/v1/kv/"+url.PathEscape(handle), nil, nil)
+}
+
+// Report returns the engine's latest report.
+func (c *Client) Report(ctx context.Context) (backendapi.Report, error) {
+	var r backendapi.Report
+	err := c.unary(ctx, "engine_report", http.MethodGet, "/v1/report", nil, &r)
+	return r, err
+}
+
+// CacheEvents returns the cache events after the given number. Numbers may have gaps.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (backendapi.CacheEvents, error) {
+	var r backendapi.CacheEvents
+	err := c.unary(ctx, "engine_cache_events", http.MethodGet, fmt.Sprintf("/v1/cache-events?after=%d", after), nil, &r)
+	return r, err
+}
+
+// StaleFence is the cause of an order error when the engine has accepted a newer fence.
+type StaleFence struct {
+	Highest backendapi.Fence
+}
+
+// Error implements error.
+func (s *StaleFence) Error() string {
+	return fmt.Sprintf("stale fence, engine accepted config %d term %d", s.Highest.Config, s.Highest.Term)
+}
+
+// Order gives the engine an order. On 409 the error is NotRun and wraps *StaleFence, and the result
+// holds the highest fence too.
+func (c *Client) Order(ctx context.Context, order backendapi.Order) (backendapi.OrderResult, error) {
+	var r backendapi.OrderResult
+	err := c.unary(ctx, "engine_order", http.MethodPost, "/v1/orders", order, &r)
+	var stale *StaleFence
+	if errors.As(err, &stale) {
+		r.Highest = stale.Highest
+	}
+	return r, err
+}
+
+// unary sends one bounded call; in and out may be nil.
+func (c *Client) unary(ctx context.Context, step, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.RequestTimeout)
+	defer cancel()
+	hc := &httpcall.Call{Step: step, Peer: c.cfg.Peer}
+	resp, err := c.send(ctx, hc, method, path, in)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusConflict {
+		return c.stale(ctx, hc, resp)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return hc.Refused(resp)
+	}
+	if out == nil {
+		return resp.Body.Close()
+	}
+	return hc.DecodeJSON(ctx, resp, c.cfg.MaxAnswerBytes, out)
+}
+
+func (c *Client) stale(ctx context.Context, hc *httpcall.Call, resp *http.Response) error {
+	var r backendapi.OrderResult
+	if err := hc.DecodeJSON(ctx, resp, c.cfg.MaxAnswerBytes, &r); err != nil {
+		return err
+	}
+	return &outcome.Error{
+		Kind: outcome.NotRun, Reason: outcome.BadRequest, Step: hc.Step, Peer: hc.Peer,
+		Err: &StaleFence{Highest: r.Highest},
+	}
+}
+
+func (c *Client) send(ctx context.Context, hc *httpcall.Call, method, path string, in any) (*http.Response, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return nil, outcome.Refuse(hc.Step, outcome.BadRequest, err.Error())
+		}
+	}
+	req, err := http.NewRequestWithContext(hc.Trace(ctx), method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, outcome.Refuse(hc.Step, outcome.BadRequest, err.Error())
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.tr.RoundTrip(req)
+	if err != nil {
+		return nil, hc.Failed(ctx, err)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/node/platform/follow.go
@@ -0,0 +1,100 @@
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+)
+
+// Update is one result of following the configuration: entries, none when a watch ended quietly, or
+// an error.
+type Update struct {
+	platformapi.Entries
+	Err error
+}
+
+// Follow delivers all entries above after, in order, until ctx ends. It pages through what is there
+// and then holds one watch. deliver runs on the calling goroutine, one call at a time; after an error
+// it gets the error, and the next read waits with backoff and jitter.
+func (c *Client) Follow(ctx context.Context, after uint64, deliver func(Update)) {
+	b := c.newBackoff()
+	read := c.Entries
+	for ctx.Err() == nil {
+		got, err := read(ctx, after)
+		if ctx.Err() != nil {
+			return
+		}
+		deliver(Update{Entries: got, Err: err})
+		if err != nil {
+			b.wait(ctx, err)
+			continue
+		}
+		b.reset()
+		if n := len(got.Entries); n > 0 {
+			after = max(after, got.Entries[n-1].Number)
+		}
+		read = c.Watch
+		if len(got.Entries) > 0 && after < got.Head {
+			read = c.Entries
+		}
+	}
+}
+
+// HostsUpdate is one result of following the host list.
+type HostsUpdate struct {
+	platformapi.Hosts
+	Err error
+}
+
+// FollowHosts reads the host list at once and then every interval, with up to a tenth of jitter,
+// until ctx ends. deliver runs on the calling goroutine.
+func (c *Client) FollowHosts(ctx context.Context, interval time.Duration, deliver func(HostsUpdate)) {
+	b := c.newBackoff()
+	for ctx.Err() == nil {
+		got, err := c.Hosts(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		deliver(HostsUpdate{Hosts: got, Err: err})
+		if err != nil {
+			b.wait(ctx, err)
+			continue
+		}
+		b.reset()
+		sleep(ctx, interval+rand.N(interval/10+1))
+	}
+}
+
+// backoff doubles its bound with each failure; the delay is uniform below the bound, so that the
+// readers of a fleet don't return in step.
+type backoff struct {
+	min, max, bound time.Duration
+}
+
+func (c *Client) newBackoff() *backoff {
+	return &backoff{min: c.cfg.BackoffMin, max: c.cfg.BackoffMax, bound: c.cfg.BackoffMin}
+}
+
+func (b *backoff) reset() { b.bound = b.min }
+
+// wait sleeps for a random delay, and at least for the peer's retry-after.
+func (b *backoff) wait(ctx context.Context, err error) {
+	d := b.min/10 + rand.N(b.bound)
+	if e := outcome.From(err, "", ""); e.RetryAfter > 0 {
+		d = max(d, min(e.RetryAfter, b.max)+rand.N(b.min))
+	}
+	b.bound = min(2*b.bound, b.max)
+	sleep(ctx, d)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/platform/platform.go
@@ -0,0 +1,136 @@
+// Package platform reads the configuration service and the host list. All reads of a process pass one
+// token bucket, because the configuration service bounds the reads of the whole fleet.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
+)
+
+// Config says where the platform is and how often it may be read.
+type Config struct {
+	ConfigAddress string // configuration service, host:port or http URL
+	HostsAddress  string // host list, host:port or http URL
+
+	ReadsPerS      float64       // token bucket of all reads, default 5; times the fleet must stay under 2,000
+	Burst          int           // default 5
+	PageEntries    int           // entries per read, default 8; values are up to 1 MB each
+	WatchTimeout   time.Duration // default 4 s, so that a quiet watch keeps the view fresh (5 s)
+	RequestTimeout time.Duration // default 2 s, on top of WatchTimeout for a watch
+	BackoffMin     time.Duration // first bound of the delay after a failure, default 100 ms
+	BackoffMax     time.Duration // last bound, default 10 s
+	MaxAnswerBytes int64         // default 16 MiB
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.ReadsPerS, 5)
+	setDefault(&c.Burst, 5)
+	setDefault(&c.PageEntries, 8)
+	setDefault(&c.WatchTimeout, 4*time.Second)
+	setDefault(&c.RequestTimeout, 2*time.Second)
+	setDefault(&c.BackoffMin, 100*time.Millisecond)
+	setDefault(&c.BackoffMax, 10*time.Second)
+	setDefault(&c.MaxAnswerBytes, 16<<20)
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// Client reads the platform. It is safe for concurrent use.
+type Client struct {
+	cfg     Config
+	tr      *http.Transport
+	limiter *rate.Limiter
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	cfg.setDefaults()
+	return &Client{
+		cfg:     cfg,
+		tr:      httpcall.Transport(cfg.RequestTimeout),
+		limiter: rate.NewLimiter(rate.Limit(cfg.ReadsPerS), cfg.Burst),
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.tr.CloseIdleConnections() }
+
+// Entries reads one page of entries with numbers above after.
+func (c *Client) Entries(ctx context.Context, after uint64) (platformapi.Entries, error) {
+	var r platformapi.Entries
+	path := fmt.Sprintf("/config/entries?after=%d&limit=%d", after, c.cfg.PageEntries)
+	err := c.get(ctx, "config_entries", c.cfg.ConfigAddress, path, c.cfg.RequestTimeout, &r)
+	return r, err
+}
+
+// Watch waits up to WatchTimeout for an entry above after; no entries are returned when none came.
+func (c *Client) Watch(ctx context.Context, after uint64) (platformapi.Entries, error) {
+	var r platformapi.Entries
+	path := fmt.Sprintf("/config/watch?after=%d&timeout_ms=%d", after, c.cfg.WatchTimeout.Milliseconds())
+	err := c.get(ctx, "config_watch", c.cfg.ConfigAddress, path, c.cfg.WatchTimeout+c.cfg.RequestTimeout, &r)
+	return r, err
+}
+
+// Hosts reads the host list.
+func (c *Client) Hosts(ctx context.Context) (platformapi.Hosts, error) {
+	var r platformapi.Hosts
+	err := c.get(ctx, "hosts", c.cfg.HostsAddress, "/hosts", c.cfg.RequestTimeout, &r)
+	return r, err
+}
+
+// get sends one read. Nothing of a caller's request is in it, so all failures are NotRun: overload
+// for 429, else not_ready.
+func (c *Client) get(ctx context.Context, step, address, path string, timeout time.Duration, out any) error {
+	base := httpcall.BaseURL(address)
+	hc := &httpcall.Call{Step: step, Peer: peerOf(base)}
+	if err := c.limiter.Wait(ctx); err != nil {
+		return notRun(hc.Failed(ctx, err))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, nil)
+	if err != nil {
+		return outcome.Refuse(step, outcome.BadRequest, err.Error())
+	}
+	resp, err := c.tr.RoundTrip(req)
+	if err != nil {
+		return notRun(hc.Failed(ctx, err))
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return notRun(hc.Refused(resp))
+	}
+	if err := hc.DecodeJSON(ctx, resp, c.cfg.MaxAnswerBytes, out); err != nil {
+		return notRun(outcome.From(err, step, hc.Peer))
+	}
+	return nil
+}
+
+func notRun(e *outcome.Error) *outcome.Error {
+	e.Kind = outcome.NotRun
+	if e.Reason != outcome.Overload {
+		e.Reason = outcome.NotReady
+	}
+	return e
+}
+
+func peerOf(base string) string {
+	if u, err := url.Parse(base); err == nil {
+		return u.Host
+	}
+	return base
+}
