--- /dev/null
+++ b/node/enginehttp/enginehttp_test.go
@@ -0,0 +1,93 @@
+package enginehttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+)
+
+func newClient(c *qt.C, h http.HandlerFunc) *Client {
+	srv := httptest.NewServer(h)
+	c.Cleanup(srv.Close)
+	client := New(Config{Peer: "engine-1", Address: srv.URL, RequestTimeout: 200 * time.Millisecond})
+	c.Cleanup(client.Close)
+	return client
+}
+
+// Guards against a broken stream that passes for whole, and against a refusal that loses its kind.
+func TestStreamEnds(t *testing.T) {
+	const token = `{"n":1,"text":"a"}` + "\n"
+	for name, test := range map[string]struct {
+		status int
+		body   string
+		lines  int
+		kind   outcome.Kind
+		reason outcome.Reason
+	}{
+		"whole":       {200, token + `{"end":true,"count":1}`, 2, outcome.Answered, ""},
+		"no end line": {200, token, 1, outcome.MayHaveRun, outcome.BackendLost},
+		"error line":  {200, token + `{"error":"fault"}`, 1, outcome.MayHaveRun, outcome.BackendFailed},
+		"not JSON":    {200, token + "<html>", 1, outcome.MayHaveRun, outcome.BackendFailed},
+		"long line":   {200, token + strings.Repeat("x", 70<<10), 1, outcome.MayHaveRun, outcome.BackendLost},
+		"full":        {503, "", 0, outcome.NotRun, outcome.Overload},
+		"failed":      {500, "", 0, outcome.MayHaveRun, outcome.BackendFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			client := newClient(c, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Retry-After", "2")
+				w.WriteHeader(test.status)
+				io.WriteString(w, test.body)
+			})
+			s, err := client.Start(context.Background(), backendapi.SessionRequest{Session: "s"})
+			lines := 0
+			for err == nil {
+				if _, err = s.Next(); err == nil {
+					lines++
+				}
+			}
+			c.Assert(lines, qt.Equals, test.lines)
+			if test.kind == outcome.Answered {
+				c.Assert(err, qt.Equals, io.EOF)
+				return
+			}
+			e := outcome.From(err, "", "")
+			c.Assert(e.Kind, qt.Equals, test.kind)
+			c.Assert(e.Reason, qt.Equals, test.reason)
+			c.Assert(e.Peer, qt.Equals, "engine-1")
+			if test.status == 503 {
+				c.Assert(e.RetryAfter, qt.Equals, 2*time.Second)
+			}
+		})
+	}
+}
+
+// Guards against an order whose refusal hides the fence that the next owner has to exceed.
+func TestOrderReturnsHighestFence(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(c, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusConflict)
+		io.WriteString(w, `{"highest":{"config":7,"term":3}}`)
+	})
+	r, err := client.Order(context.Background(), backendapi.Order{Kind: "load"})
+	c.Assert(r.Highest, qt.Equals, backendapi.Fence{Config: 7, Term: 3})
+	c.Assert(outcome.From(err, "", "").Kind, qt.Equals, outcome.NotRun)
+	c.Assert(err, qt.ErrorAs, new(*StaleFence))
+}
+
+// Guards against a report call that waits for a hung engine without bound.
+func TestUnaryTimesOut(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(c, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	_, err := client.Report(context.Background())
+	c.Assert(outcome.From(err, "", "").Reason, qt.Equals, outcome.Deadline)
+}
