--- /dev/null
+++ b/standin/hostlist/hostlist_test.go
@@ -0,0 +1,22 @@
+package hostlist
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+)
+
+// Guards against a host list that shows a leaving host at once, which would hide late marks in tests.
+func TestChangesShowAfterLag(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{Lag: 50 * time.Millisecond}, []platformapi.Host{{ID: "a", State: platformapi.Live}})
+	s.SetState("a", platformapi.Leaving)
+	c.Assert(s.shown(false).Hosts[0].State, qt.Equals, platformapi.Live)
+	time.Sleep(60 * time.Millisecond)
+	c.Assert(s.shown(false).Hosts[0].State, qt.Equals, platformapi.Leaving)
+	c.Assert(s.shown(false).Version, qt.Equals, uint64(2))
+	c.Assert(s.shown(true).Version, qt.Equals, uint64(1))
+}
