--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -209,5 +209,6 @@
 		e.notBefore = now // the next order carries a higher term
 	case Failed:
 		e.reported = false // it may have arrived: wait for a report that shows it
+		e.adapters = nil
 	}
 }
--- /dev/null
+++ b/core/ticket/ticket_test.go
@@ -0,0 +1,137 @@
+package ticket
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+)
+
+func newTable(c *qt.C, cfg Config) *Table {
+	cfg.Host, cfg.Incarnation, cfg.Key = "be-1", 7, []byte("0123456789abcdef")
+	t, err := New(cfg)
+	c.Assert(err, qt.IsNil)
+	return t
+}
+
+func issueOne(c *qt.C, t *Table, now time.Duration) string {
+	texts, err := t.Issue(now, 1)
+	c.Assert(err == nil, qt.IsTrue)
+	return texts[0]
+}
+
+func finish(c *qt.C, t *Table, text, body string) {
+	d := t.Begin(0, text, Call{}, time.Minute)
+	c.Assert(d.Verdict, qt.Equals, Run)
+	c.Assert(t.FirstByte(0, d.Sequence) == nil, qt.IsTrue)
+	c.Assert(t.Finish(0, d.Sequence, Response{Status: 200, Body: []byte(body)}), qt.IsTrue)
+}
+
+// TestTextOfTickets guards against texts that parse to another ticket than the one issued, and against
+// "not run" for a damaged copy.
+func TestTextOfTickets(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c, Config{StartUnixMS: 1_000})
+	text := issueOne(c, table, 0)
+	c.Assert(text, qt.Matches, `rh1\.be-1\.0000000000000007\.1\.121000\.[\w-]{22}`)
+	for damaged, want := range map[string]outcome.Kind{
+		"":                                     outcome.NotRun,
+		"order-17":                             outcome.NotRun,
+		text[:len(text)-1]:                     outcome.MayHaveRun,
+		strings.Replace(text, ".1.", ".2.", 1): outcome.MayHaveRun,
+		strings.Replace(text, "rh1", "rh2", 1): outcome.MayHaveRun,
+		text + "A":                             outcome.MayHaveRun,
+		"rh1." + strings.Repeat("a", MaxText):  outcome.MayHaveRun,
+	} {
+		d := table.Begin(0, damaged, Call{}, time.Second)
+		c.Check(d.Verdict, qt.Equals, Refuse)
+		c.Check(d.Err.Kind, qt.Equals, want, qt.Commentf("%q", damaged))
+	}
+	c.Assert(table.Begin(0, text, Call{}, time.Second).Verdict, qt.Equals, Run)
+}
+
+// TestEndsOfTickets guards against a wrong reason on each way a ticket ends.
+func TestEndsOfTickets(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c, Config{})
+	text := issueOne(c, table, 0)
+	late := table.Begin(Lifetime, text, Call{}, Lifetime+time.Second)
+	c.Check(late.Err.Reason, qt.Equals, outcome.TicketExpired)
+	c.Check(late.Err.Kind, qt.Equals, outcome.NotRun)
+	removed := table.Begin(Lifetime+Retention, text, Call{}, time.Hour)
+	c.Check(removed.Err.Kind, qt.Equals, outcome.MayHaveRun)
+
+	text = issueOne(c, table, 0)
+	d := table.Begin(0, text, Call{}, time.Second)
+	c.Check(table.Begin(0, text, Call{}, time.Second).Verdict, qt.Equals, Wait)
+	c.Check(table.FirstByte(time.Second, d.Sequence).Reason, qt.Equals, outcome.Deadline)
+	again := table.Begin(0, text, Call{}, time.Minute).Err
+	c.Check(again.Reason, qt.Equals, outcome.TicketBurned)
+	c.Check(again.Kind, qt.Equals, outcome.NotRun)
+
+	text = issueOne(c, table, 0)
+	d = table.Begin(0, text, Call{}, time.Second)
+	c.Assert(table.FirstByte(0, d.Sequence) == nil, qt.IsTrue)
+	c.Check(table.FirstByte(0, d.Sequence) != nil, qt.IsTrue) // a second write would run it twice
+	lost := table.Fail(0, d.Sequence, outcome.Refuse("send", outcome.BackendLost, ""))
+	c.Check(lost.Kind, qt.Equals, outcome.MayHaveRun)
+	c.Check(table.Finish(0, d.Sequence, Response{}), qt.IsFalse)
+	c.Check(table.Begin(0, text, Call{}, time.Minute).Err == lost, qt.IsTrue)
+	c.Check(table.Begin(0, text, Call{Path: "x"}, time.Minute).Err.Reason, qt.Equals, outcome.TicketReused)
+}
+
+// TestBounds guards against a table or recorded answers that grow with the number of calls.
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c, Config{MaxRecords: 4, MaxBodyBytes: 4, MaxTotalBytes: 6})
+	texts, err := table.Issue(0, 4)
+	c.Assert(err == nil, qt.IsTrue)
+	_, err = table.Issue(0, 1)
+	c.Assert(err.Reason, qt.Equals, outcome.Overload)
+	c.Assert(err.RetryAfter, qt.Equals, Lifetime+Retention)
+	for i, body := range []string{"aaaa", "bbbb", "too long", "cc"} {
+		finish(c, table, texts[i], body)
+	}
+	for i, want := range []Verdict{Refuse, Recorded, Refuse, Recorded} {
+		d := table.Begin(0, texts[i], Call{}, time.Minute)
+		c.Check(d.Verdict, qt.Equals, want)
+		if want == Refuse {
+			c.Check(d.Err.Kind, qt.Equals, outcome.MayHaveRun)
+		}
+	}
+	c.Assert(table.BodyBytes(), qt.Equals, 6)
+	table.Expire(time.Hour)
+	c.Assert(table.Len()+table.BodyBytes()+len(table.removal)+len(table.bodies.order), qt.Equals, 0)
+}
+
+// TestRemovalOutlivesLongCalls guards against the loss of an outcome while its call runs, and against
+// records that stay for the deadline after a quick end.
+func TestRemovalOutlivesLongCalls(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c, Config{})
+	text := issueOne(c, table, 0)
+	d := table.Begin(0, text, Call{}, time.Hour)
+	c.Assert(table.FirstByte(0, d.Sequence) == nil, qt.IsTrue)
+	table.Expire(time.Hour)
+	c.Assert(table.Finish(time.Hour, d.Sequence, Response{Body: bytes.Repeat([]byte("x"), 9)}), qt.IsTrue)
+	table.Expire(time.Hour + Retention - 1)
+	c.Assert(table.Len(), qt.Equals, 1)
+	table.Expire(time.Hour + Retention)
+	c.Assert(table.Len(), qt.Equals, 0)
+}
+
+// BenchmarkCall measures one posting: issue, begin, first byte, finish.
+func BenchmarkCall(b *testing.B) {
+	c := qt.New(b)
+	table := newTable(c, Config{})
+	for i := range b.N {
+		now := time.Duration(i) * 10 * time.Millisecond
+		texts, _ := table.Issue(now, 1)
+		d := table.Begin(now, texts[0], Call{}, now+time.Second)
+		table.FirstByte(now, d.Sequence)
+		table.Finish(now, d.Sequence, Response{})
+	}
+}
