--- a/node/platform/follow.go
+++ b/node/platform/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -13,7 +14,8 @@
 // an error.
 type Update struct {
 	platformapi.Entries
-	Err error
+	After uint64 // the number that the read asked for; a first entry above After+1 shows a gap
+	Err   error
 }
 
 // Follow delivers all entries above after, in order, until ctx ends. It pages through what is there
@@ -27,17 +29,23 @@
 		if ctx.Err() != nil {
 			return
 		}
-		deliver(Update{Entries: got, Err: err})
+		deliver(Update{Entries: got, After: after, Err: err})
 		if err != nil {
 			b.wait(ctx, err)
 			continue
 		}
+		n := len(got.Entries)
+		if n == 0 && after < got.Head {
+			// Parts of a snapshot are there and the rest is not: a watch would return at once.
+			b.wait(ctx, nil)
+			continue
+		}
 		b.reset()
-		if n := len(got.Entries); n > 0 {
+		if n > 0 {
 			after = max(after, got.Entries[n-1].Number)
 		}
 		read = c.Watch
-		if len(got.Entries) > 0 && after < got.Head {
+		if after < got.Head {
 			read = c.Entries
 		}
 	}
@@ -80,10 +88,10 @@
 
 func (b *backoff) reset() { b.bound = b.min }
 
-// wait sleeps for a random delay, and at least for the peer's retry-after.
+// wait sleeps for a random delay, and at least for the retry-after of err, which may be nil.
 func (b *backoff) wait(ctx context.Context, err error) {
 	d := b.min/10 + rand.N(b.bound)
-	if e := outcome.From(err, "", ""); e.RetryAfter > 0 {
+	if e := (*outcome.Error)(nil); errors.As(err, &e) && e.RetryAfter > 0 {
 		d = max(d, min(e.RetryAfter, b.max)+rand.N(b.min))
 	}
 	b.bound = min(2*b.bound, b.max)
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -16,6 +16,9 @@
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
+// maxEntries bounds what is read to complete a snapshot, at up to 1 MB each.
+const maxEntries = 64
+
 // Config says where the platform is and how often it may be read.
 type Config struct {
 	ConfigAddress string // configuration service, host:port or http URL
@@ -69,20 +72,52 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.tr.CloseIdleConnections() }
 
-// Entries reads one page of entries with numbers above after.
+// Entries reads one page of entries with numbers above after. A snapshot in parts is never cut: the rest
+// of its parts is read too, and parts whose rest is not published yet are left out.
 func (c *Client) Entries(ctx context.Context, after uint64) (platformapi.Entries, error) {
+	got, err := c.page(ctx, after)
+	return c.complete(ctx, got), err
+}
+
+func (c *Client) page(ctx context.Context, after uint64) (platformapi.Entries, error) {
 	var r platformapi.Entries
 	path := fmt.Sprintf("/config/entries?after=%d&limit=%d", after, c.cfg.PageEntries)
 	err := c.get(ctx, "config_entries", c.cfg.ConfigAddress, path, c.cfg.RequestTimeout, &r)
 	return r, err
 }
 
-// Watch waits up to WatchTimeout for an entry above after; no entries are returned when none came.
+// Watch waits up to WatchTimeout for an entry above after; no entries are returned when none came. As
+// with Entries, a snapshot is never cut.
 func (c *Client) Watch(ctx context.Context, after uint64) (platformapi.Entries, error) {
 	var r platformapi.Entries
 	path := fmt.Sprintf("/config/watch?after=%d&timeout_ms=%d", after, c.cfg.WatchTimeout.Milliseconds())
 	err := c.get(ctx, "config_watch", c.cfg.ConfigAddress, path, c.cfg.WatchTimeout+c.cfg.RequestTimeout, &r)
-	return r, err
+	return c.complete(ctx, r), err
+}
+
+// complete reads the missing parts of a snapshot at the end of a page, or leaves its parts out.
+func (c *Client) complete(ctx context.Context, got platformapi.Entries) platformapi.Entries {
+	for cut(got.Entries) && len(got.Entries) < maxEntries {
+		next, err := c.page(ctx, got.Entries[len(got.Entries)-1].Number)
+		if err != nil || len(next.Entries) == 0 {
+			break
+		}
+		got.Head = next.Head
+		got.Entries = append(got.Entries, next.Entries...)
+	}
+	for cut(got.Entries) {
+		got.Entries = got.Entries[:len(got.Entries)-1]
+	}
+	return got
+}
+
+// cut tells whether the last entry is a snapshot part with parts to follow.
+func cut(entries []platformapi.Entry) bool {
+	if len(entries) == 0 {
+		return false
+	}
+	last := entries[len(entries)-1]
+	return last.Kind == platformapi.KindSnapshot && last.Part < last.Parts
 }
 
 // Hosts reads the host list.
--- a/node/platform/platform_test.go
+++ b/node/platform/platform_test.go
@@ -55,6 +55,29 @@
 	c.Assert(refused > 0, qt.IsTrue)
 }
 
+// Guards against a snapshot that is cut between pages, which a fold would never accept.
+func TestSnapshotPartsStayTogether(t *testing.T) {
+	c := qt.New(t)
+	parts := []platformapi.Entry{{Number: 1, Kind: platformapi.KindPatch, Body: json.RawMessage("{}")}}
+	for n := 1; n <= 5; n++ {
+		parts = append(parts, platformapi.Entry{Number: uint64(n + 1), Kind: platformapi.KindSnapshot, Part: n, Parts: 5, Body: json.RawMessage("{}")})
+	}
+	published := 6
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.FormValue("after"))
+		json.NewEncoder(w).Encode(platformapi.Entries{Head: uint64(published), Entries: parts[after:min(after+2, published)]})
+	}))
+	defer srv.Close()
+	client := New(Config{ConfigAddress: srv.URL, ReadsPerS: 1000, Burst: 100})
+	got, err := client.Entries(context.Background(), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Entries, qt.HasLen, 6)
+	published = 4
+	got, err = client.Entries(context.Background(), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Entries, qt.HasLen, 1)
+}
+
 // Guards against a process that reads faster than its share while the host list fails.
 func TestReadsPassTheTokenBucket(t *testing.T) {
 	c := qt.New(t)
