Add the load generator, its profiles and rosectl load

Cause: nothing drove a running system and checked its answers from outside. Change: lab/load draws Poisson arrivals from a seed, sends them open loop over the caller interface, compares every token and service answer with the stand-ins' deterministic text, and reports latencies, slowdown, refusals, late ends, leftover memory and executions by key as table, JSON and SVG. No run against a real gateway yet. Conclusion: the generator can judge the gateway once it serves.

--- a/cmd/rosectl/command.go
+++ b/cmd/rosectl/command.go
@@ -38,7 +38,7 @@
 }
 
 func commands() []*command {
-	return []*command{standinCommand(), configCommand()}
+	return []*command{standinCommand(), configCommand(), loadCommand()}
 }
 
 // attach adds c and its children to parent.
