Tell a leaving engine's refusal from a full one

Cause: a dispatcher marks an engine as leaving by its refusal, but every 503 read as overload. Change: a 503 with the body {"state":"leaving"} ends with reason draining, and the engine stand-in sends it; the clients' transports name HTTP/1 as their only protocol.

--- a/node/enginehttp/enginehttp_test.go
+++ b/node/enginehttp/enginehttp_test.go
@@ -39,6 +39,7 @@
 		"not JSON":    {200, token + "<html>", 1, outcome.MayHaveRun, outcome.BackendFailed},
 		"long line":   {200, token + strings.Repeat("x", 70<<10), 1, outcome.MayHaveRun, outcome.BackendLost},
 		"full":        {503, "", 0, outcome.NotRun, outcome.Overload},
+		"leaving":     {503, `{"state":"leaving"}`, 0, outcome.NotRun, outcome.Draining},
 		"failed":      {500, "", 0, outcome.MayHaveRun, outcome.BackendFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -34,7 +34,10 @@
 // Transport returns a keep-alive HTTP/1.1 transport that ignores proxy settings of the environment.
 func Transport(dialTimeout time.Duration) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
+	http1 := new(http.Protocols)
+	http1.SetHTTP1(true)
 	return &http.Transport{
+		Protocols:           http1,
 		DialContext:         d.DialContext,
 		MaxIdleConnsPerHost: MaxIdlePerPeer,
 		IdleConnTimeout:     30 * time.Second,
@@ -80,7 +83,8 @@
 }
 
 // Refused maps a status other than success to an outcome: 503 and 429 are refusals before any work,
-// other 4xx are requests that the peer rejected, and the rest may have run.
+// other 4xx are requests that the peer rejected, and the rest may have run. A 503 with the body
+// {"state":"leaving"} is the refusal of a peer that leaves (assumption); its reason is draining.
 func (c *Call) Refused(resp *http.Response) *outcome.Error {
 	detail, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 	e := &outcome.Error{
@@ -89,6 +93,8 @@
 		Detail:     strings.TrimSpace(fmt.Sprintf("status %d %s", resp.StatusCode, detail)),
 	}
 	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable && leaving(detail):
+		e.Reason = outcome.Draining
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
 	case resp.StatusCode >= 400 && resp.StatusCode < 500:
 		e.Reason = outcome.BadRequest
@@ -98,6 +104,13 @@
 	return e
 }
 
+func leaving(body []byte) bool {
+	var b struct {
+		State string `json:"state"`
+	}
+	return json.Unmarshal(body, &b) == nil && b.State == "leaving"
+}
+
 // RetryAfter reads the Retry-After header in seconds; zero when it is missing or a date.
 func RetryAfter(h http.Header) time.Duration {
 	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,7 +1,8 @@
 // Package engine is a stand-in of a model engine: continuous batching with chunked prefill, bounded
 // memory, a prefix cache, lagging reports and switches for faults.
 //
-//	POST   /v1/sessions              NDJSON stream; 503 when out of memory, 409 for a session that exists
+//	POST   /v1/sessions              NDJSON stream; 503 when out of memory, 503 {"state":"leaving"} when
+//	                                 leaving, 409 for a session that exists
 //	DELETE /v1/sessions/{id}
 //	GET    /v1/report
 //	GET    /v1/cache-events?after=N
--- a/standin/engine/session.go
+++ b/standin/engine/session.go
@@ -52,7 +52,8 @@
 var (
 	errFull      = errors.New("out of memory")
 	errDuplicate = errors.New("session exists")
-	errRefusing  = errors.New("not accepting sessions")
+	errRefusing  = errors.New("refused by fault switch")
+	errLeaving   = errors.New("leaving")
 )
 
 func (e *Engine) serveSession(w http.ResponseWriter, r *http.Request) {
@@ -70,6 +71,9 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 	case errors.Is(err, errHandle):
 		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, errLeaving):
+		w.Header().Set("Retry-After", "1")
+		control.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"state": "leaving"})
 	case err != nil:
 		control.Unavailable(w, err.Error())
 	default:
@@ -117,7 +121,10 @@
 // admit reserves the session's memory and queues it.
 func (e *Engine) admit(s *session) error {
 	f, _ := e.Faults.Get()
-	if f.Refuse || f.Leaving {
+	if f.Leaving {
+		return errLeaving
+	}
+	if f.Refuse {
 		return errRefusing
 	}
 	e.mu.Lock()
