Read process settings and report every mistake at once

Cause: the TOML decoder stops at the first value of a wrong type, so an operator with several mistakes needs several starts. Change: decode into a tree, fill the typed settings field by field and collect mistakes with file, key, value and valid values. Unknown keys and host names are refused; the admin token is never printed.

--- /dev/null
+++ b/node/settings/check.go
@@ -0,0 +1,164 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+const (
+	validName    = "1 to 64 of the characters a-z, A-Z, 0-9, _ and -"
+	validAddress = `an IP number and a port from 1 to 65535, such as "10.0.0.1:8080"; no host name`
+	validURL     = `http or https, an IP number and a port, such as "http://10.0.0.5:7000"; no host name, no path`
+	minTokenLen  = 16
+)
+
+// namePattern excludes the dot, which separates the fields of a ticket.
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9_-]{1,64}$`)
+
+type checker struct {
+	file     string
+	mistakes Mistakes
+}
+
+// add notes a mistake. Only the first one of a key counts: a value of the wrong type would otherwise
+// be reported again as missing.
+func (c *checker) add(key string, value any, valid string) {
+	if c.has(key) {
+		return
+	}
+	text := ""
+	switch v := value.(type) {
+	case nil:
+	case string:
+		if v != "" {
+			text = fmt.Sprintf("%q", v)
+		}
+	default:
+		text = fmt.Sprint(v)
+	}
+	c.mistakes = append(c.mistakes, Mistake{File: c.file, Key: key, Value: text, Valid: valid})
+}
+
+func (c *checker) has(key string) bool {
+	return slices.ContainsFunc(c.mistakes, func(m Mistake) bool { return m.Key == key })
+}
+
+func (c *checker) check(s *Settings, roles []Role) {
+	c.name("host_id", s.HostID)
+	c.name("region", s.Region)
+	c.name("availability_zone", s.AvailabilityZone)
+	for _, role := range roles {
+		switch role {
+		case RoleGateway:
+			c.checkGateway(&s.Gateway)
+		case RoleDispatcher:
+			c.checkDispatcher(&s.Dispatcher)
+		}
+	}
+	c.checkPlatform(&s.Platform)
+	if len(s.Admin.Token) < minTokenLen {
+		c.addSecret("admin.token", s.Admin.Token, fmt.Sprintf("at least %d characters", minTokenLen))
+	}
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.checkTrace(&s.Trace)
+}
+
+func (c *checker) checkGateway(g *Gateway) {
+	c.address("gateway.http_address", g.HTTPAddress)
+	c.address("gateway.control_address", g.ControlAddress)
+	c.address("gateway.gossip_address", g.GossipAddress)
+	c.address("gateway.admin_address", g.AdminAddress)
+	c.between("gateway.keep_ms", g.KeepMS, 1, 3_600_000)
+	c.between("gateway.max_requests", int64(g.MaxRequests), 1, 1_000_000)
+	c.between("gateway.max_prompt_bytes_held", g.MaxPromptBytesHeld, 8<<20, 1<<40)
+	c.between("gateway.shutdown_ms", g.ShutdownMS, 1, 86_400_000)
+	c.between("gateway.accept_queue_ms", g.AcceptQueueMS, 100, 60_000)
+}
+
+func (c *checker) checkDispatcher(d *Dispatcher) {
+	c.address("dispatcher.link_address", d.LinkAddress)
+	c.address("dispatcher.control_address", d.ControlAddress)
+	c.address("dispatcher.gossip_address", d.GossipAddress)
+	c.address("dispatcher.admin_address", d.AdminAddress)
+	c.between("dispatcher.report_ms", d.ReportMS, 20, 60_000)
+	c.between("dispatcher.event_ring", int64(d.EventRing), 64, 1<<20)
+	c.between("dispatcher.max_prompt_bytes_held", d.MaxPromptBytesHeld, 8<<20, 1<<40)
+	c.between("dispatcher.shutdown_ms", d.ShutdownMS, 1, 86_400_000)
+}
+
+func (c *checker) checkPlatform(p *Platform) {
+	c.url("platform.config_url", p.ConfigURL)
+	c.url("platform.hosts_url", p.HostsURL)
+	c.between("platform.hosts_ms", p.HostsMS, 50, 600_000)
+	if !(p.ReadsPerS > 0 && p.ReadsPerS <= 2_000) {
+		c.add("platform.reads_per_s", p.ReadsPerS, "above 0 and at most 2000")
+	}
+	if p.StartSpreadMS < 0 || p.StartSpreadMS > 60_000 {
+		c.add("platform.start_spread_ms", p.StartSpreadMS, "0 to 60000")
+	}
+	for _, a := range p.Peers {
+		c.address("platform.peers", a)
+	}
+	for _, a := range p.GossipSeeds {
+		c.address("platform.gossip_seeds", a)
+	}
+}
+
+func (c *checker) checkTrace(t *Trace) {
+	c.oneOf("trace.exporter", t.Exporter, "none", "stdout", "otlp")
+	if t.Exporter == "otlp" || t.OTLPURL != "" {
+		c.url("trace.otlp_url", t.OTLPURL)
+	}
+	if !(t.SampleRatio >= 0 && t.SampleRatio <= 1) {
+		c.add("trace.sample_ratio", t.SampleRatio, "0 to 1")
+	}
+}
+
+// addSecret reports a wrong secret without writing it into the log.
+func (c *checker) addSecret(key, value, valid string) {
+	if value == "" {
+		c.add(key, nil, valid)
+		return
+	}
+	c.add(key, fmt.Sprintf("(%d characters)", len(value)), valid)
+}
+
+func (c *checker) name(key, value string) {
+	if !namePattern.MatchString(value) {
+		c.add(key, value, validName)
+	}
+}
+
+func (c *checker) address(key, value string) {
+	ap, err := netip.ParseAddrPort(value)
+	if err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
+		c.add(key, value, validAddress)
+	}
+}
+
+func (c *checker) url(key, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || strings.Trim(u.Path, "/") != "" || u.User != nil || u.RawQuery != "" {
+		c.add(key, value, validURL)
+		return
+	}
+	if ap, err := netip.ParseAddrPort(u.Host); err != nil || ap.Port() == 0 {
+		c.add(key, value, validURL)
+	}
+}
+
+func (c *checker) between(key string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(key, value, fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) oneOf(key, value string, valid ...string) {
+	if !slices.Contains(valid, value) {
+		c.add(key, value, "one of "+strings.Join(valid, ", "))
+	}
+}
--- /dev/null
+++ b/node/settings/load.go
@@ -0,0 +1,156 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("settings")
+
+// Mistake is one wrong value or key of a file.
+type Mistake struct {
+	File  string
+	Key   string
+	Value string // as written; empty when the key is missing
+	Valid string // what would be valid
+}
+
+// String returns one line for the operator.
+func (m Mistake) String() string {
+	if m.Value == "" {
+		return fmt.Sprintf("%s: %s is missing; valid: %s", m.File, m.Key, m.Valid)
+	}
+	return fmt.Sprintf("%s: %s = %s; valid: %s", m.File, m.Key, m.Value, m.Valid)
+}
+
+// Mistakes lists all mistakes of a file, sorted by key.
+type Mistakes []Mistake
+
+// Error implements error with one line for each mistake.
+func (ms Mistakes) Error() string {
+	lines := make([]string, len(ms))
+	for i, m := range ms {
+		lines[i] = m.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads a file and checks it for the given roles. The error is a Mistakes for wrong content,
+// and of class Error when the file cannot be read or is no TOML.
+func Load(file string, roles ...Role) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, Error.New("read %s: %w", file, err)
+	}
+	return Parse(file, string(text), roles...)
+}
+
+// Parse is Load for a text that is already in memory; file only names it in errors.
+func Parse(file, text string, roles ...Role) (Settings, error) {
+	var tree map[string]any
+	if _, err := toml.Decode(text, &tree); err != nil {
+		return Settings{}, Error.New("parse %s: %w", file, err)
+	}
+	s := Default()
+	c := &checker{file: file}
+	c.fill(reflect.ValueOf(&s).Elem(), tree, "")
+	c.check(&s, roles)
+	if len(c.mistakes) > 0 {
+		slices.SortStableFunc(c.mistakes, func(a, b Mistake) int { return strings.Compare(a.Key, b.Key) })
+		return Settings{}, c.mistakes
+	}
+	return s, nil
+}
+
+// fill copies the decoded tree into the struct v. It goes on after a mistake so that one run reports
+// all of them, which the TOML decoder does not.
+func (c *checker) fill(v reflect.Value, tree map[string]any, prefix string) {
+	fields := map[string]reflect.Value{}
+	for i := range v.NumField() {
+		fields[v.Type().Field(i).Tag.Get("toml")] = v.Field(i)
+	}
+	for key, value := range tree {
+		field, known := fields[key]
+		if !known {
+			c.add(prefix+key, value, "no such key; known here: "+strings.Join(sortedKeys(fields), ", "))
+			continue
+		}
+		c.set(field, prefix+key, value)
+	}
+}
+
+func (c *checker) set(field reflect.Value, key string, value any) {
+	switch field.Kind() {
+	case reflect.Struct:
+		table, ok := value.(map[string]any)
+		if !ok {
+			c.add(key, value, "a table ["+key+"]")
+			return
+		}
+		c.fill(field, table, key+".")
+	case reflect.String:
+		c.setIf(field, key, value, "a string", func(v any) bool { _, ok := v.(string); return ok })
+	case reflect.Int, reflect.Int64:
+		n, ok := value.(int64)
+		if !ok {
+			c.add(key, value, "a whole number")
+			return
+		}
+		field.SetInt(n)
+	case reflect.Float64:
+		c.setFloat(field, key, value)
+	case reflect.Slice:
+		c.setStrings(field, key, value)
+	}
+}
+
+func (c *checker) setIf(field reflect.Value, key string, value any, valid string, ok func(any) bool) {
+	if !ok(value) {
+		c.add(key, value, valid)
+		return
+	}
+	field.Set(reflect.ValueOf(value))
+}
+
+func (c *checker) setFloat(field reflect.Value, key string, value any) {
+	switch n := value.(type) {
+	case float64:
+		field.SetFloat(n)
+	case int64:
+		field.SetFloat(float64(n))
+	default:
+		c.add(key, value, "a number")
+	}
+}
+
+func (c *checker) setStrings(field reflect.Value, key string, value any) {
+	items, ok := value.([]any)
+	if !ok {
+		c.add(key, value, "a list of strings")
+		return
+	}
+	for _, item := range items {
+		text, ok := item.(string)
+		if !ok {
+			c.add(key, item, "a string as list item")
+			return
+		}
+		field.Set(reflect.Append(field, reflect.ValueOf(text)))
+	}
+}
+
+func sortedKeys(fields map[string]reflect.Value) []string {
+	keys := make([]string, 0, len(fields))
+	for k := range fields {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
