Add log, metrics and traces of a process

Cause: every role needs one place that names events, instruments and spans, without global state, since tests run several roles in one process.

--- /dev/null
+++ b/node/obs/obs.go
@@ -0,0 +1,153 @@
+// Package obs gives a process its log, metrics and traces. Logs have one line of key=value pairs for
+// each event. Metrics are OpenTelemetry instruments with a Prometheus scrape. Traces have one span
+// for each hop and travel over the link as a W3C traceparent.
+package obs
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	promexporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("obs")
+
+// Config says what a process reports and where to.
+type Config struct {
+	HostID   string
+	Role     string
+	Zone     string
+	LogLevel string    // "debug", "info", "warn" or "error"
+	LogTo    io.Writer // nil discards
+	// Exporter of traces: "none", "stdout" or "otlp".
+	Exporter    string
+	OTLPURL     string
+	TraceTo     io.Writer // for exporter "stdout"
+	SampleRatio float64
+}
+
+// Obs is the reporting of one process. It holds no global state, so several roles can run in one
+// process.
+type Obs struct {
+	Log    *logrus.Entry
+	Meter  metric.Meter
+	Tracer trace.Tracer
+
+	registry *prometheus.Registry
+	meters   *sdkmetric.MeterProvider
+	traces   *sdktrace.TracerProvider
+}
+
+// New starts the reporting of a process. Call Shutdown to flush traces.
+func New(cfg Config) (*Obs, error) {
+	log, err := newLog(cfg)
+	if err != nil {
+		return nil, err
+	}
+	res := resource.NewSchemaless(
+		attribute.String("service.name", "rosemaryhill-"+cfg.Role),
+		attribute.String("service.instance.id", cfg.HostID+"/"+cfg.Role),
+		attribute.String("availability_zone", cfg.Zone),
+	)
+	registry := prometheus.NewRegistry()
+	reader, err := promexporter.New(promexporter.WithRegisterer(registry), promexporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, Error.New("prometheus exporter: %w", err)
+	}
+	meters := sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader), sdkmetric.WithResource(res))
+	traces, err := newTraces(cfg, res)
+	if err != nil {
+		return nil, err
+	}
+	const scope = "github.com/rosemaryhill/rosemaryhill/node"
+	return &Obs{
+		Log:      log,
+		Meter:    meters.Meter(scope),
+		Tracer:   traces.Tracer(scope),
+		registry: registry,
+		meters:   meters,
+		traces:   traces,
+	}, nil
+}
+
+// MetricsHandler serves the Prometheus scrape.
+func (o *Obs) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(o.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown flushes traces and stops both providers.
+func (o *Obs) Shutdown(ctx context.Context) error {
+	return errs.Combine(o.traces.Shutdown(ctx), o.meters.Shutdown(ctx))
+}
+
+func newLog(cfg Config) (*logrus.Entry, error) {
+	level, err := logrus.ParseLevel(cfg.LogLevel)
+	if err != nil {
+		return nil, Error.New("log level: %w", err)
+	}
+	l := logrus.New()
+	l.SetLevel(level)
+	l.SetOutput(io.Discard)
+	if cfg.LogTo != nil {
+		l.SetOutput(cfg.LogTo)
+	}
+	l.SetFormatter(&logrus.TextFormatter{
+		DisableColors:   true,
+		FullTimestamp:   true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
+	})
+	return l.WithFields(logrus.Fields{"host": cfg.HostID, "role": cfg.Role}), nil
+}
+
+func newTraces(cfg Config, res *resource.Resource) (*sdktrace.TracerProvider, error) {
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(res),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.SampleRatio))),
+	}
+	switch cfg.Exporter {
+	case "", "none":
+		// Spans without an exporter are still created, so that the caller's trace id is passed on.
+	case "stdout":
+		e, err := stdouttrace.New(stdouttrace.WithWriter(cfg.TraceTo))
+		if err != nil {
+			return nil, Error.New("stdout trace exporter: %w", err)
+		}
+		options = append(options, sdktrace.WithBatcher(e))
+	case "otlp":
+		e, err := otlpExporter(cfg.OTLPURL)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, sdktrace.WithBatcher(e))
+	default:
+		return nil, Error.New("trace exporter %q; valid: none, stdout, otlp", cfg.Exporter)
+	}
+	return sdktrace.NewTracerProvider(options...), nil
+}
+
+func otlpExporter(collector string) (sdktrace.SpanExporter, error) {
+	full, err := url.JoinPath(collector, "/v1/traces")
+	if err != nil {
+		return nil, Error.New("otlp url %q: %w", collector, err)
+	}
+	e, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(full))
+	if err != nil {
+		return nil, Error.New("otlp exporter to %s: %w", full, err)
+	}
+	return e, nil
+}
