Add the shared view of a process and the dispatcher role

Cause: both roles need the configuration, the host list, membership and leaving marks, and the scheduler needs adapters for links and engines. Change: node/view follows the platform and peers with one goroutine for each duty. node/dispatcher runs the scheduler as one goroutine fed by bounded rings, with goroutines for sessions, reports and orders. Conclusion: compiles and vets; not yet run against engines.

--- /dev/null
+++ b/node/dispatcher/engines.go
@@ -0,0 +1,201 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/owner"
+	"github.com/rosemaryhill/rosemaryhill/core/sched"
+	"github.com/rosemaryhill/rosemaryhill/node/enginehttp"
+	"github.com/rosemaryhill/rosemaryhill/node/view"
+)
+
+// engineSet holds the clients and report readers of the engines that this dispatcher owns, or still
+// has sessions at. The loop owns it.
+type engineSet struct {
+	d       *Dispatcher
+	engines map[ident.BackendID]*engine
+}
+
+// engine is one model engine with the goroutine that reads its report.
+type engine struct {
+	view.Backend
+	client *enginehttp.Client
+	owned  bool
+	stop   context.CancelFunc
+}
+
+func newEngineSet(d *Dispatcher) *engineSet {
+	return &engineSet{d: d, engines: map[ident.BackendID]*engine{}}
+}
+
+func (s *engineSet) client(id ident.BackendID) (*enginehttp.Client, bool) {
+	e, ok := s.engines[id]
+	if !ok {
+		return nil, false
+	}
+	return e.client, true
+}
+
+// refresh recomputes ownership and the list of engines after a change of configuration, membership or
+// marks.
+func (l *loop) refresh() {
+	snap := l.d.view.Config()
+	if snap == nil {
+		return
+	}
+	if l.sched == nil {
+		l.sched = sched.New(l.d.schedConfig())
+	}
+	groups := owner.Owned(l.d.host(), snap.Groups, l.d.view.Dispatchers())
+	var owned []sched.Engine
+	for _, b := range snap.Engines {
+		if !slices.Contains(groups, b.Group) {
+			continue
+		}
+		owned = append(owned, sched.Engine{
+			ID: b.ID, Group: b.Group, Model: b.Model, MemoryTokens: b.MemoryTokens,
+			Leaving: l.d.view.Leaving(string(b.ID)),
+		})
+		l.engines.keep(b)
+	}
+	gone := l.engines.disown(owned, snap)
+	for _, p := range l.d.view.Processes() {
+		l.step(sched.IssuerSeen{Issuer: p.Host, Incarnation: p.Incarnation})
+	}
+	l.step(sched.EnginesChanged{Engines: owned})
+	for _, id := range gone {
+		l.step(sched.EngineGone{Engine: id})
+	}
+	l.d.orders.own(l.engines.clients())
+	l.d.owned.Store(&groups)
+	l.d.log.WithFields(fields{
+		"version": snap.Version, "groups": strings.Join(groups, ","), "engines": len(owned),
+	}).Debug("ownership computed")
+}
+
+// clients returns the clients of the owned engines.
+func (s *engineSet) clients() map[ident.BackendID]*enginehttp.Client {
+	out := map[ident.BackendID]*enginehttp.Client{}
+	for id, e := range s.engines {
+		if e.owned {
+			out[id] = e.client
+		}
+	}
+	return out
+}
+
+// keep makes sure that an owned engine has a client and a report reader.
+func (s *engineSet) keep(b view.Backend) {
+	old := s.engines[b.ID]
+	if old != nil && old.Address == b.Address {
+		old.Backend, old.owned = b, true
+		return
+	}
+	if old != nil {
+		old.close()
+	}
+	ctx, cancel := context.WithCancel(s.d.callCtx)
+	e := &engine{
+		Backend: b,
+		client:  enginehttp.New(enginehttp.Config{Peer: string(b.ID), Address: b.Address}),
+		owned:   true,
+		stop:    cancel,
+	}
+	s.engines[b.ID] = e
+	s.d.calls.Go(func() { s.d.readReports(ctx, e) })
+}
+
+// disown marks engines that are no longer owned and removes those that the configuration dropped.
+func (s *engineSet) disown(owned []sched.Engine, snap *view.Snapshot) (gone []ident.BackendID) {
+	for id, e := range s.engines {
+		e.owned = slices.ContainsFunc(owned, func(o sched.Engine) bool { return o.ID == id })
+		configured := slices.ContainsFunc(snap.Engines, func(b view.Backend) bool { return b.ID == id })
+		if !configured {
+			e.close()
+			delete(s.engines, id)
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// prune stops the report readers of engines that are neither owned nor in use.
+func (s *engineSet) prune(st sched.Status) {
+	for id, e := range s.engines {
+		if e.owned || slices.ContainsFunc(st.Engines, func(x sched.EngineStatus) bool { return x.ID == id && (x.Sessions > 0 || x.OwnTokens > 0) }) {
+			continue
+		}
+		e.close()
+		delete(s.engines, id)
+	}
+}
+
+func (s *engineSet) close() {
+	for _, e := range s.engines {
+		e.close()
+	}
+}
+
+func (e *engine) close() {
+	e.stop()
+	e.client.Close()
+}
+
+// cacheEventEvery is the number of reports for each read of cache events, which are hints only.
+const cacheEventEvery = 4
+
+// readReports reads an engine's report, and less often its cache events, until the context ends.
+func (d *Dispatcher) readReports(ctx context.Context, e *engine) {
+	period := time.Duration(d.cfg.Settings.Dispatcher.ReportMS) * time.Millisecond
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	var after uint64
+	failing := false
+	for n := 0; ; n++ {
+		err := d.readReport(ctx, e)
+		if err != nil && !failing && ctx.Err() == nil {
+			d.log.WithFields(fields{"step": "engine_report", "peer": e.ID, "error": err.Error()}).Warn("engine does not report")
+		}
+		failing = err != nil
+		if err == nil && n%cacheEventEvery == 0 {
+			after = d.readCacheEvents(ctx, e, after)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *Dispatcher) readReport(ctx context.Context, e *engine) error {
+	requested := d.view.Now()
+	r, err := e.client.Report(ctx)
+	if err != nil {
+		return err
+	}
+	if r.State == leavingState {
+		d.view.MarkLeaving(string(e.ID))
+	}
+	d.put(engineEvent{sched.Report{Engine: e.ID, Requested: requested, Report: r}})
+	d.orders.reported(e.ID, requested, r)
+	d.reports.put(e.ID, r)
+	return nil
+}
+
+func (d *Dispatcher) readCacheEvents(ctx context.Context, e *engine, after uint64) uint64 {
+	got, err := e.client.CacheEvents(ctx, after)
+	if err != nil {
+		return after
+	}
+	for _, ev := range got.Events {
+		after = max(after, ev.Number)
+		d.put(engineEvent{sched.CacheEvent{Engine: e.ID, Event: ev}})
+	}
+	return after
+}
--- /dev/null
+++ b/node/dispatcher/orders.go
@@ -0,0 +1,123 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/orders"
+	"github.com/rosemaryhill/rosemaryhill/node/enginehttp"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+)
+
+// orderPeriod is the time between two looks at what engines need. It is also how late news of a heard
+// peer may reach the controller.
+const orderPeriod = 200 * time.Millisecond
+
+// orderDuty brings the owned engines to the state that the configuration wants. The mutex lets the
+// goroutine of an order confirm it right before the call.
+type orderDuty struct {
+	d     *Dispatcher
+	given obs.Counter
+
+	mu      sync.Mutex
+	ctl     *orders.Controller
+	clients map[ident.BackendID]*enginehttp.Client
+	heard   time.Duration
+	version ident.Version
+}
+
+func newOrderDuty(d *Dispatcher) *orderDuty {
+	return &orderDuty{
+		d:       d,
+		given:   d.obs.Counter("dispatcher_orders", "result", "Orders to engines, by result."),
+		ctl:     orders.New(orders.Config{Host: d.host()}),
+		clients: map[ident.BackendID]*enginehttp.Client{},
+	}
+}
+
+func (o *orderDuty) run(ctx context.Context) {
+	t := time.NewTicker(orderPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			o.look()
+		}
+	}
+}
+
+// look passes on what the view learned since the last look.
+func (o *orderDuty) look() {
+	if o.d.view.JustPaused() {
+		o.step(orders.Paused{})
+	}
+	if s := o.d.view.Config(); s != nil && s.Version != o.version {
+		o.version = s.Version
+		o.step(orders.ConfigAccepted{Version: s.Version, Desired: orders.FromConfig(s.Config)})
+	}
+	if h := o.d.view.LastHeard(); h > o.heard {
+		o.heard = h
+		o.step(orders.Heard{})
+	}
+	o.step(orders.Tick{})
+}
+
+// own replaces the owned engines.
+func (o *orderDuty) own(clients map[ident.BackendID]*enginehttp.Client) {
+	ids := make([]ident.BackendID, 0, len(clients))
+	for id := range clients {
+		ids = append(ids, id)
+	}
+	o.mu.Lock()
+	o.clients = clients
+	o.mu.Unlock()
+	o.step(orders.Owned{Engines: ids})
+}
+
+// reported passes an engine's report on. requested is when it was asked for.
+func (o *orderDuty) reported(id ident.BackendID, requested time.Duration, r backendapi.Report) {
+	taken := requested - time.Duration(r.AgeMS)*time.Millisecond
+	o.step(orders.Reported{Engine: id, Taken: taken, Report: r})
+}
+
+func (o *orderDuty) step(ev orders.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.ctl.Step(o.d.view.Now(), ev) {
+		if client := o.clients[s.Engine]; client != nil {
+			o.d.calls.Go(func() { o.send(client, s) })
+		}
+	}
+}
+
+func (o *orderDuty) send(client *enginehttp.Client, s orders.Send) {
+	o.mu.Lock()
+	ok := o.ctl.Confirm(o.d.view.Now(), s.Engine, s.ID)
+	o.mu.Unlock()
+	if !ok {
+		o.given.Add(1, "dropped")
+		return
+	}
+	r, err := client.Order(o.d.callCtx, s.Order)
+	ended := orders.Ended{Engine: s.Engine, ID: s.ID, Result: orders.Done, Highest: r.Highest}
+	result := "done"
+	var stale *enginehttp.StaleFence
+	switch {
+	case errors.As(err, &stale):
+		ended.Result, result = orders.Refused, "refused"
+	case err != nil:
+		ended.Result, result = orders.Failed, "failed"
+	}
+	o.given.Add(1, result)
+	o.d.log.WithFields(fields{
+		"peer": s.Engine, "kind": s.Order.Kind, "model": s.Order.Model, "version": s.Order.Version,
+		"adapter": s.Order.Adapter, "config": s.Order.Fence.Config, "term": s.Order.Fence.Term, "result": result,
+	}).Info("order")
+	o.step(ended)
+}
--- /dev/null
+++ b/node/dispatcher/session.go
@@ -0,0 +1,194 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/sched"
+	"github.com/rosemaryhill/rosemaryhill/node/enginehttp"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+)
+
+const (
+	// progressPeriod is the shortest time between two TokenProgress events of a session. The scheduler
+	// needs at least one a second.
+	progressPeriod = 200 * time.Millisecond
+	// sessionGrace keeps the HTTP stream open past the deadline, so that the scheduler's own cancel
+	// ends it in order.
+	sessionGrace = time.Second
+)
+
+// session is one POST /v1/sessions with its stream, run by one goroutine.
+type session struct {
+	d      *Dispatcher
+	a      *attempt
+	send   sched.Send
+	client *enginehttp.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// send starts the session of an action.
+func (l *loop) send(act sched.Send) {
+	a := l.attempts[act.Attempt]
+	client, known := l.engines.client(act.Engine)
+	if a == nil || !known {
+		l.d.put(engineEvent{sched.EngineFailed{Session: act.Session, Kind: sched.NotSent}})
+		return
+	}
+	a.use(act.Session)
+	ctx := trace.ContextWithSpan(l.d.ctx, a.span)
+	ctx, cancel := context.WithTimeout(ctx, act.Deadline-l.d.view.Now()+sessionGrace)
+	s := &session{d: l.d, a: a, send: act, client: client, ctx: ctx, cancel: cancel}
+	l.sessions[act.Session] = s
+	l.d.sessions.Go(s.run)
+}
+
+// cancelSession closes the stream of a session and cancels it at the engine.
+func (l *loop) cancelSession(act sched.CancelSession) {
+	if s := l.sessions[act.Session]; s != nil {
+		s.cancel()
+	}
+	client, known := l.engines.client(act.Engine)
+	if !known {
+		l.d.put(engineEvent{sched.CancelFailed{Session: act.Session}})
+		return
+	}
+	l.d.calls.Go(func() {
+		_, err := client.Cancel(l.d.callCtx, string(act.Session))
+		if err != nil {
+			l.d.log.WithFields(fields{"step": "engine_cancel", "peer": act.Engine, "error": err.Error()}).Warn("cancel failed")
+			l.d.put(engineEvent{sched.CancelFailed{Session: act.Session}})
+			return
+		}
+		l.d.put(engineEvent{sched.CancelAcked{Session: act.Session}})
+	})
+}
+
+func (l *loop) releaseKV(act sched.ReleaseKV) {
+	client, known := l.engines.client(act.Engine)
+	if !known {
+		l.d.put(engineEvent{sched.KVReleaseFailed{Engine: act.Engine, Handle: act.Handle}})
+		return
+	}
+	l.d.calls.Go(func() {
+		if err := client.DeleteKV(l.d.callCtx, act.Handle); err != nil {
+			l.d.put(engineEvent{sched.KVReleaseFailed{Engine: act.Engine, Handle: act.Handle}})
+			return
+		}
+		l.d.put(engineEvent{sched.KVReleased{Engine: act.Engine, Handle: act.Handle}})
+	})
+}
+
+// run carries the session out and reports exactly one closing event.
+func (s *session) run() {
+	defer s.cancel()
+	ctx, span := s.d.obs.Span(s.ctx, "engine", trace.SpanKindClient,
+		attribute.String("engine", string(s.send.Engine)), attribute.String("session", string(s.send.Session)))
+	ev, failure := s.stream(ctx)
+	obs.EndSpan(span, failure)
+	s.d.put(query{func(l *loop) {
+		delete(l.sessions, s.send.Session)
+		l.step(ev)
+	}})
+}
+
+func (s *session) stream(ctx context.Context) (closing sched.Event, failure string) {
+	remaining := s.send.Deadline - s.d.view.Now()
+	if remaining <= 0 {
+		return sched.EngineFailed{Session: s.send.Session, Kind: sched.NotSent}, "deadline before send"
+	}
+	st, err := s.client.Start(ctx, s.request(remaining))
+	if err != nil {
+		return s.failed(err)
+	}
+	defer st.Close()
+	s.d.put(engineEvent{sched.EngineAccepted{Session: s.send.Session}})
+	s.a.accepted(s.send.Engine, 0)
+	return s.read(st)
+}
+
+// read passes tokens on until the end line.
+func (s *session) read(st *enginehttp.Stream) (closing sched.Event, failure string) {
+	var progressed time.Duration
+	first := true
+	for {
+		line, err := st.Next()
+		switch {
+		case err != nil:
+			return s.failed(err)
+		case line.End:
+			return sched.EngineEnded{Session: s.send.Session, Count: line.Count, KV: line.KV}, ""
+		}
+		switch s.a.token(s.send.Session, line.N, line.Text) {
+		case tokenGap:
+			return sched.EngineFailed{Session: s.send.Session, Kind: sched.Broken}, "gap in tokens"
+		case tokenNoRoom:
+			s.d.put(noRoom{s.a})
+			<-s.ctx.Done()
+			return sched.EngineFailed{Session: s.send.Session, Kind: sched.Broken}, "no room on link"
+		}
+		now := s.d.view.Now()
+		if first {
+			s.d.put(engineEvent{sched.FirstToken{Session: s.send.Session, Count: line.N}})
+		} else if now-progressed >= progressPeriod {
+			s.d.put(engineEvent{sched.TokenProgress{Session: s.send.Session, Count: line.N}})
+		} else {
+			continue
+		}
+		first, progressed = false, now
+	}
+}
+
+func (s *session) request(remaining time.Duration) backendapi.SessionRequest {
+	prompt := promptPart(s.a.prompt, s.send.PromptFrom, s.send.PromptTo)
+	return backendapi.SessionRequest{
+		Session:         string(s.send.Session),
+		Issuer:          string(s.d.host()),
+		Incarnation:     s.d.view.Incarnation().String(),
+		RemainingMS:     remaining.Milliseconds(),
+		Prompt:          string(prompt),
+		PromptTokens:    s.send.PromptTo - s.send.PromptFrom,
+		MaxOutputTokens: s.send.MaxOutputTokens,
+		Priority:        s.send.Priority,
+		Prefix:          s.send.Prefix,
+		ResumeFrom:      s.send.ResumeFrom,
+		Import:          s.send.Import,
+		Export:          s.send.Export,
+	}
+}
+
+func (s *session) failed(err error) (sched.Event, string) {
+	e := outcome.From(err, "engine_stream", string(s.send.Engine))
+	ev := sched.EngineFailed{Session: s.send.Session, Kind: failureKind(e), RetryAfter: e.RetryAfter}
+	if ev.Kind == sched.RefusedLeaving {
+		s.d.view.MarkLeaving(string(s.send.Engine))
+	}
+	if !errors.Is(err, context.Canceled) {
+		s.d.log.WithFields(fields{
+			"step": e.Step, "peer": e.Peer, "reason": string(e.Reason), "session": string(s.send.Session), "error": err.Error(),
+		}).Warn("engine session failed")
+	}
+	return ev, string(e.Reason)
+}
+
+// failureKind maps the client's error: NotRun with an answer is a refusal, NotRun without one means
+// that no connection stood, and anything else may have reached the engine.
+func failureKind(e *outcome.Error) sched.FailureKind {
+	switch {
+	case e.Kind != outcome.NotRun:
+		return sched.Broken
+	case e.Reason == outcome.Draining:
+		return sched.RefusedLeaving
+	case e.Reason == outcome.Overload || e.Reason == outcome.BadRequest:
+		return sched.Refused
+	default:
+		return sched.NotSent
+	}
+}
--- /dev/null
+++ b/node/view/follow.go
@@ -0,0 +1,259 @@
+package view
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/config"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/owner"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/platform"
+	"github.com/rosemaryhill/rosemaryhill/transport/control"
+)
+
+const (
+	// watchersPerZone is the number of processes per availability zone that hold a watch.
+	watchersPerZone = 2
+	// electionPeriod is the time between two looks at who watches.
+	electionPeriod = time.Second
+	// peerPage bounds the entries of one answer between peers.
+	peerPage = 64
+	// peerTimeout bounds one call to a peer for configuration or hosts.
+	peerTimeout = 2 * time.Second
+	// maxPeerTries bounds the peers that are asked in one round.
+	maxPeerTries = 3
+	// unreadyRetry is the pause between rounds of a process that lacks the configuration or host list.
+	unreadyRetry = 250 * time.Millisecond
+)
+
+// Config returns the accepted configuration, or nil.
+func (v *View) Config() *Snapshot { return v.snapshot.Load() }
+
+// Hosts returns the host list, or nil.
+func (v *View) Hosts() *platformapi.Hosts { return v.hosts.Load() }
+
+// watcher tells whether this process is one of the zone's watchers of the platform. Both roles are
+// candidates, so that a zone with dispatchers only has watchers too.
+func (v *View) watcher() bool {
+	var cands []owner.Candidate
+	self := ident.HostID(member.MakeID(v.Host(), string(v.cfg.Role)))
+	for _, p := range v.Processes() {
+		if p.Usable() || (p.Host == v.Host() && p.Role == v.cfg.Role) {
+			id := ident.HostID(member.MakeID(p.Host, string(p.Role)))
+			cands = append(cands, owner.Candidate{Host: id, Zone: p.Zone, Region: p.Region})
+		}
+	}
+	return slices.Contains(owner.Pick(owner.SaltWatcher, v.Zone(), cands, watchersPerZone), self)
+}
+
+// followConfig keeps the configuration up to date: peers first, then the platform as a watcher, or
+// peers when gossip tells of a newer version.
+func (v *View) followConfig(ctx context.Context) {
+	if !v.configFromPeers(ctx) {
+		sleep(ctx, v.spread())
+	}
+	for ctx.Err() == nil {
+		if v.watcher() || v.snapshot.Load() == nil {
+			v.watchWhileElected(ctx)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(electionPeriod):
+		case mark := <-v.configSeen:
+			v.catchUp(ctx, mark)
+		}
+	}
+}
+
+// watchWhileElected holds a watch until the election changes, and reads from peers beside it: a stale
+// platform must not hide a version that a peer holds.
+func (v *View) watchWhileElected(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.platform.Follow(ctx, v.cursor(), v.platformEntries)
+	}()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case mark := <-v.configSeen:
+			v.catchUp(ctx, mark)
+		case <-time.After(electionPeriod):
+			if v.snapshot.Load() == nil {
+				v.configFromPeers(ctx)
+			} else if !v.watcher() {
+				cancel()
+			}
+		}
+	}
+	<-done
+}
+
+func (v *View) cursor() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fold.Cursor()
+}
+
+func (v *View) platformEntries(u platform.Update) {
+	if u.Err != nil {
+		v.log.WithFields(fields{"step": "config_watch", "error": u.Err.Error()}).Warn("platform not read")
+		return
+	}
+	v.mu.Lock()
+	v.heardAt = v.Now()
+	v.mu.Unlock()
+	if len(u.Entries.Entries) > 0 {
+		v.apply("platform", u.Entries.Entries[0].Number-1, u.Entries.Entries)
+	}
+}
+
+// apply judges entries and puts an accepted configuration in force.
+func (v *View) apply(source string, after uint64, entries []platformapi.Entry) (progress bool) {
+	v.mu.Lock()
+	cursor := v.fold.Cursor()
+	verdicts := v.fold.Apply(after, entries)
+	accepted := v.fold.Config()
+	progress = v.fold.Cursor() > cursor
+	v.mu.Unlock()
+	for _, r := range verdicts {
+		v.logVerdict(source, r)
+	}
+	old := v.snapshot.Load()
+	if accepted != nil && (old == nil || old.Version != accepted.Version) {
+		v.install(accepted)
+	}
+	return progress
+}
+
+func (v *View) logVerdict(source string, r config.Verdict) {
+	l := v.log.WithFields(fields{"step": "config", "peer": source, "number": r.Number, "result": r.Result.String()})
+	switch r.Result {
+	case config.Accepted:
+		l.Info("configuration entry")
+	case config.Conflict:
+		l.WithField("reason", r.Reason).Error("configuration conflict, held version kept")
+	case config.Rejected, config.Missing:
+		l.WithField("reason", r.Reason).Warn("configuration entry")
+	}
+}
+
+// install puts a configuration in force, or derives its lists again after a new host list.
+func (v *View) install(c *config.Config) {
+	regions := map[ident.Zone]string{v.Zone(): v.cfg.Settings.Region}
+	if hosts := v.hosts.Load(); hosts != nil {
+		for _, h := range hosts.Hosts {
+			regions[ident.Zone(h.AvailabilityZone)] = h.Region
+		}
+	}
+	v.snapshot.Store(newSnapshot(c, func(z ident.Zone) string { return regions[z] }))
+	v.publish()
+	v.notify()
+}
+
+// catchUp fetches a version that gossip told of.
+func (v *View) catchUp(ctx context.Context, mark member.ConfigMark) {
+	s := v.snapshot.Load()
+	if s != nil && mark.Version == s.Version && mark.Digest != s.ShortDigest() {
+		v.log.WithFields(fields{"version": mark.Version, "digest": mark.Digest}).Error("a peer holds the same configuration version with another digest")
+		return
+	}
+	if s != nil && mark.Version <= s.Version {
+		return
+	}
+	if v.configFromPeers(ctx) {
+		return
+	}
+	got, err := v.platform.Entries(ctx, v.cursor())
+	v.platformEntries(platform.Update{Entries: got, Err: err})
+}
+
+// configFromPeers reads the log from a few peers and reports whether one of them had something new.
+func (v *View) configFromPeers(ctx context.Context) (progress bool) {
+	for _, addr := range v.peers() {
+		for v.configFromPeer(ctx, addr) {
+			progress = true
+		}
+		if progress {
+			return true
+		}
+	}
+	return false
+}
+
+// configFromPeer reads one page.
+func (v *View) configFromPeer(ctx context.Context, addr string) (progress bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	after := v.cursor()
+	r, err := v.control.ConfigSince(ctx, addr, &control.ConfigSinceRequest{After: ident.Version(after), Limit: peerPage})
+	if err != nil {
+		v.log.WithFields(fields{"step": "config_since", "peer": addr, "error": err.Error()}).Debug("peer not read")
+		return false
+	}
+	return len(r.Entries) > 0 && v.apply(addr, after, r.Entries)
+}
+
+// peers returns the control addresses to ask, in random order: live gateways of the own zone, others,
+// and those of the settings.
+func (v *View) peers() []string {
+	var near, far []string
+	for _, p := range v.Processes() {
+		switch {
+		case p.Entry.ControlAddress == "" || p.State == member.Dead || p.Host == v.Host():
+		case p.Zone == v.Zone():
+			near = append(near, p.Entry.ControlAddress)
+		default:
+			far = append(far, p.Entry.ControlAddress)
+		}
+	}
+	out := append(shuffled(near), shuffled(far)...)
+	out = append(out[:min(len(out), maxPeerTries)], shuffled(v.cfg.Settings.Platform.Peers)...)
+	return out[:min(len(out), 2*maxPeerTries)]
+}
+
+func shuffled(in []string) []string {
+	out := slices.Clone(in)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// ConfigSince serves the log to a peer.
+func (v *View) ConfigSince(after uint64, limit int) *control.ConfigSinceReply {
+	if limit <= 0 || limit > peerPage {
+		limit = peerPage
+	}
+	v.mu.Lock()
+	e := v.fold.Since(after, limit)
+	v.mu.Unlock()
+	r := &control.ConfigSinceReply{Entries: e.Entries}
+	if s := v.snapshot.Load(); s != nil {
+		r.Version, r.Digest = s.Version, s.ShortDigest()
+	}
+	if n := len(e.Entries); n > 0 {
+		r.More = e.Entries[n-1].Number < e.Head
+	}
+	return r
+}
+
+// CheckPatch judges a patch against the version that it names, without publishing it.
+func (v *View) CheckPatch(base uint64, body json.RawMessage) config.Verdict {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fold.Check(platformapi.KindPatch, base, body)
+}
+
+// ConfigBody returns the accepted configuration as JSON.
+func (v *View) ConfigBody() json.RawMessage {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fold.Body()
+}
--- /dev/null
+++ b/node/view/view.go
@@ -0,0 +1,281 @@
+// Package view keeps what a process of either role knows about the system: the accepted configuration,
+// the host list, membership and the leaving marks of backend servers. Each duty has one goroutine;
+// readers get snapshots and a channel that tells of changes.
+package view
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/rosemaryhill/rosemaryhill/core/config"
+	"github.com/rosemaryhill/rosemaryhill/core/drain"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/pause"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+	"github.com/rosemaryhill/rosemaryhill/node/platform"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
+	"github.com/rosemaryhill/rosemaryhill/transport/control"
+	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("view")
+
+type fields = logrus.Fields
+
+// maxCall bounds calls to other processes. It is the longest deadline of a caller, because a forwarded
+// posting waits that long; all other calls have a shorter timeout of their own.
+const maxCall = time.Hour
+
+// Config says who the process is and where it reads from.
+type Config struct {
+	Settings      settings.Settings
+	Role          settings.Role
+	GossipAddress string // listening address of this role
+	Obs           *obs.Obs
+}
+
+// View is the shared knowledge of one process.
+type View struct {
+	cfg         Config
+	log         *logrus.Entry
+	started     time.Time
+	incarnation ident.Incarnation
+	platform    *platform.Client
+	control     *control.Client
+	gossip      *gossip.Service
+
+	snapshot atomic.Pointer[Snapshot]
+	hosts    atomic.Pointer[platformapi.Hosts]
+	roster   atomic.Pointer[[]Process]
+	leaving  atomic.Bool // this process
+	ready    atomic.Bool
+
+	mu       sync.Mutex
+	fold     *config.Fold
+	backends *drain.Backends
+	pauses   *pause.Detector
+	lastGap  time.Duration
+	load     []member.ModelLoad
+	demand   []member.TeamDemand
+	heardAt  time.Duration // last answer of the platform
+	subs     []chan struct{}
+
+	configSeen chan member.ConfigMark
+	dirty      chan struct{} // membership changed since the roster was built
+	stop       context.CancelFunc
+	duties     sync.WaitGroup
+}
+
+// Start begins to follow the platform and the peers. It returns at once; Ready tells when the process
+// may serve.
+func Start(cfg Config) (*View, error) {
+	p := cfg.Settings.Platform
+	client, err := control.NewClient(control.Config{CallTimeout: maxCall})
+	if err != nil {
+		return nil, Error.New("control client: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	v := &View{
+		cfg:         cfg,
+		log:         cfg.Obs.Log,
+		started:     time.Now(),
+		incarnation: ident.NewIncarnation(),
+		platform: platform.New(platform.Config{
+			ConfigAddress: p.ConfigURL, HostsAddress: p.HostsURL, ReadsPerS: p.ReadsPerS,
+		}),
+		control:    client,
+		fold:       config.NewFold(),
+		backends:   drain.NewBackends(drain.Config{}),
+		pauses:     pause.New(pause.Config{}),
+		configSeen: make(chan member.ConfigMark, 1),
+		dirty:      make(chan struct{}, 1),
+		stop:       stop,
+	}
+	v.gossip, err = gossip.Listen(v.memberConfig(), cfg.GossipAddress, (*gossipHandler)(v))
+	if err != nil {
+		stop()
+		return nil, Error.New("gossip on %s: %w", cfg.GossipAddress, err)
+	}
+	v.joinSeeds()
+	v.rebuildRoster()
+	v.duties.Go(func() { v.followConfig(ctx) })
+	v.duties.Go(func() { v.followHosts(ctx) })
+	v.duties.Go(func() { v.tick(ctx) })
+	return v, nil
+}
+
+func (v *View) memberConfig() member.Config {
+	return member.Config{
+		Self:        member.MakeID(v.Host(), string(v.cfg.Role)),
+		Zone:        v.Zone(),
+		Incarnation: v.incarnation,
+		StartedMS:   uint64(v.started.UnixMilli()),
+	}
+}
+
+// Close stops all duties.
+func (v *View) Close(ctx context.Context) error {
+	v.stop()
+	v.duties.Wait()
+	v.platform.Close()
+	return errs.Combine(v.gossip.Close(ctx), v.control.Close())
+}
+
+// Now returns the monotonic time since the start of the process's view.
+func (v *View) Now() time.Duration { return time.Since(v.started) }
+
+// StartedAt returns the wall clock at monotonic time zero.
+func (v *View) StartedAt() time.Time { return v.started }
+
+// Incarnation returns the random number of this start.
+func (v *View) Incarnation() ident.Incarnation { return v.incarnation }
+
+// Host returns the id of this host.
+func (v *View) Host() ident.HostID { return ident.HostID(v.cfg.Settings.HostID) }
+
+// Zone returns the own availability zone.
+func (v *View) Zone() ident.Zone { return ident.Zone(v.cfg.Settings.AvailabilityZone) }
+
+// Role returns the role of this process.
+func (v *View) Role() settings.Role { return v.cfg.Role }
+
+// Control returns the client for calls to other processes.
+func (v *View) Control() *control.Client { return v.control }
+
+// Ready tells whether the process may serve, and otherwise what is missing.
+func (v *View) Ready() (ok bool, reason string) {
+	switch {
+	case v.snapshot.Load() == nil:
+		return false, "no configuration yet: neither the platform nor a peer has answered with one"
+	case v.hosts.Load() == nil:
+		return false, "no host list yet: neither the platform nor a peer has answered with one"
+	}
+	return true, ""
+}
+
+// Subscribe returns a channel that gets a value after each change of configuration, hosts, membership
+// or marks. Changes that follow one another closely come as one.
+func (v *View) Subscribe() chan struct{} {
+	c := make(chan struct{}, 1)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.subs = append(v.subs, c)
+	return c
+}
+
+// Unsubscribe drops a channel of Subscribe.
+func (v *View) Unsubscribe(c chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.subs = slices.DeleteFunc(v.subs, func(x chan struct{}) bool { return x == c })
+}
+
+func (v *View) notify() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, c := range v.subs {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// SetLeaving marks this process as leaving for all others. It can't be taken back.
+func (v *View) SetLeaving() {
+	v.leaving.Store(true)
+	v.publish()
+	v.gossip.Do(member.MarkLeaving{Name: string(member.MakeID(v.Host(), string(v.cfg.Role)))})
+	v.rebuildRoster()
+	v.notify()
+}
+
+// SelfLeaving tells whether SetLeaving was called.
+func (v *View) SelfLeaving() bool { return v.leaving.Load() }
+
+// LastHeard returns when a peer or the platform was last heard; zero if never.
+func (v *View) LastHeard() time.Duration {
+	var peer time.Duration
+	v.gossip.View(func(m *member.Machine) { peer = m.LastHeard() })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(peer, v.heardAt)
+}
+
+// JustPaused tells whether the process was paused within the last second.
+func (v *View) JustPaused() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pauses.JustPaused(v.Now())
+}
+
+// PauseSlack returns how long a message that is read now may have waited for a paused process. The
+// deadline of such a message is shortened by it, since the sender's clock ran on.
+func (v *View) PauseSlack() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.pauses.JustPaused(v.Now()) {
+		return 0
+	}
+	return v.lastGap
+}
+
+// tick finds pauses, publishes the own state to membership and rebuilds the roster after changes.
+func (v *View) tick(ctx context.Context) {
+	const period = 50 * time.Millisecond
+	const publishEvery = 10
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.dirty:
+			v.rebuildRoster()
+			v.notify()
+			continue
+		case <-t.C:
+		}
+		v.checkPause()
+		if n%publishEvery == 0 {
+			v.publish()
+		}
+	}
+}
+
+func (v *View) checkPause() {
+	v.mu.Lock()
+	gap, paused := v.pauses.Tick(v.Now())
+	if paused {
+		v.lastGap = gap
+	}
+	v.mu.Unlock()
+	if paused {
+		v.log.WithField("gap_ms", gap.Milliseconds()).Warn("process was paused")
+		v.notify()
+	}
+}
+
+// spread returns a random delay for reads after a mass restart.
+func (v *View) spread() time.Duration {
+	return time.Duration(rand.Int64N(v.cfg.Settings.Platform.StartSpreadMS+1)) * time.Millisecond
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
