--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/sched"
 	"github.com/rosemaryhill/rosemaryhill/node/enginehttp"
@@ -74,15 +75,15 @@
 func (l *loop) releaseKV(act sched.ReleaseKV) {
 	client, known := l.engines.client(act.Engine)
 	if !known {
-		l.d.put(engineEvent{sched.KVReleaseFailed{Engine: act.Engine, Handle: act.Handle}})
+		l.d.put(engineEvent{sched.KVReleaseFailed(act)})
 		return
 	}
 	l.d.calls.Go(func() {
 		if err := client.DeleteKV(l.d.callCtx, act.Handle); err != nil {
-			l.d.put(engineEvent{sched.KVReleaseFailed{Engine: act.Engine, Handle: act.Handle}})
+			l.d.put(engineEvent{sched.KVReleaseFailed(act)})
 			return
 		}
-		l.d.put(engineEvent{sched.KVReleased{Engine: act.Engine, Handle: act.Handle}})
+		l.d.put(engineEvent{sched.KVReleased(act)})
 	})
 }
 
@@ -154,7 +155,7 @@
 		Incarnation:     s.d.view.Incarnation().String(),
 		RemainingMS:     remaining.Milliseconds(),
 		Prompt:          string(prompt),
-		PromptTokens:    s.send.PromptTo - s.send.PromptFrom,
+		PromptTokens:    max(s.send.PromptTo-s.send.PromptFrom, ident.EstimateTokens(len(prompt))),
 		MaxOutputTokens: s.send.MaxOutputTokens,
 		Priority:        s.send.Priority,
 		Prefix:          s.send.Prefix,
--- /dev/null
+++ b/node/gateway/control.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+	"github.com/rosemaryhill/rosemaryhill/node/view"
+	"github.com/rosemaryhill/rosemaryhill/transport/control"
+)
+
+// Control answers the control calls of other processes.
+type Control struct {
+	view.Handler
+	gateway *Gateway
+}
+
+// Control returns the handler for the control server of this process.
+func (g *Gateway) Control() Control { return Control{Handler: view.Handler{View: g.view}, gateway: g} }
+
+// ForwardTicket implements control.Handler: this process is the executor of the ticket.
+func (c Control) ForwardTicket(ctx context.Context, req *control.ForwardTicketRequest) (*control.ForwardTicketReply, error) {
+	g := c.gateway
+	call := &serviceCall{
+		team: req.Team, service: req.Service, method: req.Method, path: req.Path, contentType: req.ContentType,
+		body: req.Body, ticket: req.Ticket,
+		deadline: g.view.Now() - g.view.PauseSlack() + time.Duration(req.RemainingMS)*time.Millisecond,
+	}
+	answer, err := g.tickets.execute(obs.FromTraceParent(ctx, req.TraceParent), call)
+	if err != nil {
+		detail := err.Detail
+		if detail == "" && err.Err != nil {
+			detail = err.Err.Error()
+		}
+		return &control.ForwardTicketReply{
+			Outcome: uint8(err.Kind), Reason: string(err.Reason), Step: err.Step, Peer: err.Peer, Detail: detail,
+			RetryAfterMS: err.RetryAfter.Milliseconds(),
+		}, nil
+	}
+	return &control.ForwardTicketReply{
+		Outcome: uint8(outcome.Answered), Status: answer.status, ContentType: answer.contentType, Body: answer.body,
+	}, nil
+}
--- /dev/null
+++ b/node/gateway/http.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+)
+
+// Headers of the caller interface.
+const (
+	TeamHeader    = "Rosemaryhill-Team"
+	TimeoutHeader = "Rosemaryhill-Timeout-Ms"
+	TicketHeader  = "Rosemaryhill-Ticket"
+	OutcomeHeader = "Rosemaryhill-Outcome"
+)
+
+// Limits of the caller interface.
+const (
+	// MaxServiceBody bounds the body of a call to a plain service.
+	MaxServiceBody = 1 << 20
+	// MaxPromptBytes bounds a prompt: 1,000,000 tokens.
+	MaxPromptBytes = 4_000_000
+	// maxGenerateBody leaves room for JSON escapes in the longest prompt, which at worst doubles
+	// printable text.
+	maxGenerateBody = 2*MaxPromptBytes + 64<<10
+	// MaxTimeout bounds the remaining budget that a caller may name.
+	MaxTimeout = 3_600_000 * time.Millisecond
+	// bodyTimeout bounds the reading of a request body, so that a stalled caller frees its place.
+	bodyTimeout = 30 * time.Second
+)
+
+var defaultTimeouts = map[ident.Class]time.Duration{
+	ident.Interactive: 30 * time.Second,
+	ident.Standard:    120 * time.Second,
+	ident.Batch:       600 * time.Second,
+}
+
+func (g *Gateway) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/addresses", g.serveAddresses)
+	mux.HandleFunc("POST /v1/generate", g.counted("generate", g.serveGenerate))
+	mux.HandleFunc("/v1/services/{service}/{path...}", g.counted("service", g.serveService))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		g.fail(w, outcome.Refuse("route", outcome.BadRequest, "no such path or method; see GET /v1/addresses, POST /v1/generate, /v1/services/{service}/{path}"))
+	})
+	return mux
+}
+
+// counted admits a request, opens its span and counts its end. The wrapped handler returns the error
+// that it has already told the caller, or nil.
+func (g *Gateway) counted(name string, serve func(http.ResponseWriter, *http.Request) *outcome.Error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, span := g.obs.Span(obs.FromHTTP(r.Context(), r.Header), name, trace.SpanKindServer,
+			attribute.String("team", r.Header.Get(TeamHeader)))
+		err := serve(w, r.WithContext(ctx))
+		label, failure := outcome.Answered.String(), ""
+		if err != nil {
+			label, failure = string(err.Reason), string(err.Reason)
+			g.log.WithFields(fields{
+				"request": name, "team": r.Header.Get(TeamHeader), "outcome": err.Kind.String(), "reason": string(err.Reason),
+				"step": err.Step, "peer": err.Peer, "error": err.Error(),
+			}).Info("request failed")
+		}
+		g.ends.Add(1, label)
+		obs.EndSpan(span, failure)
+	}
+}
+
+// fail writes the final answer of a request that got none.
+func (g *Gateway) fail(w http.ResponseWriter, e *outcome.Error) *outcome.Error {
+	w.Header().Set(OutcomeHeader, e.Kind.String())
+	w.Header().Set("Content-Type", "application/json")
+	status := outcome.Status(e.Kind, e.Reason)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		if e.RetryAfter <= 0 {
+			e.RetryAfter = time.Second
+		}
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	body := e.Body()
+	if e.Err != nil && body.Detail == "" {
+		body.Detail = e.Err.Error()
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a lost connection needs no handling: nothing follows
+	return e
+}
+
+// readBody reads a bounded body.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *outcome.Error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	// A deadline left in place would later end the connection of a caller that waits for its answer.
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, outcome.Refuse("read_body", outcome.TooLarge, "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	case err != nil:
+		return nil, outcome.Refuse("read_body", outcome.BadRequest, err.Error())
+	}
+	return body, nil
+}
+
+// timeout reads the remaining budget of a request.
+func timeout(r *http.Request, def time.Duration) (time.Duration, *outcome.Error) {
+	text := r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return def, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 {
+		return 0, outcome.Refuse("read_header", outcome.BadRequest, TimeoutHeader+" must be a number of milliseconds from 1 to 3600000")
+	}
+	return min(time.Duration(min(ms, MaxTimeout.Milliseconds()))*time.Millisecond, MaxTimeout), nil
+}
--- /dev/null
+++ b/node/gateway/lookup.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/limits"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+	"github.com/rosemaryhill/rosemaryhill/node/servicehttp"
+)
+
+// serviceTimeout is the default budget of a call to a plain service.
+const serviceTimeout = 30 * time.Second
+
+// serviceCall is one call to a plain service.
+type serviceCall struct {
+	team        ident.Team
+	service     string
+	method      string
+	path        string // with leading slash and raw query
+	contentType string
+	body        []byte
+	ticket      string
+	deadline    time.Duration
+}
+
+// serviceAnswer is the server's own answer.
+type serviceAnswer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// serveService serves /v1/services/{service}/{path}.
+func (g *Gateway) serveService(w http.ResponseWriter, r *http.Request) *outcome.Error {
+	call, idempotent, err := g.readServiceCall(w, r)
+	if err != nil {
+		return g.fail(w, err)
+	}
+	var answer *serviceAnswer
+	if idempotent {
+		answer, err = g.lookup(r.Context(), call)
+	} else {
+		answer, err = g.posting(r.Context(), call)
+	}
+	if err != nil {
+		return g.fail(w, err)
+	}
+	if answer.contentType != "" {
+		w.Header().Set("Content-Type", answer.contentType)
+	}
+	w.Header().Set(OutcomeHeader, outcome.Answered.String())
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body) // a lost connection needs no handling
+	return nil
+}
+
+// readServiceCall reads a request up to the decision between lookup and posting. Its refusals say "not
+// run" even with a ticket: a call that is too large or malformed can't have run under any ticket.
+func (g *Gateway) readServiceCall(w http.ResponseWriter, r *http.Request) (*serviceCall, bool, *outcome.Error) {
+	if ok, why := g.view.Ready(); !ok {
+		return nil, false, g.refuseCall(r, retryLater(outcome.Refuse("admit", outcome.NotReady, why)))
+	}
+	snap := g.view.Config()
+	service, ok := snap.Config.Services[r.PathValue("service")]
+	if !ok {
+		return nil, false, outcome.Refuse("validate", outcome.BadRequest, "service "+r.PathValue("service")+" is not configured")
+	}
+	budget, err := timeout(r, serviceTimeout)
+	if err != nil {
+		return nil, false, err
+	}
+	received := g.view.Now()
+	body, err := readBody(w, r, MaxServiceBody)
+	if err != nil {
+		return nil, false, err
+	}
+	team, _, err := authenticate(snap, r.Header)
+	if err != nil {
+		return nil, false, g.refuseCall(r, err)
+	}
+	return &serviceCall{
+		team: team, service: r.PathValue("service"), method: r.Method, path: servicePath(r),
+		contentType: r.Header.Get("Content-Type"), body: body, ticket: r.Header.Get(TicketHeader),
+		deadline: received + budget,
+	}, service.Idempotent(r.Method), nil
+}
+
+// refuseCall is the end of a call that this process refuses before it knows anything about the
+// ticket. With a ticket the key may run or have run elsewhere.
+func (g *Gateway) refuseCall(r *http.Request, cause *outcome.Error) *outcome.Error {
+	if r.Header.Get(TicketHeader) != "" {
+		cause.Kind = outcome.MayHaveRun
+	}
+	return cause
+}
+
+// servicePath returns the path at the service as the caller wrote it, with its query.
+func servicePath(r *http.Request) string {
+	escaped := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/")
+	_, path, _ := strings.Cut(escaped, "/")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return "/" + path
+}
+
+// lookup runs an idempotent call, with retries on other servers within the retry budget.
+func (g *Gateway) lookup(ctx context.Context, call *serviceCall) (*serviceAnswer, *outcome.Error) {
+	if err := g.admit(); err != nil {
+		return nil, err
+	}
+	defer g.release()
+	if err := g.takeLimit(call.team, 0); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.deadline-g.view.Now())
+	defer cancel()
+	excluded := map[ident.BackendID]bool{}
+	reached := false
+	for tries := 1; ; tries++ {
+		p, err := g.calls.acquire(call.service, call.deadline, excluded)
+		if err != nil && len(excluded) > 0 {
+			clear(excluded) // all servers failed once: the retry may go to any of them
+			p, err = g.calls.acquire(call.service, call.deadline, excluded)
+		}
+		if err != nil {
+			return nil, asReached(err, reached)
+		}
+		answer, err := g.lookupOnce(ctx, p, call)
+		if err == nil {
+			return answer, nil
+		}
+		reached = reached || err.Kind == outcome.MayHaveRun
+		excluded[p.in.ID] = true
+		wait, again := p.retryAfter(g.rng(), tries, call.deadline-g.view.Now())
+		if !again || ctx.Err() != nil {
+			return nil, asReached(err, reached)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func asReached(e *outcome.Error, reached bool) *outcome.Error {
+	if reached {
+		e.Kind = outcome.MayHaveRun
+	}
+	return e
+}
+
+func (g *Gateway) lookupOnce(ctx context.Context, p *permit, call *serviceCall) (*serviceAnswer, *outcome.Error) {
+	resp, err := p.in.client.Lookup(ctx, call.request(ctx))
+	if err != nil {
+		e := outcome.From(err, "service_lookup", string(p.in.ID))
+		p.release(resultOf(e))
+		return nil, e
+	}
+	p.release(limits.Success)
+	return answerOf(resp), nil
+}
+
+// resultOf tells what a failed call says about its server.
+func resultOf(e *outcome.Error) limits.Result {
+	if e.Reason == outcome.Cancelled {
+		return limits.Neutral
+	}
+	return limits.Failure
+}
+
+func (c *serviceCall) request(ctx context.Context) servicehttp.Call {
+	h := http.Header{}
+	if c.contentType != "" {
+		h.Set("Content-Type", c.contentType)
+	}
+	obs.ToHTTP(ctx, h)
+	return servicehttp.Call{Method: c.method, Path: c.path, Header: h, Body: c.body}
+}
+
+func answerOf(r *servicehttp.Response) *serviceAnswer {
+	return &serviceAnswer{status: r.Status, contentType: r.Header.Get("Content-Type"), body: r.Body}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/node/gateway/posting.go
@@ -0,0 +1,270 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/limits"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/ticket"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
+	"github.com/rosemaryhill/rosemaryhill/transport/control"
+)
+
+// ticketDesk holds the tickets of this incarnation and runs their calls.
+type ticketDesk struct {
+	g *Gateway
+
+	mu      sync.Mutex
+	table   *ticket.Table
+	pending map[uint64]*pending // calls that are being sent, by ticket
+	running sync.WaitGroup
+}
+
+// pending is a call that is being sent. Its result is for the caller that started it; all others ask
+// the table, which may keep less: a long answer is not recorded.
+type pending struct {
+	over   chan struct{} // closed after the result is set
+	answer *serviceAnswer
+	err    *outcome.Error
+}
+
+func (d *ticketDesk) issue(n int) ([]string, *outcome.Error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Issue(d.g.view.Now(), n)
+}
+
+// Len returns the number of ticket records.
+func (d *ticketDesk) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Len()
+}
+
+func (d *ticketDesk) wait() { d.running.Wait() }
+
+// Running returns the number of tickets whose call is being sent.
+func (d *ticketDesk) Running() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.pending)
+}
+
+// binding is what a ticket is bound to. The method counts as part of the path, so that a ticket of
+// one method never answers for another.
+func (c *serviceCall) binding() ticket.Call {
+	return ticket.Call{Team: c.team, Service: c.service, Path: c.method + " " + c.path, BodyDigest: sha256.Sum256(c.body)}
+}
+
+// posting runs a non-idempotent call here if this process issued its ticket, and otherwise forwards it
+// to the executor.
+func (g *Gateway) posting(ctx context.Context, call *serviceCall) (*serviceAnswer, *outcome.Error) {
+	if call.ticket == "" {
+		return nil, outcome.Refuse("ticket", outcome.TicketMissing,
+			"a non-idempotent call needs the header "+TicketHeader+"; get one at "+
+				baseURL(g.cfg.Settings.Gateway.HTTPAddress)+"/v1/addresses?tickets=1")
+	}
+	target, t, err := ticket.Route(call.ticket, ticket.Self{Host: g.view.Host(), Incarnation: g.view.Incarnation()}, g.executor)
+	switch target {
+	case ticket.Here:
+		return g.tickets.execute(ctx, call)
+	case ticket.Forward:
+		return g.forward(ctx, call, t)
+	default:
+		return nil, err
+	}
+}
+
+// executor tells what membership knows about the gateway of a host.
+func (g *Gateway) executor(host ident.HostID) ticket.Executor {
+	p, ok := g.view.Find(host, settings.RoleGateway)
+	if !ok {
+		return ticket.Executor{}
+	}
+	return ticket.Executor{
+		Member:      true,
+		Reachable:   p.Entry.ControlAddress != "" && g.view.Reachable(host, settings.RoleGateway),
+		Incarnation: p.Incarnation,
+	}
+}
+
+// execute runs or looks up the call of an own ticket.
+func (d *ticketDesk) execute(ctx context.Context, call *serviceCall) (*serviceAnswer, *outcome.Error) {
+	if err := d.g.admit(); err != nil {
+		return nil, d.refuse(call, err)
+	}
+	defer d.g.release()
+	if err := d.g.takeLimit(call.team, 0); err != nil {
+		return nil, d.refuse(call, err)
+	}
+	for {
+		decision, p := d.begin(call)
+		switch decision.Verdict {
+		case ticket.Recorded:
+			r := decision.Response
+			return &serviceAnswer{status: r.Status, contentType: r.ContentType, body: r.Body}, nil
+		case ticket.Refuse:
+			return nil, decision.Err
+		case ticket.Run:
+			traced := obs.FromTraceParent(d.g.ctx, obs.TraceParent(ctx))
+			d.running.Go(func() { d.run(traced, call, decision.Sequence, p) })
+		}
+		if err := d.await(ctx, call, p); err != nil {
+			return nil, err
+		}
+		if decision.Verdict == ticket.Run {
+			return p.answer, p.err
+		}
+	}
+}
+
+func (d *ticketDesk) refuse(call *serviceCall, cause *outcome.Error) *outcome.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Refuse(d.g.view.Now(), call.ticket, call.binding(), cause)
+}
+
+// begin asks the table about a call. The pending call is nil unless the call is to run or runs.
+func (d *ticketDesk) begin(call *serviceCall) (ticket.Decision, *pending) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	decision := d.table.Begin(d.g.view.Now(), call.ticket, call.binding(), call.deadline)
+	switch decision.Verdict {
+	case ticket.Run:
+		d.pending[decision.Sequence] = &pending{over: make(chan struct{})}
+	case ticket.Wait:
+	default:
+		return decision, nil
+	}
+	return decision, d.pending[decision.Sequence]
+}
+
+// await waits for the end of a running call, up to the caller's own deadline. A caller that leaves
+// does not stop the call.
+func (d *ticketDesk) await(ctx context.Context, call *serviceCall, p *pending) *outcome.Error {
+	t := time.NewTimer(call.deadline - d.g.view.Now())
+	defer t.Stop()
+	select {
+	case <-p.over:
+		return nil
+	case <-ctx.Done():
+		return outcome.Fail("posting", "", outcome.Cancelled, ctx.Err())
+	case <-t.C:
+		return outcome.Fail("posting", "", outcome.Deadline, nil)
+	}
+}
+
+// run sends the call of a claimed ticket once and records how it ended.
+func (d *ticketDesk) run(ctx context.Context, call *serviceCall, seq uint64, p *pending) {
+	answer, cause := d.send(ctx, call, seq)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.g.view.Now()
+	switch {
+	case cause == nil:
+		d.table.Finish(now, seq, ticket.Response{Status: answer.status, ContentType: answer.contentType, Body: answer.body})
+		p.answer = answer
+	case cause.Kind == outcome.NotRun:
+		p.err = d.table.Burn(now, seq, cause)
+	default:
+		p.err = d.table.Fail(now, seq, cause)
+		d.g.log.WithFields(fields{
+			"step": cause.Step, "peer": cause.Peer, "reason": string(cause.Reason), "error": cause.Error(),
+		}).Warn("posting may have run")
+	}
+	close(p.over)
+	delete(d.pending, seq)
+}
+
+func (d *ticketDesk) send(ctx context.Context, call *serviceCall, seq uint64) (*serviceAnswer, *outcome.Error) {
+	p, refusal := d.g.calls.acquire(call.service, call.deadline, nil)
+	if refusal != nil {
+		return nil, refusal
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.deadline-d.g.view.Now())
+	defer cancel()
+	req := call.request(ctx)
+	req.Key = call.ticket
+	resp, err := p.in.client.Post(ctx, req, func() error { return d.firstByte(seq) })
+	if err != nil {
+		e := outcome.From(err, "posting", string(p.in.ID))
+		p.release(resultOf(e))
+		return nil, e
+	}
+	p.release(limits.Success)
+	return answerOf(resp), nil
+}
+
+// firstByte is asked right before the first byte of the call is written.
+func (d *ticketDesk) firstByte(seq uint64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.table.FirstByte(d.g.view.Now(), seq); err != nil {
+		return err // a nil *outcome.Error in an error interface would count as a refusal
+	}
+	return nil
+}
+
+// executorCheck is the period of looks at an executor that holds a forwarded call.
+const executorCheck = 200 * time.Millisecond
+
+// forward passes a call to the executor of its ticket, once.
+func (g *Gateway) forward(ctx context.Context, call *serviceCall, t ticket.Ticket) (*serviceAnswer, *outcome.Error) {
+	if err := g.admit(); err != nil {
+		return nil, ticket.Elsewhere(err)
+	}
+	defer g.release()
+	remaining := call.deadline - g.view.Now()
+	if remaining < time.Millisecond {
+		return nil, outcome.Fail("forward_ticket", string(t.Host), outcome.Deadline, nil)
+	}
+	p, _ := g.view.Find(t.Host, settings.RoleGateway)
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	go g.watchExecutor(ctx, cancel, t)
+	r, err := g.view.Control().ForwardTicket(ctx, p.Entry.ControlAddress, &control.ForwardTicketRequest{
+		Ticket: call.ticket, Team: call.team, Service: call.service, Method: call.method, Path: call.path,
+		ContentType: call.contentType, Body: call.body, RemainingMS: remaining.Milliseconds(),
+		TraceParent: obs.TraceParent(ctx),
+	})
+	if err != nil {
+		if g.view.Now() >= call.deadline {
+			return nil, outcome.Fail("forward_ticket", string(t.Host), outcome.Deadline, err)
+		}
+		return nil, ticket.ForwardFailed(t, err)
+	}
+	return forwarded(r)
+}
+
+// watchExecutor ends a forwarded call at once when membership learns that its executor is gone.
+func (g *Gateway) watchExecutor(ctx context.Context, cancel context.CancelFunc, t ticket.Ticket) {
+	tick := time.NewTicker(executorCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		x := g.executor(t.Host)
+		if !x.Member || !x.Reachable || x.Incarnation != t.Incarnation {
+			cancel()
+			return
+		}
+	}
+}
+
+func forwarded(r *control.ForwardTicketReply) (*serviceAnswer, *outcome.Error) {
+	if kind := outcome.Kind(r.Outcome); kind != outcome.Answered {
+		return nil, &outcome.Error{
+			Kind: kind, Reason: outcome.Reason(r.Reason), Step: r.Step, Peer: r.Peer, Detail: r.Detail,
+			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond,
+		}
+	}
+	return &serviceAnswer{status: r.Status, contentType: r.ContentType, body: r.Body}, nil
+}
--- /dev/null
+++ b/node/gateway/routes.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/transport/link"
+	"github.com/rosemaryhill/rosemaryhill/transport/ring"
+	"github.com/rosemaryhill/rosemaryhill/transport/wire"
+)
+
+// inboxFrames bounds the frames of one attempt that wait for the caller's connection. At 29 ms
+// between tokens it holds 29 s of an answer; a caller that reads more slowly loses the attempt.
+const inboxFrames = 1024
+
+// route leads the frames of one attempt to the goroutine of its request.
+type route struct {
+	number uint64
+	peer   *link.Peer
+	inbox  *ring.Ring[wire.Message]
+	// broken is closed when no further frame can follow: the link is lost or the inbox was full.
+	broken    chan struct{}
+	breakOnce sync.Once
+	overrun   bool // set before broken is closed
+}
+
+func (r *route) fail(overrun bool) {
+	r.breakOnce.Do(func() {
+		r.overrun = overrun
+		close(r.broken)
+	})
+}
+
+// routes finds the route of a frame.
+type routes struct {
+	mu       sync.RWMutex
+	byNumber map[uint64]*route
+}
+
+func newRoutes() *routes { return &routes{byNumber: map[uint64]*route{}} }
+
+func (rs *routes) add(number uint64, p *link.Peer) *route {
+	r := &route{number: number, peer: p, inbox: ring.New[wire.Message](inboxFrames), broken: make(chan struct{})}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.byNumber[number] = r
+	return r
+}
+
+func (rs *routes) remove(r *route) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	delete(rs.byNumber, r.number)
+}
+
+// find returns the route of an attempt at this peer. A frame of another peer under the same number
+// belongs to nobody.
+func (rs *routes) find(number uint64, p *link.Peer) *route {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	if r := rs.byNumber[number]; r != nil && r.peer == p {
+		return r
+	}
+	return nil
+}
+
+func (rs *routes) lost(p *link.Peer) {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	for _, r := range rs.byNumber {
+		if r.peer == p {
+			r.fail(false)
+		}
+	}
+}
+
+// outstanding counts the attempts at each dispatcher.
+func (rs *routes) outstanding() map[ident.HostID]int {
+	rs.mu.RLock()
+	defer rs.mu.RUnlock()
+	n := map[ident.HostID]int{}
+	for _, r := range rs.byNumber {
+		n[r.peer.Host()]++
+	}
+	return n
+}
+
+// linkHandler keeps the methods of link.Handler out of Gateway's own.
+type linkHandler Gateway
+
+// OnUp implements link.Handler.
+func (h *linkHandler) OnUp(p *link.Peer) {
+	h.log.WithFields(fields{"peer": p.String(), "incarnation": p.Incarnation().String()}).Info("link up")
+}
+
+// OnDown implements link.Handler.
+func (h *linkHandler) OnDown(p *link.Peer, err error) {
+	h.log.WithFields(fields{"peer": p.String(), "error": err.Error()}).Info("link down")
+	h.routes.lost(p)
+}
+
+// OnMessage implements link.Handler.
+func (h *linkHandler) OnMessage(p *link.Peer, m wire.Message) {
+	var number uint64
+	switch m := m.(type) {
+	case *wire.Accepted:
+		number = m.Attempt
+	case *wire.Token:
+		number = m.Attempt
+	case *wire.End:
+		number = m.Attempt
+	default:
+		return
+	}
+	r := h.routes.find(number, p)
+	if r == nil {
+		return // the attempt was given up
+	}
+	if !r.inbox.Push(m) {
+		r.fail(true)
+	}
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -105,7 +105,7 @@
 // Admin holds the settings of the administration API.
 type Admin struct {
 	// Token is the bearer token of the administration API, at least 16 characters. Required.
-	// /healthz, /readyz and /metrics need no token. A changed token takes a restart.
+	// /healthz and /readyz need no token. A changed token takes a restart.
 	Token string `toml:"token"`
 }
 
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -58,7 +58,6 @@
 	hosts    atomic.Pointer[platformapi.Hosts]
 	roster   atomic.Pointer[[]Process]
 	leaving  atomic.Bool // this process
-	ready    atomic.Bool
 
 	mu       sync.Mutex
 	fold     *config.Fold
