Add the daemon's command line

Change: subcommands gateway, dispatcher and check with help, examples and exit codes; SIGTERM starts the graceful shutdown; main only maps signals and the exit code.

--- /dev/null
+++ b/cmd/internal/daemon/daemon.go
@@ -0,0 +1,117 @@
+// Package daemon is the command line of the daemon. It is apart from main so that tests can run it in
+// processes of their own.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryhill/rosemaryhill/node/process"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the role could not start, or its shutdown cut off requests
+	ExitUsage    = 2 // wrong command line
+	ExitSettings = 3 // the settings have mistakes
+)
+
+const help = `
+Examples:
+  rosemaryhill check --settings /etc/rosemaryhill.toml
+  rosemaryhill gateway --settings /etc/rosemaryhill.toml
+  rosemaryhill dispatcher --settings /etc/rosemaryhill.toml
+
+SIGTERM starts the graceful shutdown: no running request is cut off.
+
+Exit codes:
+  0  stopped in order, or the settings are valid
+  1  the role could not start, or its shutdown cut off requests
+  2  wrong command line
+  3  the settings have mistakes; each is written with file, key, value and what would be valid`
+
+// command is the parsed command line.
+type command struct {
+	settings                   string
+	gateway, dispatcher, check *flaggy.Subcommand
+}
+
+// Main runs the command line until its end, or until the context ends, and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	c, err := parse(args)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	if c.check.Used {
+		return c.runCheck(stdout, stderr)
+	}
+	role := settings.RoleGateway
+	if c.dispatcher.Used {
+		role = settings.RoleDispatcher
+	}
+	return c.runRole(ctx, role, stdout, stderr)
+}
+
+func parse(args []string) (*command, error) {
+	c := &command{
+		gateway:    flaggy.NewSubcommand("gateway"),
+		dispatcher: flaggy.NewSubcommand("dispatcher"),
+		check:      flaggy.NewSubcommand("check"),
+	}
+	c.gateway.Description = "run the gateway, which callers talk to"
+	c.dispatcher.Description = "run the dispatcher, which places requests on engines"
+	c.check.Description = "validate the settings for both roles without starting"
+	p := flaggy.NewParser("rosemaryhill")
+	p.Description = "serving layer in front of language model engines and plain services"
+	p.Version = "0.1.0"
+	p.AdditionalHelpAppend = help
+	for _, sub := range []*flaggy.Subcommand{c.gateway, c.dispatcher, c.check} {
+		sub.String(&c.settings, "s", "settings", "settings file (TOML)")
+		sub.AdditionalHelpAppend = help
+		p.AttachSubcommand(sub, 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return nil, err
+	}
+	if !c.gateway.Used && !c.dispatcher.Used && !c.check.Used {
+		return nil, errors.New("a subcommand is missing: gateway, dispatcher or check; see rosemaryhill --help")
+	}
+	if c.settings == "" {
+		return nil, errors.New("the settings file is missing; give it with --settings FILE")
+	}
+	return c, nil
+}
+
+func (c *command) runCheck(stdout, stderr io.Writer) int {
+	if _, err := settings.Load(c.settings, settings.RoleGateway, settings.RoleDispatcher); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	fmt.Fprintf(stdout, "%s: valid for gateway and dispatcher\n", c.settings)
+	return ExitOK
+}
+
+func (c *command) runRole(ctx context.Context, role settings.Role, stdout, stderr io.Writer) int {
+	s, err := settings.Load(c.settings, role)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	p, err := process.Start(process.Config{Settings: s, Role: role, LogTo: stderr, TraceTo: stdout})
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	if err := p.Run(ctx); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
--- a/cmd/rosemaryhill/main.go
+++ b/cmd/rosemaryhill/main.go
@@ -1,4 +1,17 @@
-// Command rosemaryhill is a placeholder until its subcommands exist.
+// Command rosemaryhill runs one role of an entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rosemaryhill/rosemaryhill/cmd/internal/daemon"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(daemon.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
