--- /dev/null
+++ b/lab/caller/caller.go
@@ -0,0 +1,207 @@
+// Package caller is a client of the caller interface. It counts a stream as whole only when its frames
+// are numbered without gaps and its end event names the last of them.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/gateway"
+)
+
+// ErrIncomplete is the error of a stream that ended without its end event, or not in order.
+var ErrIncomplete = errors.New("incomplete stream")
+
+// Client calls one gateway.
+type Client struct {
+	URL  string
+	Team string
+	Key  string // bearer token, optional
+	HTTP *http.Client
+}
+
+// New returns a client with connections of its own.
+func New(url, team string) *Client {
+	return &Client{URL: url, Team: team, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// Answer is the result of a generation.
+type Answer struct {
+	Text       string
+	Tokens     int
+	FirstToken time.Duration
+	Total      time.Duration
+	End        gateway.EndEvent // of a stream that ended in order
+}
+
+// Refusal is a final answer other than a stream or a service's own answer.
+type Refusal struct {
+	Status     int
+	RetryAfter string
+	outcome.Body
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("status %d, %s, %s at %s %s: %s", r.Status, r.Outcome, r.Reason, r.Step, r.Peer, r.Detail)
+}
+
+// Generate asks for a stream and reads it to its end. progress, if not nil, gets the number of each
+// token. A stream that ends as not answered returns the answer so far and a *Refusal.
+func (c *Client) Generate(ctx context.Context, req gateway.GenerateRequest, timeout time.Duration, progress func(n int)) (*Answer, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	resp, err := c.do(ctx, http.MethodPost, "/v1/generate", body, timeout, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	a := &Answer{}
+	err = a.read(resp.Body, started, progress)
+	a.Total = time.Since(started)
+	return a, err
+}
+
+// read parses the events of a stream.
+func (a *Answer) read(r io.Reader, started time.Time, progress func(int)) error {
+	var text strings.Builder
+	defer func() { a.Text = text.String() }()
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	var id, event string
+	for lines.Scan() {
+		key, value, _ := strings.Cut(lines.Text(), ": ")
+		switch key {
+		case "id":
+			id = value
+		case "event":
+			event = value
+		case "data":
+			if event == "end" {
+				return a.end([]byte(value))
+			}
+			if err := a.token(id, value, &text); err != nil {
+				return err
+			}
+			if a.Tokens == 1 {
+				a.FirstToken = time.Since(started)
+			}
+			if progress != nil {
+				progress(a.Tokens)
+			}
+		}
+	}
+	return fmt.Errorf("%w: no end event after token %d: %w", ErrIncomplete, a.Tokens, errors.Join(lines.Err()))
+}
+
+func (a *Answer) token(id, data string, text *strings.Builder) error {
+	n, err := strconv.Atoi(id)
+	if err != nil || n != a.Tokens+1 {
+		return fmt.Errorf("%w: token %q after token %d", ErrIncomplete, id, a.Tokens)
+	}
+	var t struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal([]byte(data), &t); err != nil {
+		return fmt.Errorf("%w: %w", ErrIncomplete, err)
+	}
+	a.Tokens = n
+	text.WriteString(t.Text)
+	return nil
+}
+
+func (a *Answer) end(data []byte) error {
+	if err := json.Unmarshal(data, &a.End); err != nil {
+		return fmt.Errorf("%w: %w", ErrIncomplete, err)
+	}
+	if a.End.Outcome != outcome.Answered.String() {
+		return &Refusal{Status: http.StatusOK, Body: outcome.Body{
+			Outcome: a.End.Outcome, Reason: a.End.Reason, Step: a.End.Step, Peer: a.End.Peer,
+			RetryAfterMS: a.End.RetryAfterMS, Detail: a.End.Detail,
+		}}
+	}
+	if a.End.Count != a.Tokens {
+		return fmt.Errorf("%w: the end counts %d tokens, %d came", ErrIncomplete, a.End.Count, a.Tokens)
+	}
+	return nil
+}
+
+// Addresses asks for addresses and tickets.
+func (c *Client) Addresses(ctx context.Context, model string, tickets int) (*gateway.Addresses, error) {
+	resp, err := c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/addresses?model=%s&tickets=%d", model, tickets), nil, 0, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	var a gateway.Addresses
+	return &a, json.NewDecoder(resp.Body).Decode(&a)
+}
+
+// Service calls a plain service. The ticket is empty for a lookup. The answer is the service's own,
+// whatever its status.
+func (c *Client) Service(ctx context.Context, method, service, path, ticket string, body []byte, timeout time.Duration) (status int, answer []byte, err error) {
+	h := http.Header{}
+	if ticket != "" {
+		h.Set(gateway.TicketHeader, ticket)
+	}
+	resp, err := c.do(ctx, method, "/v1/services/"+service+path, body, timeout, h)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(gateway.OutcomeHeader) != outcome.Answered.String() {
+		return resp.StatusCode, nil, refusal(resp)
+	}
+	answer, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, timeout time.Duration, h http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// net/http would resend a posting on a reused connection that was reset.
+	req.GetBody = nil
+	if h != nil {
+		req.Header = h
+	}
+	req.Header.Set(gateway.TeamHeader, c.Team)
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	if timeout > 0 {
+		req.Header.Set(gateway.TimeoutHeader, strconv.FormatInt(timeout.Milliseconds(), 10))
+	}
+	return c.HTTP.Do(req)
+}
+
+func refusal(resp *http.Response) error {
+	r := &Refusal{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After")}
+	if err := json.NewDecoder(resp.Body).Decode(&r.Body); err != nil {
+		return fmt.Errorf("status %d without a body that tells the outcome: %w", resp.StatusCode, err)
+	}
+	if r.Outcome != resp.Header.Get(gateway.OutcomeHeader) {
+		return fmt.Errorf("header says %q, body says %q", resp.Header.Get(gateway.OutcomeHeader), r.Outcome)
+	}
+	return r
+}
--- /dev/null
+++ b/lab/cluster/plan.go
@@ -0,0 +1,230 @@
+// Package cluster plans and runs a whole system on loopback: stand-ins of the platform and of backend
+// servers, and entry hosts with both roles. The demo and the scenarios use it.
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/config"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
+	"github.com/rosemaryhill/rosemaryhill/standin/engine"
+	"github.com/rosemaryhill/rosemaryhill/standin/service"
+)
+
+// AdminToken is the bearer token of all planned processes.
+const AdminToken = "loopback-admin-token"
+
+// Spec describes a system. All of its hosts are in one region.
+type Spec struct {
+	Region          string
+	Hosts           []HostSpec
+	Groups          []GroupSpec
+	Services        []ServiceSpec
+	Model           string
+	MaxPromptTokens int
+	Teams           map[ident.Team]config.Team
+	KeepMS          int64
+	ShutdownMS      int64
+	LogLevel        string
+	HostListLag     time.Duration
+}
+
+// HostSpec is one entry host.
+type HostSpec struct{ ID, Zone string }
+
+// GroupSpec is an engine group with equal engines, named "<group>-1" and so on.
+type GroupSpec struct {
+	Name, Zone string
+	Engines    int
+	Engine     engine.Config // ID, Model and Version are filled in
+}
+
+// ServiceSpec is one server of a plain service.
+type ServiceSpec struct {
+	ID, Name, Zone string
+	Service        service.Config
+}
+
+// Engine is a planned engine.
+type Engine struct {
+	engine.Config
+	Address, Group, Zone string
+}
+
+// Service is a planned server of a plain service.
+type Service struct {
+	ServiceSpec
+	Address string
+}
+
+// Plan is a system with all its addresses.
+type Plan struct {
+	Spec
+	PlatformAddress string
+	HostListAddress string
+	Engines         []Engine
+	ServiceServers  []Service
+	Settings        map[string]settings.Settings // by host
+}
+
+// modelVersion is the version of the model in the first configuration.
+const modelVersion = "v1"
+
+// NewPlan picks free loopback ports for a system.
+func NewPlan(spec Spec) (*Plan, error) {
+	p := &Plan{Spec: spec, Settings: map[string]settings.Settings{}}
+	ports := &portPicker{}
+	p.PlatformAddress = ports.next()
+	p.HostListAddress = ports.next()
+	for _, g := range spec.Groups {
+		for i := range g.Engines {
+			cfg := g.Engine
+			cfg.ID = fmt.Sprintf("%s-%d", g.Name, i+1)
+			cfg.Model, cfg.Version = spec.Model, modelVersion
+			p.Engines = append(p.Engines, Engine{Config: cfg, Address: ports.next(), Group: g.Name, Zone: g.Zone})
+		}
+	}
+	for _, s := range spec.Services {
+		p.ServiceServers = append(p.ServiceServers, Service{ServiceSpec: s, Address: ports.next()})
+	}
+	for _, h := range spec.Hosts {
+		p.Settings[h.ID] = p.settings(h, ports)
+	}
+	return p, ports.err
+}
+
+func (p *Plan) settings(h HostSpec, ports *portPicker) settings.Settings {
+	s := settings.Default()
+	s.HostID, s.Region, s.AvailabilityZone = h.ID, p.Region, h.Zone
+	s.Gateway.HTTPAddress = ports.next()
+	s.Gateway.ControlAddress = ports.next()
+	s.Gateway.GossipAddress = ports.next()
+	s.Gateway.AdminAddress = ports.next()
+	s.Dispatcher.LinkAddress = ports.next()
+	s.Dispatcher.ControlAddress = ports.next()
+	s.Dispatcher.GossipAddress = ports.next()
+	s.Dispatcher.AdminAddress = ports.next()
+	s.Dispatcher.ReportMS = 100
+	s.Platform.ConfigURL = "http://" + p.PlatformAddress
+	s.Platform.HostsURL = "http://" + p.HostListAddress
+	s.Platform.HostsMS = 500
+	s.Platform.ReadsPerS = 20
+	s.Platform.StartSpreadMS = 50
+	s.Admin.Token = AdminToken
+	if p.KeepMS > 0 {
+		s.Gateway.KeepMS = p.KeepMS
+	}
+	if p.ShutdownMS > 0 {
+		s.Gateway.ShutdownMS, s.Dispatcher.ShutdownMS = p.ShutdownMS, p.ShutdownMS
+	}
+	if p.LogLevel != "" {
+		s.Log.Level = p.LogLevel
+	}
+	return s
+}
+
+// Snapshot returns the first configuration.
+func (p *Plan) Snapshot() (json.RawMessage, error) {
+	body := struct {
+		Models   map[string]config.Model           `json:"models"`
+		Teams    map[ident.Team]config.Team        `json:"teams"`
+		Servers  map[string]config.BackendServer   `json:"backend_servers"`
+		Services map[string]map[string]interface{} `json:"services"`
+		Policy   config.Policy                     `json:"policy"`
+	}{
+		Models:   map[string]config.Model{p.Model: {Version: modelVersion, MaxPromptTokens: p.MaxPromptTokens}},
+		Teams:    p.Teams,
+		Servers:  map[string]config.BackendServer{},
+		Services: map[string]map[string]interface{}{},
+		Policy:   config.Policy{Name: config.PolicyPredict},
+	}
+	for _, e := range p.Engines {
+		fencing := config.FencingHonoured
+		if e.IgnoresFences {
+			fencing = config.FencingIgnored
+		}
+		body.Servers[e.ID] = config.BackendServer{
+			Kind: config.KindEngine, Address: e.Address, AvailabilityZone: ident.Zone(e.Zone), Group: e.Group,
+			Model: ident.Model(p.Model), MemoryTokens: e.MemoryTokens, Fencing: fencing,
+		}
+	}
+	for _, s := range p.ServiceServers {
+		body.Servers[s.ID] = config.BackendServer{
+			Kind: config.KindService, Address: s.Address, AvailabilityZone: ident.Zone(s.Zone), Service: s.Name,
+		}
+		body.Services[s.Name] = map[string]interface{}{"idempotent_methods": []string{"GET"}}
+	}
+	return json.Marshal(body)
+}
+
+// HostList returns the host list with all hosts live.
+func (p *Plan) HostList() []platformapi.Host {
+	var out []platformapi.Host
+	for _, h := range p.Hosts {
+		s := p.Settings[h.ID]
+		out = append(out, platformapi.Host{
+			ID: h.ID, Kind: "entry", Address: s.Gateway.HTTPAddress, ControlAddress: s.Gateway.ControlAddress,
+			GossipAddress: s.Gateway.GossipAddress, LinkAddress: s.Dispatcher.LinkAddress,
+			AvailabilityZone: h.Zone, Region: p.Region, State: platformapi.Live,
+		})
+	}
+	backend := func(id, address, zone string) {
+		out = append(out, platformapi.Host{
+			ID: id, Kind: "backend", Address: address, AvailabilityZone: zone, Region: p.Region, State: platformapi.Live,
+		})
+	}
+	for _, e := range p.Engines {
+		backend(e.ID, e.Address, e.Zone)
+	}
+	for _, s := range p.ServiceServers {
+		backend(s.ID, s.Address, s.Zone)
+	}
+	return out
+}
+
+// GatewayURL returns the URL of a host's gateway.
+func (p *Plan) GatewayURL(host string) string {
+	return "http://" + p.Settings[host].Gateway.HTTPAddress
+}
+
+// portPicker picks ports that are free for TCP and UDP. They stay free until another process takes
+// them, which on loopback is rare enough for a test.
+type portPicker struct {
+	used map[string]bool
+	err  error
+}
+
+func (p *portPicker) next() string {
+	if p.used == nil {
+		p.used = map[string]bool{}
+	}
+	const tries = 100
+	for range tries {
+		addr, ok := freePort()
+		if ok && !p.used[addr] {
+			p.used[addr] = true
+			return addr
+		}
+	}
+	p.err = fmt.Errorf("no free loopback port after %d tries", tries)
+	return ""
+}
+
+func freePort() (addr string, ok bool) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", false
+	}
+	defer tcp.Close()
+	addr = tcp.Addr().String()
+	udp, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return "", false
+	}
+	return addr, udp.Close() == nil
+}
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -75,6 +75,7 @@
 	loopDone chan struct{}
 	cancel   context.CancelFunc
 	endCalls context.CancelFunc
+	killed   atomic.Bool
 	sessions sync.WaitGroup
 	calls    sync.WaitGroup
 
@@ -245,6 +246,16 @@
 	return err
 }
 
+// Kill breaks all links off without cancelling sessions, as the loss of the process would. Close must
+// follow.
+func (d *Dispatcher) Kill() {
+	d.killed.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.endCalls()
+	_ = d.server.Close(ctx)
+}
+
 // halt stops the loop, then the sessions, and gives running cancels a moment to get out.
 func (d *Dispatcher) halt() {
 	d.stopOnce.Do(func() {
--- a/node/dispatcher/loop.go
+++ b/node/dispatcher/loop.go
@@ -257,6 +257,9 @@
 // abandon ends what still runs when the process stops. Sessions are cancelled so that engines get
 // their memory back before the deadline.
 func (l *loop) abandon() {
+	if l.d.killed.Load() {
+		return
+	}
 	for id := range l.attempts {
 		l.giveUp(id)
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -262,6 +262,12 @@
 	return err
 }
 
+// Kill breaks all connections off, as the loss of the process would. Close must follow.
+func (g *Gateway) Kill() {
+	g.cancel()
+	_ = g.server.Close()
+}
+
 // TicketStatus counts the tickets of this incarnation.
 type TicketStatus struct {
 	Records int `json:"records"` // issued, running or kept for retries
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -174,3 +174,15 @@
 	}
 	return err
 }
+
+// Kill stops everything at once and breaks running requests off, as the loss of the process would. It
+// is for tests and the demo.
+func (p *Process) Kill() {
+	if p.Gateway != nil {
+		p.Gateway.Kill()
+	}
+	if p.Dispatcher != nil {
+		p.Dispatcher.Kill()
+	}
+	_ = p.Close() // the errors say that running work was broken off
+}
