--- /dev/null
+++ b/lab/scenario/parts.go
@@ -0,0 +1,191 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/sched"
+	"github.com/rosemaryhill/rosemaryhill/lab/cluster"
+	"github.com/rosemaryhill/rosemaryhill/node/admin"
+)
+
+func (s *state) ident() ident.Model { return ident.Model(s.plan.Model) }
+
+// standin returns the address of a stand-in.
+func (s *state) standin(name string) string {
+	switch name {
+	case "platform":
+		return s.plan.PlatformAddress
+	case "hostlist":
+		return s.plan.HostListAddress
+	}
+	for _, e := range s.plan.Engines {
+		if e.ID == name {
+			return e.Address
+		}
+	}
+	for _, v := range s.plan.ServiceServers {
+		if v.ID == name {
+			return v.Address
+		}
+	}
+	s.ts.Fatalf("%q is no stand-in", name)
+	return ""
+}
+
+// admin returns the administration addresses of all roles, by name.
+func (s *state) admin() map[string]string {
+	out := map[string]string{}
+	for _, h := range s.plan.Hosts {
+		out[h.ID+"/gateway"] = s.plan.Settings[h.ID].Gateway.AdminAddress
+		out[h.ID+"/dispatcher"] = s.plan.Settings[h.ID].Dispatcher.AdminAddress
+	}
+	return out
+}
+
+func (s *state) http(method, address, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(s.ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, text)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+func (s *state) fault(args []string) {
+	s.check(s.http("POST", s.standin(arg(s, args, 0)), "/faults", []byte(arg(s, args, 1)), nil))
+}
+
+func (s *state) host(args []string) {
+	body := fmt.Appendf(nil, `{"state":%q}`, arg(s, args, 1))
+	s.check(s.http("POST", s.plan.HostListAddress, "/hosts/"+arg(s, args, 0), body, nil))
+}
+
+func (s *state) publish(args []string) {
+	o := s.options(args, 1, "base")
+	body := s.ts.ReadFile(arg(s, args, 0))
+	entry := fmt.Appendf(nil, `{"kind":"patch","base":%d,"body":%s}`, s.number(o["base"], 0), body)
+	s.check(s.http("POST", s.plan.PlatformAddress, "/config/publish", entry, nil))
+}
+
+func (s *state) version(args []string) {
+	want, limit, parts := s.number(arg(s, args, 0), 0), s.duration(arg(s, args, 1)), args[2:]
+	for name, address := range s.admin() {
+		if len(parts) > 0 && !slices.Contains(parts, name) {
+			continue
+		}
+		s.eventually(limit, func() error {
+			var c admin.ConfigInForce
+			if err := cluster.AdminGet(s.ctx, address, "/v1/config", &c); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			if int(c.Version) != want {
+				return fmt.Errorf("%s holds version %d, not %d", name, c.Version, want)
+			}
+			return nil
+		})
+	}
+}
+
+func (s *state) leaving(args []string) {
+	id, limit := arg(s, args, 0), s.duration(arg(s, args, 1))
+	for name, address := range s.admin() {
+		s.eventually(limit, func() error {
+			var list []admin.BackendServer
+			if err := cluster.AdminGet(s.ctx, address, "/v1/backend-servers", &list); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			for _, b := range list {
+				if string(b.ID) == id && b.Leaving {
+					return nil
+				}
+			}
+			return fmt.Errorf("%s does not know that %s is leaving", name, id)
+		})
+	}
+}
+
+// idle looks at the engines that answer; one that was killed holds nothing.
+func (s *state) idle(args []string) {
+	limit := s.duration(arg(s, args, 0))
+	for _, e := range s.plan.Engines {
+		s.eventually(limit, func() error {
+			var r backendapi.Report
+			if s.http("GET", e.Address, "/v1/report", nil, &r) == nil && r.UsedTokens > 0 {
+				return fmt.Errorf("%s still holds %d tokens in %d sessions", e.ID, r.UsedTokens, len(r.Sessions))
+			}
+			return nil
+		})
+	}
+}
+
+// serving finds the dispatcher and the engine with sessions. The stream must be the only one.
+func (s *state) serving(args []string) {
+	s.stream(arg(s, args, 0))
+	s.eventually(waitLimit, func() error {
+		for _, h := range s.plan.Hosts {
+			var st sched.Status
+			if cluster.AdminGet(s.ctx, s.plan.Settings[h.ID].Dispatcher.AdminAddress, "/v1/scheduler", &st) != nil {
+				continue
+			}
+			for _, e := range st.Engines {
+				if e.Sessions > 0 {
+					s.ts.Setenv("DISPATCHER", h.ID+"/dispatcher")
+					s.ts.Setenv("ENGINE", string(e.ID))
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("no dispatcher has a running session")
+	})
+}
+
+// executed returns the executions at a service, by key.
+func (s *state) executed(address string) map[string]int {
+	out := map[string]int{}
+	s.check(s.http("GET", address, "/executions", nil, &out))
+	return out
+}
+
+func (s *state) executions(args []string) {
+	ticket, want, got := s.tickets[arg(s, args, 0)], s.number(arg(s, args, 1), 0), 0
+	var at []string
+	for _, v := range s.plan.ServiceServers {
+		if n := s.executed(v.Address)[ticket]; n > 0 {
+			got += n
+			at = append(at, v.ID)
+		}
+	}
+	if got != want {
+		s.ts.Fatalf("the posting ran %d times, not %d (at %s)", got, want, strings.Join(at, ", "))
+	}
+}
+
+func (s *state) callsAt(args []string) {
+	s.marks[arg(s, args, 1)] = len(s.executed(s.standin(arg(s, args, 0))))
+}
+
+func (s *state) unchanged(args []string) {
+	before, now := s.marks[arg(s, args, 1)], len(s.executed(s.standin(arg(s, args, 0))))
+	if before != now {
+		s.ts.Fatalf("%s executed %d postings since %s", args[0], now-before, args[1])
+	}
+}
