Copy loads for requests, order roster rebuilds and follow a log with gaps again

Cause: each choice of a dispatcher asked the membership goroutine; two rebuilds could store in the wrong order; a session issuer was taken from the gateway of a host too. Change: loads are copied every 100 ms, rebuilds are ordered by a mutex, only dispatchers count as issuers.

--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/owner"
 	"github.com/rosemaryhill/rosemaryhill/core/sched"
 	"github.com/rosemaryhill/rosemaryhill/node/enginehttp"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/node/view"
 )
 
@@ -64,7 +65,9 @@
 	}
 	gone := l.engines.disown(owned, snap)
 	for _, p := range l.d.view.Processes() {
-		l.step(sched.IssuerSeen{Issuer: p.Host, Incarnation: p.Incarnation})
+		if p.Role == settings.RoleDispatcher {
+			l.step(sched.IssuerSeen{Issuer: p.Host, Incarnation: p.Incarnation})
+		}
 	}
 	l.step(sched.EnginesChanged{Engines: owned})
 	for _, id := range gone {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -116,6 +116,7 @@
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       90 * time.Second,
 		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          g.obs.StdLog(),
 	}
 	g.gauges()
 	g.duties.Go(g.follow)
--- a/node/obs/obs.go
+++ b/node/obs/obs.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -55,7 +57,7 @@
 
 // New starts the reporting of a process. Call Shutdown to flush traces.
 func New(cfg Config) (*Obs, error) {
-	log, err := newLog(cfg)
+	entry, err := newLog(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +78,7 @@
 	}
 	const scope = "github.com/rosemaryhill/rosemaryhill/node"
 	return &Obs{
-		Log:      log,
+		Log:      entry,
 		Meter:    meters.Meter(scope),
 		Tracer:   traces.Tracer(scope),
 		registry: registry,
@@ -85,6 +87,17 @@
 	}, nil
 }
 
+// StdLog returns a logger for libraries that take one of the standard library.
+func (o *Obs) StdLog() *log.Logger { return log.New(lineWriter{o.Log}, "", 0) }
+
+type lineWriter struct{ log *logrus.Entry }
+
+// Write implements io.Writer; the standard logger calls it once for each line.
+func (w lineWriter) Write(p []byte) (int, error) {
+	w.log.WithField("error", strings.TrimSpace(string(p))).Warn("library")
+	return len(p), nil
+}
+
 // MetricsHandler serves the Prometheus scrape.
 func (o *Obs) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(o.registry, promhttp.HandlerOpts{})
--- a/node/view/follow.go
+++ b/node/view/follow.go
@@ -79,7 +79,11 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		v.platform.Follow(ctx, v.cursor(), v.platformEntries)
+		v.platform.Follow(ctx, v.cursor(), func(u platform.Update) {
+			if !v.platformEntries(u) {
+				cancel() // the log has a gap: follow it again from the cursor
+			}
+		})
 	}()
 	for ctx.Err() == nil {
 		select {
@@ -103,17 +107,21 @@
 	return v.fold.Cursor()
 }
 
-func (v *View) platformEntries(u platform.Update) {
+// platformEntries takes an answer of the platform. It returns false when entries are missing.
+func (v *View) platformEntries(u platform.Update) (whole bool) {
 	if u.Err != nil {
 		v.log.WithFields(fields{"step": "config_watch", "error": u.Err.Error()}).Warn("platform not read")
-		return
+		return true
 	}
 	v.mu.Lock()
 	v.heardAt = v.Now()
 	v.mu.Unlock()
-	if len(u.Entries.Entries) > 0 {
-		v.apply("platform", u.Entries.Entries[0].Number-1, u.Entries.Entries)
+	entries := u.Entries.Entries
+	if len(entries) == 0 {
+		return true
 	}
+	v.apply("platform", entries[0].Number-1, entries)
+	return v.cursor() >= entries[0].Number || entries[0].Parts > 1
 }
 
 // apply judges entries and puts an accepted configuration in force.
--- a/node/view/members.go
+++ b/node/view/members.go
@@ -57,6 +57,8 @@
 
 // rebuildRoster joins membership with the host list.
 func (v *View) rebuildRoster() {
+	v.rosterMu.Lock()
+	defer v.rosterMu.Unlock()
 	var members []member.Member
 	v.gossip.View(func(m *member.Machine) { members = m.Members() })
 	entries := map[string]platformapi.Host{}
@@ -122,16 +124,35 @@
 	return ok
 }
 
-// ZoneLoad returns the latest load of a model in an availability zone.
+// zoneModel is the key of a load.
+type zoneModel struct {
+	zone  ident.Zone
+	model ident.Model
+}
+
+// ZoneLoad returns the latest load of a model in an availability zone. It is at most loadAge old.
 func (v *View) ZoneLoad(zone ident.Zone, model ident.Model) (load member.ModelLoad, ok bool) {
+	if loads := v.loads.Load(); loads != nil {
+		load, ok = (*loads)[zoneModel{zone, model}]
+	}
+	return load, ok
+}
+
+// copyLoads keeps requests from asking the membership goroutine.
+func (v *View) copyLoads() {
+	loads := map[zoneModel]member.ModelLoad{}
+	zones := map[ident.Zone]bool{}
+	for _, p := range v.Processes() {
+		zones[p.Zone] = true
+	}
 	v.gossip.View(func(m *member.Machine) {
-		for _, l := range m.Load(zone) {
-			if l.Model == model {
-				load, ok = l, true
+		for zone := range zones {
+			for _, l := range m.Load(zone) {
+				loads[zoneModel{zone, l.Model}] = l
 			}
 		}
 	})
-	return load, ok
+	v.loads.Store(&loads)
 }
 
 // TeamDemand returns the demand of the heavy teams over all gateways.
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -57,6 +57,8 @@
 	snapshot atomic.Pointer[Snapshot]
 	hosts    atomic.Pointer[platformapi.Hosts]
 	roster   atomic.Pointer[[]Process]
+	rosterMu sync.Mutex // orders rebuilds of the roster
+	loads    atomic.Pointer[map[zoneModel]member.ModelLoad]
 	leaving  atomic.Bool // this process
 
 	mu       sync.Mutex
@@ -229,13 +231,21 @@
 	return v.lastGap
 }
 
-// tick finds pauses, publishes the own state to membership and rebuilds the roster after changes.
+const (
+	// tickPeriod is well below the gap that counts as a pause.
+	tickPeriod = 50 * time.Millisecond
+	// loadAge and publishAge are how old the copied load and the published state may be.
+	loadAge    = 2 * tickPeriod
+	publishAge = 10 * tickPeriod
+)
+
+// tick finds pauses, copies loads, publishes the own state to membership and rebuilds the roster after
+// changes.
 func (v *View) tick(ctx context.Context) {
-	const period = 50 * time.Millisecond
-	const publishEvery = 10
-	t := time.NewTicker(period)
+	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
-	for n := 0; ; n++ {
+	var copied, published time.Duration
+	for {
 		select {
 		case <-ctx.Done():
 			return
@@ -246,7 +256,12 @@
 		case <-t.C:
 		}
 		v.checkPause()
-		if n%publishEvery == 0 {
+		if now := v.Now(); now-copied >= loadAge {
+			copied = now
+			v.copyLoads()
+		}
+		if now := v.Now(); now-published >= publishAge {
+			published = now
 			v.publish()
 		}
 	}
