--- /dev/null
+++ b/node/dispatcher/attempt_test.go
@@ -0,0 +1,43 @@
+package dispatcher
+
+import (
+	"testing"
+	"unicode/utf8"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/sched"
+)
+
+// Guards against a gang whose segments lose, repeat or damage characters at their borders.
+func TestPromptPartsJoinToThePrompt(t *testing.T) {
+	c := qt.New(t)
+	prompt := []byte("a批é🌰b刺繡睡衣🌰🌰c")
+	tokens := ident.EstimateTokens(len(prompt))
+	for cut := range tokens + 1 {
+		first, second := promptPart(prompt, 0, cut), promptPart(prompt, cut, tokens)
+		c.Assert(string(first)+string(second), qt.Equals, string(prompt))
+		c.Assert(utf8.Valid(first) && utf8.Valid(second), qt.IsTrue)
+	}
+}
+
+// Guards against a failure that is reported as "not sent" although bytes may have reached the engine.
+func TestFailureKind(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		kind   outcome.Kind
+		reason outcome.Reason
+		want   sched.FailureKind
+	}{
+		{outcome.MayHaveRun, outcome.NoBackend, sched.Broken},
+		{outcome.MayHaveRun, outcome.Overload, sched.Broken},
+		{outcome.NotRun, outcome.Overload, sched.Refused},
+		{outcome.NotRun, outcome.BadRequest, sched.Refused},
+		{outcome.NotRun, outcome.Draining, sched.RefusedLeaving},
+		{outcome.NotRun, outcome.NoBackend, sched.NotSent},
+	} {
+		c.Assert(failureKind(&outcome.Error{Kind: test.kind, Reason: test.reason}), qt.Equals, test.want)
+	}
+}
