--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -10,6 +10,7 @@
 type bucket struct {
 	level float64
 	at    time.Duration
+	rate  float64 // as of the last refill
 }
 
 func capacity(rate float64, burst time.Duration, least float64) float64 {
@@ -17,7 +18,7 @@
 }
 
 func (b *bucket) fill(now time.Duration, rate float64, burst time.Duration, least float64) {
-	b.level, b.at = capacity(rate, burst, least), now
+	b.level, b.at, b.rate = capacity(rate, burst, least), now, rate
 }
 
 // wait refills and returns the time until n can be taken, zero for now. A rate of zero is no limit.
@@ -27,9 +28,11 @@
 	}
 	full := capacity(rate, burst, min(n, 1))
 	if now > b.at {
-		b.level += rate * (now - b.at).Seconds()
+		// A rate that rose in between counts from now: the share was another gateway's before.
+		b.level += min(rate, b.rate) * (now - b.at).Seconds()
 		b.at = now
 	}
+	b.rate = rate
 	b.level = min(b.level, full)
 	missing := min(n, full) - b.level
 	if missing <= 1e-9 {
--- a/core/limits/teams.go
+++ b/core/limits/teams.go
@@ -2,28 +2,34 @@
 //
 // # Overshoot of a team limit
 //
-// Every gateway admits a team at share × rate. Without demand reports the share is 1/n for n live
-// gateways. For a team in the heavy lists, gateway g's share is
+// Every gateway admits a team at share × rate. The share is 1/n for n live gateways, until every one of
+// them has reported its demand. For a team in the reports, gateway g's share is then
 //
-//	(1 − Floor) × demand(g) / Σ demand + Floor / n
+//	(1 − Floor) × own / (own + Σ others) + Floor / n
 //
-// computed from the reports of all gateways, its own included. Gateways with the same reports compute
-// shares that sum to one. While a new report spreads, some gateways still use the old shares and some
-// the new ones. The sum in use is then at most Σ max(old, new) ≤ Σ old + Σ new = 2, that is one extra
-// share for each gateway. If reports take at most D to spread after a change, the admitted amount over
-// any interval t that contains one change is at most
+// where own is the smallest demand that g published within the last Spread, and each of the others
+// counts with the largest demand that g learnt of within the last Spread (a report counts until Spread
+// after its successor came). Let c(g) be the newest report of g that is at least Spread old. If reports
+// spread within Spread, then everybody's window for g holds c(g). So own ≤ c(g) and others ≥ c(others):
+// no gateway uses more than its share under c, and those sum to one. A new report that only some know
+// can therefore lower the sum, never raise it.
 //
-//	rate × (t + D) + rate × 2 × Burst
+// Over any time t with m shifts of demand between gateways, the amount admitted is at most
 //
-// The last term is what the buckets may hold: each holds Burst seconds of the gateway's share, and the
-// sum of the shares is at most two. A gateway uses the report about itself that it last published, not
-// its newest counts, so a report that nobody else has yet changes no share.
+//	rate × t + rate × Burst × (1 + m)
 //
-// A partition into k parts that each see only themselves counts as a change that never spreads: each
-// part admits at most rate, the whole at most k × rate, and the excess ends once gossip is heard again.
+// because each bucket holds Burst seconds of its gateway's share, and a shift lets another gateway
+// bring a full bucket; plus one request for each gateway, since a request larger than the bucket is
+// admitted when the bucket is full and paid back afterwards.
+//
+// When a gateway joins or leaves, the others learn of it by gossip. Until they do, shares of 1/n and of
+// 1/(n+1) are in use together: the sum exceeds one by at most the shares of the gateways that are new,
+// one extra share for each. A partition into k parts that no longer count each other as live is such a
+// change that does not spread: each part admits at most rate, the whole at most k × rate, until it heals.
 package limits
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,13 +47,22 @@
 	Burst time.Duration
 	// Window is the half-life of measured demand. Longer is steadier, shorter follows faster [5 s].
 	Window time.Duration
-	// DemandExpiry is the age at which a gateway's demand report no longer counts [15 s].
+	// DemandExpiry is the age at which a gateway's demand report no longer counts, and shares go back
+	// to 1/n [15 s].
 	DemandExpiry time.Duration
+	// Spread is the longest time that a report takes to reach every gateway. A larger value makes
+	// shares follow demand later; a smaller one than the real time breaks the bound [6 s: digests
+	// every 2 s over two hops, and ShareRefresh].
+	Spread time.Duration
 	// Floor is the part of a heavy team's rate that is split evenly, so that a gateway with new demand
 	// admits some of it before its first report has spread [0.1].
 	Floor float64
 }
 
+// ShareRefresh is the age at which a computed share is computed again. Computing one reads the reports
+// of all gateways, which is too slow for every request at full size.
+const ShareRefresh = 500 * time.Millisecond
+
 // Rate is a team's configured limit over the whole system. Zero means no limit.
 type Rate struct {
 	RequestsPerS float64
@@ -74,11 +89,16 @@
 	gateways []ident.HostID
 	teams    map[ident.Team]*team
 	sketch   sketch
-	reports  map[ident.HostID]report
+	reports  map[ident.HostID][]report // oldest first
+	heavy    map[ident.Team]bool       // teams in any report
+	epoch    uint64                    // changes with the gateways
 }
 
 type team struct {
 	rate     Rate
+	share    float64
+	shareAt  time.Duration
+	epoch    uint64 // of the share; zero if none was computed
 	requests bucket
 	tokens   bucket
 }
@@ -99,6 +119,9 @@
 	if cfg.DemandExpiry == 0 {
 		cfg.DemandExpiry = 15 * time.Second
 	}
+	if cfg.Spread == 0 {
+		cfg.Spread = 6 * time.Second
+	}
 	if cfg.Floor == 0 {
 		cfg.Floor = 0.1
 	}
@@ -107,7 +130,9 @@
 		gateways: []ident.HostID{cfg.Gateway},
 		teams:    map[ident.Team]*team{},
 		sketch:   sketch{halfLife: cfg.Window},
-		reports:  map[ident.HostID]report{},
+		reports:  map[ident.HostID][]report{},
+		heavy:    map[ident.Team]bool{},
+		epoch:    1,
 	}
 }
 
@@ -124,7 +149,7 @@
 			continue
 		}
 		n := &team{rate: r}
-		share := t.share(now, name)
+		share := t.share(now, name, n)
 		n.requests.fill(now, r.RequestsPerS*share, t.cfg.Burst, 1)
 		n.tokens.fill(now, r.TokensPerS*share, t.cfg.Burst, 0)
 		t.teams[name] = n
@@ -134,6 +159,7 @@
 // SetGateways sets the live gateways, this one included.
 func (t *Teams) SetGateways(ids []ident.HostID) {
 	t.gateways = slices.Clone(ids)
+	t.epoch++
 	for id := range t.reports {
 		if !slices.Contains(ids, id) {
 			delete(t.reports, id)
@@ -149,7 +175,7 @@
 		return Decision{}
 	}
 	t.sketch.add(now, name, tokens)
-	share := t.share(now, name)
+	share := t.share(now, name, tm)
 	waitR := tm.requests.wait(now, tm.rate.RequestsPerS*share, t.cfg.Burst, 1)
 	waitT := tm.tokens.wait(now, tm.rate.TokensPerS*share, t.cfg.Burst, float64(tokens))
 	if wait := max(waitR, waitT); wait > 0 {
@@ -160,43 +186,98 @@
 	return Decision{OK: true, Known: true}
 }
 
-// Publish returns the demand report to gossip, at most HeavyTeams lines, and makes it the report that
-// this gateway's own shares use. Call it when a digest is built.
+// Publish returns the demand report to gossip, at most HeavyTeams lines, and counts it as this
+// gateway's own. Call it when a digest is built. An empty report has to be gossiped too: a gateway that
+// has not reported keeps everybody at equal shares.
 func (t *Teams) Publish(now time.Duration) []TeamDemand {
 	d := t.sketch.top(now)
-	t.reports[t.cfg.Gateway] = report{at: now, demands: d}
+	t.keep(now, t.cfg.Gateway, d)
 	return d
 }
 
 // Learn takes in the demand report of another gateway.
 func (t *Teams) Learn(now time.Duration, gateway ident.HostID, demands []TeamDemand) {
-	if gateway == t.cfg.Gateway || !slices.Contains(t.gateways, gateway) {
-		return
+	if gateway != t.cfg.Gateway && slices.Contains(t.gateways, gateway) {
+		t.keep(now, gateway, demands)
+	}
+}
+
+func (t *Teams) keep(now time.Duration, gateway ident.HostID, demands []TeamDemand) {
+	list := append(t.reports[gateway], report{at: now, demands: demands})
+	// The first one counts until Spread after its successor.
+	for len(list) > 1 && now-list[1].at > t.cfg.Spread {
+		list = list[1:]
+	}
+	t.reports[gateway] = list
+	for i := range demands {
+		t.heavy[demands[i].Team] = true
+	}
+	if len(t.heavy) > 2*HeavyTeams*len(t.gateways) {
+		t.recountHeavy()
+	}
+}
+
+// recountHeavy forgets teams that no report lists any more.
+func (t *Teams) recountHeavy() {
+	t.heavy = map[ident.Team]bool{}
+	for _, list := range t.reports {
+		for _, r := range list {
+			for i := range r.demands {
+				t.heavy[r.demands[i].Team] = true
+			}
+		}
 	}
-	t.reports[gateway] = report{at: now, demands: demands}
 }
 
 // Share returns the part of a team's rate that this gateway may admit now.
-func (t *Teams) Share(now time.Duration, name ident.Team) float64 { return t.share(now, name) }
+func (t *Teams) Share(now time.Duration, name ident.Team) float64 { return t.computeShare(now, name) }
+
+func (t *Teams) share(now time.Duration, name ident.Team, tm *team) float64 {
+	if !t.heavy[name] {
+		return 1 / float64(max(1, len(t.gateways)))
+	}
+	if tm.epoch != t.epoch || now-tm.shareAt >= ShareRefresh {
+		tm.share, tm.shareAt, tm.epoch = t.computeShare(now, name), now, t.epoch
+	}
+	return tm.share
+}
 
-func (t *Teams) share(now time.Duration, name ident.Team) float64 {
+func (t *Teams) computeShare(now time.Duration, name ident.Team) float64 {
 	n := float64(max(1, len(t.gateways)))
-	own, sum := 0.0, 0.0
+	own, others, reported := 0.0, 0.0, 0
 	for _, id := range t.gateways {
-		r, ok := t.reports[id]
-		if !ok || now-r.at > t.cfg.DemandExpiry {
+		low, high, ok := t.window(now, id, name)
+		if !ok {
 			continue
 		}
-		d := demandOf(r.demands, name)
-		sum += d
+		reported++
 		if id == t.cfg.Gateway {
-			own = d
+			own = low
+		} else {
+			others += high
 		}
 	}
-	if sum <= 0 {
+	if reported < len(t.gateways) || own+others <= 0 {
 		return 1 / n
 	}
-	return (1-t.cfg.Floor)*own/sum + t.cfg.Floor/n
+	return (1-t.cfg.Floor)*own/(own+others) + t.cfg.Floor/n
+}
+
+// window returns the smallest and the largest demand that the gateway reported within Spread.
+func (t *Teams) window(now time.Duration, id ident.HostID, name ident.Team) (low, high float64, ok bool) {
+	list := t.reports[id]
+	if len(list) == 0 || now-list[len(list)-1].at > t.cfg.DemandExpiry {
+		return 0, 0, false
+	}
+	low = math.Inf(1)
+	for i := range list {
+		if i+1 < len(list) && now-list[i+1].at > t.cfg.Spread {
+			continue
+		}
+		d := demandOf(list[i].demands, name)
+		low, high = min(low, d), max(high, d)
+	}
+	return low, high, true
 }
 
 // demandOf weighs by tokens, the scarcer resource, and by requests where no tokens are counted.
