Let batch prompts use three quarters of the engines

Cause: archives are 59 % of the work, and half of the engines cannot prefill them at 85 % load; the queue of archives grew through the whole mixed phase. Change: default batch_engine_share 0.5 -> 0.75.

--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -64,7 +64,7 @@
 		Policy:            Predict,
 		QueueLength:       1024,
 		BatchMemoryShare:  0.7,
-		BatchEngineShare:  0.5,
+		BatchEngineShare:  0.75,
 		LongPromptTokens:  ident.InteractiveMaxTokens + 1,
 		LongPrefillTokens: 200_000,
 		AgeingLimit:       20 * time.Second,
