Let short archives run ahead of a waiting gang if they end in time

Cause: a gang that waits for memory kept every batch attempt off its group, so four engines idled while the longest session on them ended. Change: a claim carries the time at which the group will probably have the room; attempts predicted to end before it may use the engines. A gang's later segments count in the predicted time.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -64,7 +64,7 @@
 // pass is the state of one walk over the queues.
 type pass struct {
 	failed  []failure
-	claimed map[*engine]bool // engines that a large attempt waits for
+	claimed map[*engine]time.Duration // engines that a large attempt waits for, and until when
 }
 
 // failure notes an attempt that found no place. One of the same class that is at least as large
@@ -76,6 +76,13 @@
 	need   int
 }
 
+// open reports whether a batch attempt that ends at the given time may use the engine: it must not
+// delay the attempt that claimed it.
+func (p *pass) open(e *engine, end time.Duration) bool {
+	until, claimed := p.claimed[e]
+	return !claimed || end <= until
+}
+
 func (p *pass) hopeless(a *attempt) bool {
 	for _, f := range p.failed {
 		if f.model == a.Model && f.class == a.Class && a.need >= f.need && a.PromptTokens >= f.prompt {
@@ -87,7 +94,7 @@
 
 // dispatch places waiting attempts while there is room.
 func (s *Scheduler) dispatch() {
-	p := pass{claimed: map[*engine]bool{}}
+	p := pass{claimed: map[*engine]time.Duration{}}
 	for _, a := range s.waiting() {
 		if a.state != queued || p.hopeless(a) {
 			continue
@@ -127,7 +134,7 @@
 	if !s.mayServe(e, a, pl) || !e.usable(s) || e.limit.Free(s.now) == 0 {
 		return false
 	}
-	if p.claimed[e] && a.Class == ident.Batch {
+	if a.Class == ident.Batch && !p.open(e, s.now+e.service(s, a)) {
 		return false
 	}
 	return e.roomFor(s, a, pl.share) >= a.need && s.longFits(e, a.PromptTokens)
--- a/core/sched/placegang.go
+++ b/core/sched/placegang.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
@@ -65,7 +67,7 @@
 	var parts []part
 	for _, g := range s.groups(a, pl) {
 		found := s.gangParts(g, a, func(e *engine) int {
-			if !e.usable(s) || e.limit.Free(s.now) == 0 || (p.claimed[e] && a.Class == ident.Batch) {
+			if !e.usable(s) || e.limit.Free(s.now) == 0 || !p.open(e, never) {
 				return 0
 			}
 			return e.roomFor(s, a, pl.share)
@@ -86,44 +88,72 @@
 	return true
 }
 
+// claimGroup claims a group for a gang until the time at which it will probably have the room. Batch
+// attempts that end before then may still use it.
 func (s *Scheduler) claimGroup(a *attempt, pl plan, p *pass) {
 	if s.cfg.Policy != Predict {
 		return
 	}
 	var best []*engine
-	most := -1
+	soonest := never
 	for _, g := range s.groups(a, pl) {
-		free, size := 0, 0
-		for _, e := range g {
-			if !p.claimed[e] {
-				free += e.roomFor(s, a, pl.share)
-				size += int(pl.share * float64(e.memory))
-			}
+		if slices.ContainsFunc(g, func(e *engine) bool { return !p.open(e, never) }) {
+			continue
 		}
-		if size >= a.need && free > most {
-			best, most = g, free
+		if at := s.freeAt(g, a, pl); best == nil || at < soonest {
+			best, soonest = g, at
 		}
 	}
 	for _, e := range best {
-		p.claimed[e] = true
+		p.claimed[e] = soonest
 	}
 }
 
-// claimSingle keeps the engine with the most room for a batch attempt that waits for memory.
+// claimSingle claims one engine for a batch attempt that waits for memory.
 func (s *Scheduler) claimSingle(a *attempt, pl plan, p *pass) {
 	if s.cfg.Policy != Predict || a.Class != ident.Batch {
 		return
 	}
 	var target *engine
+	soonest := never
 	for _, e := range s.order {
-		if !s.mayServe(e, a, pl) || !e.usable(s) || p.claimed[e] || int(pl.share*float64(e.memory)) < a.need {
+		if !s.mayServe(e, a, pl) || !e.usable(s) || !p.open(e, never) || int(pl.share*float64(e.memory)) < a.need {
 			continue
 		}
-		if target == nil || e.roomFor(s, a, pl.share) > target.roomFor(s, a, pl.share) {
-			target = e
+		if at := s.freeAt([]*engine{e}, a, pl); target == nil || at < soonest {
+			target, soonest = e, at
 		}
 	}
-	if target != nil && target.roomFor(s, a, pl.share) < a.need {
-		p.claimed[target] = true
+	if target != nil {
+		p.claimed[target] = soonest
+	}
+}
+
+// freeAt predicts when the engines will together have the room for the attempt, never if they will not
+// by what runs there now.
+func (s *Scheduler) freeAt(engines []*engine, a *attempt, pl plan) time.Duration {
+	type release struct {
+		at     time.Duration
+		tokens int
+	}
+	room := 0
+	var list []release
+	for _, e := range engines {
+		room += e.roomFor(s, a, pl.share)
+		for _, h := range e.holds {
+			if h.att != nil && !h.freed && (h.batch || pl.share == 1) {
+				list = append(list, release{s.now + s.remaining(h), h.tokens})
+			}
+		}
+	}
+	if room >= a.need {
+		return s.now
+	}
+	slices.SortStableFunc(list, func(x, y release) int { return cmp.Compare(x.at, y.at) })
+	for _, r := range list {
+		if room += r.tokens; room >= a.need {
+			return r.at
+		}
 	}
+	return never
 }
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -147,11 +147,17 @@
 	return max(seconds(work/memory), seconds(prompts/rate))
 }
 
-// remaining predicts the time for which a hold of a live attempt stays.
+// remaining predicts the time for which a hold of a live attempt stays: the rest of the segment being
+// worked on, the segments after it, and the output.
 func (s *Scheduler) remaining(h *hold) time.Duration {
-	left := time.Duration(max(1, h.att.MaxOutputTokens-h.att.count)) * h.eng.tokenTime
-	if !h.first {
-		left += max(0, h.sentAt+h.predicted-s.now)
+	a := h.att
+	last := a.holds[len(a.holds)-1]
+	left := time.Duration(max(1, a.MaxOutputTokens-a.count)) * last.eng.tokenTime
+	if cur := a.holds[a.stage]; !cur.first {
+		left += max(0, cur.sentAt+cur.predicted-s.now)
+	}
+	for _, o := range a.holds[a.stage+1:] {
+		left += seconds(float64(o.to-o.from) / o.eng.rate(s))
 	}
 	return left
 }
