Let batch prompts hold 85 % of an engine's memory

Cause: a prompt of 2.5 engines needed four engines at 70 % each, and filled all four while only one of them prefilled. Change: default batch_memory_share 0.7 -> 0.85; three engines suffice.

--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -63,7 +63,7 @@
 	return Config{
 		Policy:            Predict,
 		QueueLength:       1024,
-		BatchMemoryShare:  0.7,
+		BatchMemoryShare:  0.85,
 		BatchEngineShare:  0.75,
 		LongPromptTokens:  ident.InteractiveMaxTokens + 1,
 		LongPrefillTokens: 200_000,
