Let batch prompts use 85 % of the engines

Cause: with short prompts no longer crowding, the quarter of the engines that batch prompts could not use had time to spare, while archives waited minutes at 85 % load. Change: default batch_engine_share 0.75 -> 0.85.

--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -64,7 +64,7 @@
 		Policy:            Predict,
 		QueueLength:       1024,
 		BatchMemoryShare:  0.85,
-		BatchEngineShare:  0.75,
+		BatchEngineShare:  0.85,
 		LongPromptTokens:  ident.InteractiveMaxTokens + 1,
 		LongPrefillTokens: 200_000,
 		AgeingLimit:       20 * time.Second,
