Count only uncached tokens as queued prefill

Cause: a prompt whose prefix was cached counted in full, so learnt rates came out at 22,000 to 25,000 tokens/s on engines that do about 16,000, and long prefill under many short prompts was taken for a hang. Change: the expected saving of a prefix hit is left out of queued prefill and of the learnt work. Tried and reverted: to recompute the prediction with the current rate before an engine counts as hanging.

--- a/core/sched/gang.go
+++ b/core/sched/gang.go
@@ -35,12 +35,16 @@
 	h.deadline = a.Deadline
 	h.priority = int(a.Class)
 	h.long = h.to-h.from >= s.cfg.LongPromptTokens
-	h.predicted = e.predictFirst(s, h.priority, h.to-h.from, a.Prefix)
-	h.work = e.ahead(h.priority) + h.to - h.from
+	prefill := h.to - h.from
+	if a.stage == 0 {
+		prefill = e.uncached(prefill, a.Prefix)
+	}
+	h.predicted = e.base + seconds(float64(e.ahead(h.priority)+prefill)/e.rate(s))
+	h.work = e.ahead(h.priority) + prefill
 	if lease, ok := e.limit.Acquire(s.now, a.Deadline+s.cfg.Grace); ok {
 		h.lease, h.leased = lease, true
 	}
-	s.startPrefill(h)
+	s.startPrefill(h, prefill)
 	send := Send{
 		Attempt: a.Attempt, Session: h.session, Engine: e.id,
 		PromptFrom: h.from, PromptTo: h.to,
@@ -66,9 +70,9 @@
 	s.schedule(h)
 }
 
-func (s *Scheduler) startPrefill(h *hold) {
+func (s *Scheduler) startPrefill(h *hold, tokens int) {
 	e := h.eng
-	h.prefill = h.to - h.from
+	h.prefill = tokens
 	e.prefill[h.priority] += h.prefill
 	if h.long {
 		e.longPrefill += h.prefill
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -51,10 +51,15 @@
 
 // predictFirst returns the predicted time to first token of a prompt sent now.
 func (e *engine) predictFirst(s *Scheduler, priority, prompt int, prefix string) time.Duration {
+	return e.base + seconds(float64(e.ahead(priority)+e.uncached(prompt, prefix))/e.rate(s))
+}
+
+// uncached returns the tokens of a prompt that the engine probably has to prefill.
+func (e *engine) uncached(prompt int, prefix string) int {
 	if e.prefixes.has(prefix) {
-		prompt = max(1, prompt-prefixTokens)
+		return max(1, prompt-prefixTokens)
 	}
-	return e.base + seconds(float64(e.ahead(priority)+prompt)/e.rate(s))
+	return prompt
 }
 
 // learnFirst learns from the time to first token of a session.
