Give a gang back when its next engine leaves, and refuse what no engine can serve

Cause: a gang's later segment was still sent to an engine that had begun to leave or had another owner, a list that lags could undo what the engine itself had said, and an attempt whose last large enough engine left waited until its latest start instead of ending at once. Change: segments check the next engine; a leaving engine stays so until a newer report; such attempts end with no_backend. The property test lets engines leave and vanish for good.

--- a/core/sched/attempt.go
+++ b/core/sched/attempt.go
@@ -14,6 +14,8 @@
 // minRetryAfter is the shortest retry-after: callers that come back sooner find the same queue.
 const minRetryAfter = time.Second
 
+const noEngineDetail = "no engine of the model is owned here, or all are leaving"
+
 type attemptState uint8
 
 const (
@@ -76,8 +78,8 @@
 		s.refuse(a, outcome.Deadline, 0, "")
 	case e.PromptTokens <= 0 || e.MaxOutputTokens <= 0:
 		s.refuse(a, outcome.BadRequest, 0, "prompt and maximum output must be positive")
-	case !s.owns(e.Model):
-		s.refuse(a, outcome.NoBackend, minRetryAfter, "no engine of the model is owned here")
+	case !s.serves(e.Model):
+		s.refuse(a, outcome.NoBackend, minRetryAfter, noEngineDetail)
 	case s.planFor(a).kind == planNone:
 		s.refuse(a, outcome.TooLarge, 0, "no engine group is large enough")
 	case len(s.queues[a.Class]) >= s.cfg.QueueLength:
@@ -168,7 +170,7 @@
 	s.running--
 	a.state = queued
 	a.avoid = failed
-	if a.tries >= maxTries || !s.owns(a.Model) {
+	if a.tries >= maxTries || !s.serves(a.Model) {
 		s.finish(a, r, minRetryAfter, "")
 		return
 	}
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -16,14 +16,15 @@
 // engine is the scheduler's account of one engine.
 type engine struct {
 	timerSlot
-	id         ident.BackendID
-	group      string
-	model      ident.Model
-	configured int // memory by configuration
-	memory     int // memory by the last report, else by configuration
+	id     ident.BackendID
+	group  string
+	model  ident.Model
+	memory int // memory by the last report, else by configuration
 
 	owned       bool
-	leaving     bool
+	leaving     bool // listed as leaving, or said by the engine
+	saidLeaving bool // by a report or a refusal
+	leavingAt   time.Duration
 	mayBatch    bool // batch prompts may use it
 	reported    bool // a report was taken since it is owned
 	ownedSince  time.Duration
@@ -67,7 +68,7 @@
 		if !e.owned {
 			e.owned, e.reported, e.ownedSince = true, false, s.now
 		}
-		e.group, e.model, e.leaving, e.configured = c.Group, c.Model, c.Leaving, c.MemoryTokens
+		e.group, e.model, e.leaving = c.Group, c.Model, c.Leaving || e.saidLeaving
 		if !e.reported {
 			e.memory = c.MemoryTokens
 		}
@@ -151,8 +152,8 @@
 func (s *Scheduler) refuseOrphans() {
 	for c := range s.queues {
 		for _, a := range slices.Clone(s.queues[c]) {
-			if !s.owns(a.Model) {
-				s.finish(a, "no_backend", minRetryAfter, "no engine of the model is owned here")
+			if !s.serves(a.Model) {
+				s.finish(a, "no_backend", minRetryAfter, noEngineDetail)
 			}
 		}
 	}
@@ -182,9 +183,10 @@
 	}
 }
 
-func (s *Scheduler) owns(m ident.Model) bool {
+// serves reports whether an owned engine of the model stays.
+func (s *Scheduler) serves(m ident.Model) bool {
 	for _, e := range s.order {
-		if e.owned && e.model == m {
+		if e.owned && !e.leaving && e.model == m {
 			return true
 		}
 	}
@@ -197,13 +199,22 @@
 		s.now >= e.pausedUntil && s.now-e.lastTaken <= s.cfg.ReportMaxAge
 }
 
+// left notes that the engine itself said that it is leaving. Only a newer report takes it back: a list
+// that still calls the engine live lags.
+func (s *Scheduler) left(e *engine, at time.Duration) {
+	if !e.leaving {
+		s.dirty = true
+	}
+	e.leaving, e.saidLeaving, e.leavingAt = true, true, max(e.leavingAt, at)
+	s.chooseBatchEngines()
+}
+
 // suspect stops new work until a report that was taken after the loss.
 func (e *engine) suspect(now time.Duration) {
 	e.suspectAt, e.suspected = now, true
 }
 
-// room returns the tokens that a new reservation may take under the given limit on the sum of own
-// reservations. While another dispatcher works on the engine too, both see the same free memory, so
+// room returns the tokens that a new reservation may take. While another dispatcher works on the engine too, both see the same free memory, so
 // each takes at most half of it.
 func (e *engine) room(s *Scheduler) int {
 	free := e.memory - e.own - e.others
--- a/core/sched/gang.go
+++ b/core/sched/gang.go
@@ -19,6 +19,11 @@
 	s.setState(h, exported)
 	h.eng.learnSegment(s, h)
 	a.stage++
+	if next := a.holds[a.stage].eng; !next.owned || next.leaving {
+		s.giveBack(a, neutralResult)
+		s.tryAgain(a, next, outcome.BackendFailed)
+		return
+	}
 	s.sendStage(a)
 }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -111,8 +111,8 @@
 	pl := s.planFor(a)
 	switch pl.kind {
 	case planNone:
-		// Engines left since the attempt was admitted.
-		return false
+		s.finish(a, outcome.NoBackend, minRetryAfter, "the engines that were large enough left")
+		return true
 	case planGang:
 		return s.placeGang(a, pl, p)
 	}
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -122,8 +122,9 @@
 // Prefill is the second: the tokens before it, over the summed rates.
 func (s *Scheduler) queueWait(a *attempt) time.Duration {
 	var memory, rate, work, prompts float64
+	pl := s.planFor(a)
 	for _, e := range s.order {
-		if !e.owned || e.model != a.Model || !s.allowed(e, a, s.planFor(a)) {
+		if !s.mayServe(e, a, pl) {
 			continue
 		}
 		memory += float64(e.memory - e.others)
--- a/core/sched/property_test.go
+++ b/core/sched/property_test.go
@@ -97,6 +97,13 @@
 		func(t *rapid.T, w *world, _ *uint64) { w.loseKV++ },
 		func(t *rapid.T, w *world, _ *uint64) { w.kill(drawEngine(t, w)) },
 		func(t *rapid.T, w *world, _ *uint64) { drawEngine(t, w).dead = false },
+		func(t *rapid.T, w *world, _ *uint64) { e := drawEngine(t, w); e.leaving = !e.leaving },
+		func(t *rapid.T, w *world, _ *uint64) { // an engine's host is gone for good, with its memory
+			e := drawEngine(t, w)
+			w.kill(e)
+			e.hosts++
+			w.step(EngineGone{Engine: e.cfg.ID})
+		},
 		func(t *rapid.T, w *world, _ *uint64) { e := drawEngine(t, w); e.hanging = !e.hanging },
 		func(t *rapid.T, w *world, _ *uint64) {
 			w.lag = time.Duration(rapid.IntRange(0, 8000).Draw(t, "lag")) * time.Millisecond
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -87,8 +87,11 @@
 	if ev.Report.MemoryTokens > 0 {
 		e.memory = ev.Report.MemoryTokens
 	}
-	if ev.Report.State == "leaving" {
-		e.leaving = true
+	switch {
+	case ev.Report.State == "leaving":
+		s.left(e, taken)
+	case e.saidLeaving && taken > e.leavingAt:
+		e.saidLeaving = false // the next EnginesChanged decides
 	}
 	e.reportedRate = ev.Report.PrefillTokensPerS
 	listed := s.readSessions(e, taken, &ev.Report)
--- a/core/sched/stream.go
+++ b/core/sched/stream.go
@@ -97,7 +97,7 @@
 		h.eng.suspect(s.now)
 		s.stopWork(h, failureResult)
 	case RefusedLeaving:
-		h.eng.leaving = true
+		s.left(h.eng, s.now)
 		s.stopWork(h, neutralResult)
 	default:
 		pause := max(e.RetryAfter, refusalPause)
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -40,8 +40,10 @@
 type fakeEngine struct {
 	cfg      Engine
 	dead     bool
+	leaving  bool
 	hanging  bool
 	life     int // counts restarts
+	hosts    int // counts hosts that were gone for good
 	sessions map[SessionID]*fakeSession
 	kv       map[string]*fakeSession
 	report   uint64
@@ -176,6 +178,9 @@
 		w.fail("%v imports a segment that was not exported", a.Attempt)
 	}
 	en := w.s.engines[a.Engine]
+	if !en.owned || en.leaving {
+		w.fail("sent to %s, owned %v, leaving %v", a.Engine, en.owned, en.leaving)
+	}
 	// Later segments of a gang were reserved before; others may have come since.
 	if len(a.Import) == 0 && en.own+en.others > en.memory {
 		w.fail("sent to %s with %d own and %d others of %d", a.Engine, en.own, en.others, en.memory)
@@ -185,7 +190,14 @@
 		w.after(time.Millisecond, func() { w.step(EngineFailed{Session: a.Session, Kind: NotSent}) })
 		return
 	}
-	w.after(2*time.Millisecond, func() { w.arrive(e, a) })
+	hosts := e.hosts
+	w.after(2*time.Millisecond, func() {
+		if e.hosts != hosts { // the address that the request went to no longer exists
+			w.step(EngineFailed{Session: a.Session, Kind: Broken})
+			return
+		}
+		w.arrive(e, a)
+	})
 }
 
 func (w *world) arrive(e *fakeEngine, a Send) {
@@ -194,6 +206,10 @@
 		w.step(EngineFailed{Session: a.Session, Kind: Broken})
 		return
 	}
+	if e.leaving {
+		w.step(EngineFailed{Session: a.Session, Kind: RefusedLeaving})
+		return
+	}
 	if e.used()+tokens > e.cfg.MemoryTokens {
 		w.step(EngineFailed{Session: a.Session, Kind: Refused})
 		return
@@ -305,6 +321,9 @@
 		Report: e.report, MemoryTokens: e.cfg.MemoryTokens, UsedTokens: e.used(), State: "live",
 		PrefillTokensPerS: 100_000,
 	}
+	if e.leaving {
+		r.State = "leaving"
+	}
 	for _, id := range sortedSessions(e) {
 		x := e.sessions[id]
 		r.Sessions = append(r.Sessions, backendapi.Session{
@@ -381,7 +400,7 @@
 func (w *world) quiesce(d time.Duration) {
 	w.lag, w.loseNext = 0, 0
 	for _, e := range w.engines {
-		e.dead, e.hanging = false, false
+		e.dead, e.hanging, e.leaving = false, false, false
 	}
 	w.step(Tick{})
 	for end := w.now + d; w.now < end; {
