--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -71,19 +71,21 @@
 	return f.doc.config(f.version)
 }
 
-// Apply judges a section of the log: all entries after the number that the source was asked for, in
-// order, from the platform or a peer. It stops at Missing and Conflict.
+// Apply judges an answer of the platform or a peer: the log after the number that the source was asked
+// for, without holes, up to the answer's limit. It stops at Missing and Conflict.
 func (f *Fold) Apply(after uint64, entries []platformapi.Entry) []Verdict {
 	if after > f.cursor && len(entries) > 0 {
 		return []Verdict{f.missing(entries[0])}
 	}
+	// The cursor stays before a snapshot that isn't whole, so each answer has all of its parts again.
+	// Parts of an earlier answer say nothing about the log of this one, which may be compacted.
+	f.parts = nil
 	out := make([]Verdict, 0, len(entries))
 	previous := after
 	for _, e := range entries {
 		v := f.judge(previous, e)
 		out = append(out, v)
 		if v.Result == Missing || v.Result == Conflict {
-			f.parts = nil
 			break
 		}
 		previous = max(previous, e.Number)
@@ -101,8 +103,9 @@
 	if len(f.parts) > 0 && !f.continues(e) {
 		f.abandon(e)
 	}
-	gap := e.Number > max(previous, f.cursor)+1
-	if gap && e.Kind != platformapi.KindSnapshot {
+	// A hole in the answer shows that its source compacted the log, whatever this process judged before.
+	gap := e.Number > previous+1
+	if e.Number > max(previous, f.cursor)+1 && e.Kind != platformapi.KindSnapshot {
 		return f.missing(e)
 	}
 	if e.Kind == platformapi.KindSnapshot && e.Parts > 1 {
--- a/core/config/section.go
+++ b/core/config/section.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -76,6 +77,9 @@
 		ps.add(path, string(patch), "a JSON object, or null to remove the member")
 		return v, false
 	}
+	if !c.existed && !bytes.Contains(patch, []byte("null")) {
+		return s.decode(path, patch, ps), true // merging into nothing only drops nulls
+	}
 	doc := []byte("{}")
 	if c.existed {
 		doc = mustMarshal(c.before)
