Implement the link over gnet

One stream has three goroutines: the event loop reads, the writer encodes and watches for silence, the deliverer calls the handler. gnet's outbound buffer has no bound, so the writer keeps frames in the outbound ring while gnet holds more than 256 KiB. A close sends what is queued and shuts down the sending side first, because a close with unread input resets the connection and destroys frames under way. A process that was paused does not count the time as silence of its peers.

--- a/transport/link/endpoint.go
+++ b/transport/link/endpoint.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
-
-	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/gnetlog"
+	"github.com/zeebo/errs"
 )
 
 // Stats counts events since the start of a server or client.
@@ -21,48 +27,166 @@
 	BytesOut     uint64
 }
 
-// Server accepts links. A dispatcher runs one.
-type Server struct{}
+type counters struct {
+	up, down, dialFailures, handshakes, badFrames, badSequences atomic.Uint64
+	refused, framesIn, framesOut, bytesIn, bytesOut             atomic.Uint64
+}
+
+func (c *counters) read() Stats {
+	return Stats{
+		Up:           c.up.Load(),
+		Down:         c.down.Load(),
+		DialFailures: c.dialFailures.Load(),
+		Handshakes:   c.handshakes.Load(),
+		BadFrames:    c.badFrames.Load(),
+		BadSequences: c.badSequences.Load(),
+		Refused:      c.refused.Load(),
+		FramesIn:     c.framesIn.Load(),
+		FramesOut:    c.framesOut.Load(),
+		BytesIn:      c.bytesIn.Load(),
+		BytesOut:     c.bytesOut.Load(),
+	}
+}
 
-// Listen starts a server on a TCP address "ip:port"; port 0 picks a free one.
-func Listen(cfg Config, addr string, h Handler) (*Server, error) { return &Server{}, nil }
+// endpoint is what server and client have in common. It implements gnet's event handler.
+type endpoint struct {
+	gnet.BuiltinEventEngine
+	cfg     Config
+	sender  string
+	handler Handler
+	start   time.Time
+	stats   counters
+	wg      sync.WaitGroup // writers and deliverers
+
+	mu    sync.Mutex
+	open  map[*stream]*Peer  // all open streams; the peer is nil before Hello
+	names map[string]*stream // newest stream of each peer that is up
+	shut  bool
+}
 
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() string { return "" }
+func newEndpoint(cfg Config, h Handler) (*endpoint, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Host == "" || cfg.Role == "" || cfg.Incarnation == 0 {
+		return nil, fail(&ErrHandshake, "configure", cfg.sender(), errs.New("host, role and incarnation are required"))
+	}
+	return &endpoint{
+		cfg:     cfg,
+		sender:  cfg.sender(),
+		handler: h,
+		start:   time.Now(),
+		open:    map[*stream]*Peer{},
+		names:   map[string]*stream{},
+	}, nil
+}
 
-// Peers returns the links that are up, ordered by name.
-func (s *Server) Peers() []*Peer { return nil }
+func (e *endpoint) now() time.Duration { return time.Since(e.start) }
 
-// Stats returns the counters.
-func (s *Server) Stats() Stats { return Stats{} }
+func (e *endpoint) options() []gnet.Option {
+	return []gnet.Option{
+		gnet.WithNumEventLoop(e.cfg.EventLoops),
+		gnet.WithReuseAddr(true), // a restarted server binds its address while old connections linger
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(gnetlog.Discard{}),
+	}
+}
 
-// Close closes every link after flushing it, and returns when the last OnDown has returned or the
-// context ends. It must not be called from a Handler method.
-func (s *Server) Close(ctx context.Context) error { return nil }
+// add registers a new stream unless the endpoint is closing or full.
+func (e *endpoint) add(s *stream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.shut || len(e.open) >= e.cfg.MaxPeers {
+		return false
+	}
+	e.open[s] = nil
+	e.wg.Add(2) // writer and deliverer; under the lock, so that closeStreams does not miss them
+	return true
+}
 
-// Client keeps one link to each of a set of hosts. A gateway runs one.
-type Client struct{}
+// register notes that a peer is up. An older link of the same peer is closed: the peer has lost it.
+func (e *endpoint) register(p *Peer) {
+	e.mu.Lock()
+	old := e.names[p.name]
+	e.open[p.stream] = p
+	e.names[p.name] = p.stream
+	e.mu.Unlock()
+	if old != nil {
+		old.abort(&ErrReplaced, "hello", nil)
+	}
+}
 
-// NewClient starts a client without any link.
-func NewClient(cfg Config, h Handler) (*Client, error) { return &Client{}, nil }
+func (e *endpoint) forget(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.open[s]; p != nil && e.names[p.name] == s {
+		delete(e.names, p.name)
+	}
+	delete(e.open, s)
+}
 
-// Add keeps a link to the host at the TCP address, dialling again whenever it ends, until Remove. A
-// Hello from another host is refused with ErrHandshake. Adding a host again with another address
-// replaces the link; with the same address it does nothing.
-func (c *Client) Add(host ident.HostID, addr string) {}
+func (e *endpoint) peerOf(s *stream) *Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open[s]
+}
 
-// Remove closes the link to the host after flushing it, and stops dialling.
-func (c *Client) Remove(host ident.HostID) {}
+func (e *endpoint) peers() []*Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peers := make([]*Peer, 0, len(e.names))
+	for _, s := range e.names {
+		peers = append(peers, e.open[s])
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].name < peers[j].name })
+	return peers
+}
 
-// Peer returns the link to the host if it is up.
-func (c *Client) Peer(host ident.HostID) (p *Peer, up bool) { return nil, false }
+// closeStreams refuses new streams, closes the open ones and waits for their handlers.
+func (e *endpoint) closeStreams(ctx context.Context) error {
+	e.mu.Lock()
+	e.shut = true
+	for s := range e.open {
+		s.close()
+	}
+	e.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		e.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fail(&ErrClosed, "close", e.sender, ctx.Err())
+	}
+}
 
-// Peers returns the links that are up, ordered by name.
-func (c *Client) Peers() []*Peer { return nil }
+// OnOpen implements gnet.EventHandler. A client's connection brings its stream as context.
+func (e *endpoint) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	s, _ := c.Context().(*stream)
+	if s == nil {
+		s = newStream(e, c.RemoteAddr().String(), "")
+	}
+	if !e.add(s) {
+		return nil, gnet.Close
+	}
+	c.SetContext(s)
+	s.open(c)
+	return nil, gnet.None
+}
 
-// Stats returns the counters.
-func (c *Client) Stats() Stats { return Stats{} }
+// OnTraffic implements gnet.EventHandler.
+func (e *endpoint) OnTraffic(c gnet.Conn) gnet.Action {
+	if s, _ := c.Context().(*stream); s != nil && c.InboundBuffered() > 0 {
+		return s.traffic(c)
+	}
+	return gnet.None
+}
 
-// Close closes every link after flushing it, and returns when the last OnDown has returned or the
-// context ends. It must not be called from a Handler method.
-func (c *Client) Close(ctx context.Context) error { return nil }
+// OnClose implements gnet.EventHandler.
+func (e *endpoint) OnClose(c gnet.Conn, err error) gnet.Action {
+	if s, _ := c.Context().(*stream); s != nil && s.opened.Load() {
+		s.closed(c.InboundBuffered(), err)
+	}
+	return gnet.None
+}
--- a/transport/link/errors.go
+++ b/transport/link/errors.go
@@ -10,7 +10,7 @@
 var (
 	// ErrFull: the outbound ring of the peer is full, the message was not queued.
 	ErrFull = errs.Class("link: ring full")
-	// ErrClosed: the link was closed in order, by either side.
+	// ErrClosed: the link was closed between two frames, by either side.
 	ErrClosed = errs.Class("link: closed")
 	// ErrLost: the connection broke.
 	ErrLost = errs.Class("link: connection lost")
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -28,8 +28,8 @@
 	OnUp(p *Peer)
 	// OnMessage hands over a message, which the handler then owns.
 	OnMessage(p *Peer, m wire.Message)
-	// OnDown tells that the link ended. The error is never nil; ErrClosed marks an orderly close by
-	// either side.
+	// OnDown tells that the link ended. The error is never nil; ErrClosed marks a close by either side
+	// between two frames. The kernel of a killed peer closes in the same way.
 	OnDown(p *Peer, err error)
 }
 
@@ -55,7 +55,7 @@
 	// prompts of the largest size at once.
 	InboundBytes int64
 	// KeepaliveInterval is the time without an outbound message after which a Keepalive is sent.
-	// Shorter values cost 26 bytes and a wake-up each. Default 1 s.
+	// Shorter values cost about 45 bytes and a wake-up each. Default 1 s.
 	KeepaliveInterval time.Duration
 	// DeadAfter is the time without inbound traffic after which the peer counts as dead. Below three
 	// keepalive intervals, one delayed packet closes the link. Default 4 s.
--- a/transport/link/peer.go
+++ b/transport/link/peer.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"sync/atomic"
+
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/transport/wire"
 )
@@ -8,10 +10,12 @@
 // Peer is the other end of one link. A reconnect makes a new Peer. All methods are safe for
 // concurrent use and never block.
 type Peer struct {
+	stream      *stream
+	name        string // sender of its messages
 	host        ident.HostID
 	role        string
 	incarnation ident.Incarnation
-	addr        string
+	version     atomic.Uint64
 }
 
 // Host returns the peer's host id.
@@ -24,18 +28,18 @@
 func (p *Peer) Incarnation() ident.Incarnation { return p.incarnation }
 
 // ConfigVersion returns the configuration version of the peer's latest message.
-func (p *Peer) ConfigVersion() ident.Version { return 0 }
+func (p *Peer) ConfigVersion() ident.Version { return ident.Version(p.version.Load()) }
 
 // Addr returns the peer's TCP address.
-func (p *Peer) Addr() string { return p.addr }
+func (p *Peer) Addr() string { return p.stream.addr }
 
 // String returns "host/role".
-func (p *Peer) String() string { return string(p.host) + "/" + p.role }
+func (p *Peer) String() string { return p.name }
 
 // Send queues a message. The link owns the message from then on and fills in its head; a message
 // goes to one peer only. Send fails with ErrFull when the outbound ring is full, with ErrFrame when the
 // message is too large, and with ErrClosed when the link is down. Success means queued, not received.
-func (p *Peer) Send(m wire.Message) error { return fail(&ErrClosed, "send", p.String(), nil) }
+func (p *Peer) Send(m wire.Message) error { return p.stream.send(m) }
 
 // Close sends the queued messages and closes the link. OnDown follows.
-func (p *Peer) Close() {}
+func (p *Peer) Close() { p.stream.close() }
--- /dev/null
+++ b/transport/link/stream.go
@@ -0,0 +1,284 @@
+package link
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/transport/ring"
+	"github.com/rosemaryhill/rosemaryhill/transport/wire"
+	"github.com/zeebo/errs"
+)
+
+// stream is one TCP connection. Three goroutines touch it: the event loop (reads, closes), the writer
+// (encodes, watches for silence) and the deliverer (calls the handler).
+type stream struct {
+	ep     *endpoint
+	addr   string
+	expect ident.HostID // host that Hello must name; empty on a server
+	conn   gnet.Conn
+	opened atomic.Bool
+
+	in      *ring.Ring[inbound]
+	inBytes atomic.Int64 // frame bytes in the inbound ring
+	out     *ring.Ring[wire.Message]
+	lastIn  atomic.Int64 // ep.now of the last inbound bytes
+
+	closing   chan struct{} // closed to ask for a graceful close
+	closeOnce sync.Once
+	done      chan struct{} // closed when the connection is closed
+
+	errMu sync.Mutex
+	err   error // first cause of the end
+
+	// Owned by the event loop.
+	dec     *wire.Decoder
+	nextSeq uint64
+	peer    *Peer // nil before Hello
+}
+
+// inbound is a message for the handler; a nil message stands for OnUp.
+type inbound struct {
+	msg  wire.Message
+	size int
+}
+
+func newStream(ep *endpoint, addr string, expect ident.HostID) *stream {
+	return &stream{
+		ep:      ep,
+		addr:    addr,
+		expect:  expect,
+		in:      ring.New[inbound](ep.cfg.InboundFrames),
+		out:     ring.New[wire.Message](ep.cfg.OutboundFrames),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+		dec:     wire.NewDecoder(),
+		nextSeq: 1,
+	}
+}
+
+// open runs on the event loop when the connection is established.
+func (s *stream) open(c gnet.Conn) {
+	s.conn = c
+	s.lastIn.Store(int64(s.ep.now()))
+	s.opened.Store(true)
+	go s.deliver()
+	go newWriter(s).run()
+}
+
+// fail records why the stream ends. Only the first cause counts.
+func (s *stream) fail(class *errs.Class, step string, cause error) {
+	s.errMu.Lock()
+	defer s.errMu.Unlock()
+	if s.err == nil {
+		s.err = fail(class, step, s.name(), cause)
+	}
+}
+
+func (s *stream) cause() error {
+	s.errMu.Lock()
+	defer s.errMu.Unlock()
+	return s.err
+}
+
+// name returns the peer's name, or its address before Hello.
+func (s *stream) name() string {
+	if p := s.ep.peerOf(s); p != nil {
+		return p.name
+	}
+	return s.addr
+}
+
+func (s *stream) send(m wire.Message) error {
+	if err := wire.Check(m); err != nil {
+		return fail(&ErrFrame, "send", s.name(), err)
+	}
+	if s.out.Push(m) {
+		return nil
+	}
+	select {
+	case <-s.closing:
+		return fail(&ErrClosed, "send", s.name(), nil)
+	case <-s.done:
+		return fail(&ErrClosed, "send", s.name(), nil)
+	default:
+		s.ep.stats.refused.Add(1)
+		return fail(&ErrFull, "send", s.name(), nil)
+	}
+}
+
+// close asks the writer for a graceful close.
+func (s *stream) close() {
+	s.closeOnce.Do(func() {
+		close(s.closing)
+		s.out.Close()
+	})
+}
+
+// abort closes the connection without sending what is queued.
+func (s *stream) abort(class *errs.Class, step string, cause error) {
+	s.fail(class, step, cause)
+	_ = s.conn.Close()
+}
+
+// closed runs on the event loop when the connection has ended.
+func (s *stream) closed(partial int, err error) {
+	switch {
+	case err == nil:
+		s.fail(&ErrClosed, "close", nil)
+	case errors.Is(err, io.EOF) && partial == 0:
+		s.fail(&ErrClosed, "read", err)
+	default:
+		s.fail(&ErrLost, "read", err)
+	}
+	close(s.done)
+	s.out.Close()
+	s.in.Close()
+}
+
+// deliver calls the handler until the inbound ring is closed and empty.
+func (s *stream) deliver() {
+	defer s.ep.wg.Done()
+	var up *Peer
+	for it := range s.in.Items() {
+		if it.msg == nil {
+			up = s.ep.peerOf(s)
+			s.ep.stats.up.Add(1)
+			s.ep.handler.OnUp(up)
+			continue
+		}
+		s.inBytes.Add(int64(-it.size))
+		s.ep.handler.OnMessage(up, it.msg)
+	}
+	err := s.cause()
+	s.ep.forget(s)
+	if up == nil {
+		s.ep.stats.handshakes.Add(1)
+		s.ep.cfg.Report(err)
+		return
+	}
+	s.ep.stats.down.Add(1)
+	s.ep.handler.OnDown(up, err)
+}
+
+// traffic runs on the event loop and handles all whole frames that are buffered.
+func (s *stream) traffic(c gnet.Conn) gnet.Action {
+	s.lastIn.Store(int64(s.ep.now()))
+	for c.InboundBuffered() >= wire.HeaderSize {
+		head, err := c.Peek(wire.HeaderSize)
+		if err != nil {
+			s.fail(&ErrLost, "read", err)
+			return gnet.Close
+		}
+		size, err := wire.FrameSize(head)
+		if err != nil {
+			return s.badFrame(err)
+		}
+		if c.InboundBuffered() < size {
+			return gnet.None
+		}
+		frame, err := c.Peek(size)
+		if err != nil {
+			s.fail(&ErrLost, "read", err)
+			return gnet.Close
+		}
+		if !s.frame(frame) {
+			return gnet.Close
+		}
+		if _, err := c.Discard(size); err != nil {
+			s.fail(&ErrLost, "read", err)
+			return gnet.Close
+		}
+	}
+	return gnet.None
+}
+
+func (s *stream) badFrame(err error) gnet.Action {
+	s.ep.stats.badFrames.Add(1)
+	s.fail(&ErrFrame, "read", err)
+	return gnet.Close
+}
+
+// frame handles one whole frame. It returns false if the stream must end.
+func (s *stream) frame(frame []byte) bool {
+	s.ep.stats.framesIn.Add(1)
+	s.ep.stats.bytesIn.Add(uint64(len(frame)))
+	typ, body, _, err := wire.Split(frame)
+	if err != nil {
+		s.badFrame(err)
+		return false
+	}
+	m, err := s.dec.Decode(typ, body)
+	if err != nil {
+		s.badFrame(err)
+		return false
+	}
+	if s.peer == nil {
+		return s.hello(m)
+	}
+	if err := s.checkHead(m); err != nil {
+		s.ep.stats.badSequences.Add(1)
+		s.fail(&ErrSequence, "read", err)
+		return false
+	}
+	s.peer.version.Store(m.Header().ConfigVersion)
+	if m.Type() == wire.TypeKeepalive {
+		return true
+	}
+	return s.enqueue(inbound{msg: m, size: len(frame)})
+}
+
+func (s *stream) enqueue(it inbound) bool {
+	held := s.inBytes.Add(int64(it.size))
+	if held > s.ep.cfg.InboundBytes || !s.in.Push(it) {
+		s.fail(&ErrOverrun, "deliver", errs.New("%d messages and %d bytes wait", s.in.Len(), held))
+		return false
+	}
+	return true
+}
+
+func (s *stream) checkHead(m wire.Message) error {
+	h := m.Header()
+	switch {
+	case h.Seq != s.nextSeq:
+		return errs.New("sequence %d, %d expected", h.Seq, s.nextSeq)
+	case h.Sender != s.peer.name || h.Incarnation != uint64(s.peer.incarnation):
+		return errs.New("sender %q changed to %q", s.peer.name, h.Sender)
+	case m.Type() == wire.TypeHello:
+		return errs.New("second Hello")
+	}
+	s.nextSeq++
+	return nil
+}
+
+// hello handles the first frame.
+func (s *stream) hello(m wire.Message) bool {
+	h, ok := m.(*wire.Hello)
+	if !ok || h.Head.Seq != s.nextSeq {
+		s.fail(&ErrHandshake, "hello", errs.New("message type %d with sequence %d instead of Hello", m.Type(), m.Header().Seq))
+		return false
+	}
+	host, role, ok := strings.Cut(h.Head.Sender, "/")
+	if !ok || host == "" || role != h.Role || h.Head.Incarnation == 0 {
+		s.fail(&ErrHandshake, "hello", errs.New("sender %q with role %q", h.Head.Sender, h.Role))
+		return false
+	}
+	if s.expect != "" && s.expect != ident.HostID(host) {
+		s.fail(&ErrHandshake, "hello", errs.New("host %q, %q expected", host, s.expect))
+		return false
+	}
+	s.nextSeq++
+	p := &Peer{stream: s, name: h.Head.Sender, host: ident.HostID(host), role: role, incarnation: ident.Incarnation(h.Head.Incarnation)}
+	p.version.Store(h.Head.ConfigVersion)
+	s.peer = p
+	s.ep.register(p)
+	return s.enqueue(inbound{})
+}
+
+// silence returns for how long nothing came from the peer.
+func (s *stream) silence() time.Duration { return s.ep.now() - time.Duration(s.lastIn.Load()) }
--- /dev/null
+++ b/transport/link/writer.go
@@ -0,0 +1,220 @@
+package link
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rosemaryhill/rosemaryhill/transport/wire"
+	"github.com/zeebo/errs"
+)
+
+const (
+	// batchBytes ends a batch of frames that goes to the event loop in one write.
+	batchBytes = 64 << 10
+	// highWater is the number of bytes that gnet may hold for a peer that reads slowly. gnet's buffer
+	// has no bound of its own, so above it frames stay in the outbound ring.
+	highWater = 256 << 10
+	// drainPoll is the time between two looks at gnet's buffer while it is above highWater; gnet has
+	// no event for it. 256 KiB each 2 ms still allow 128 MB/s.
+	drainPoll = 2 * time.Millisecond
+)
+
+// writer moves messages from the outbound ring to the socket and watches for silence.
+type writer struct {
+	s        *stream
+	enc      *wire.Encoder
+	buf      []byte
+	seq      uint64
+	lastOut  time.Duration
+	lastTick time.Duration
+	pending  chan int // bytes that gnet holds, sent by the event loop after a write or a look
+}
+
+func newWriter(s *stream) *writer {
+	return &writer{s: s, enc: wire.NewEncoder(), pending: make(chan int, 1), lastTick: s.ep.now()}
+}
+
+func (w *writer) run() {
+	s := w.s
+	defer s.ep.wg.Done()
+	if !w.write(&wire.Hello{Role: s.ep.cfg.Role}) {
+		return
+	}
+	ticker := time.NewTicker(min(s.ep.cfg.KeepaliveInterval, s.ep.cfg.DeadAfter) / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case m, ok := <-s.out.Items():
+			if !ok {
+				w.finish()
+				return
+			}
+			if !w.write(m) {
+				return
+			}
+		case <-ticker.C:
+			if !w.tick() {
+				return
+			}
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// tick closes a link whose peer is silent, and sends a Keepalive on an idle one.
+func (w *writer) tick() bool {
+	s, now := w.s, w.s.ep.now()
+	gap := now - w.lastTick
+	w.lastTick = now
+	if gap > s.ep.cfg.DeadAfter/2 {
+		// This process was paused: the peer's traffic waits in the socket, so its silence says nothing.
+		s.lastIn.Store(int64(now))
+		return true
+	}
+	if s.ep.peerOf(s) == nil {
+		if s.silence() > s.ep.cfg.HandshakeTimeout {
+			s.abort(&ErrHandshake, "hello", errs.New("no Hello within %v", s.ep.cfg.HandshakeTimeout))
+			return false
+		}
+		return true
+	}
+	if quiet := s.silence(); quiet > s.ep.cfg.DeadAfter {
+		s.abort(&ErrDead, "read", errs.New("nothing received for %v", quiet.Round(time.Millisecond)))
+		return false
+	}
+	if now-w.lastOut >= s.ep.cfg.KeepaliveInterval {
+		return w.write(&wire.Keepalive{})
+	}
+	return true
+}
+
+// write sends m together with whatever else is queued, and waits until gnet holds less than
+// highWater. It returns false when the stream has ended.
+func (w *writer) write(m wire.Message) bool {
+	w.buf = w.buf[:0]
+	for ok := true; ok; {
+		if !w.encode(m) {
+			return false
+		}
+		if len(w.buf) >= batchBytes {
+			break
+		}
+		m, ok = w.s.out.TryPop()
+	}
+	n := len(w.buf)
+	if err := w.s.conn.AsyncWrite(w.buf, w.report); err != nil {
+		w.s.abort(&ErrLost, "send", err)
+		return false
+	}
+	w.lastOut = w.s.ep.now()
+	held, ok := w.await()
+	if !ok {
+		return false
+	}
+	w.s.ep.stats.bytesOut.Add(uint64(n))
+	return held <= highWater || w.drain(highWater, nil)
+}
+
+func (w *writer) encode(m wire.Message) bool {
+	cfg := &w.s.ep.cfg
+	w.seq++
+	*m.Header() = wire.Head{
+		Sender:        w.s.ep.sender,
+		Incarnation:   uint64(cfg.Incarnation),
+		ConfigVersion: uint64(cfg.ConfigVersion()),
+		Seq:           w.seq,
+	}
+	var err error
+	w.buf, err = w.enc.Append(w.buf, m)
+	if err != nil {
+		w.s.abort(&ErrFrame, "send", err)
+		return false
+	}
+	w.s.ep.stats.framesOut.Add(1)
+	return true
+}
+
+// report runs on the event loop.
+func (w *writer) report(c gnet.Conn, err error) error {
+	if err == nil && c.Context() != nil {
+		w.pending <- c.OutboundBuffered() // one answer is awaited at a time, so this never blocks
+	}
+	return nil
+}
+
+func (w *writer) await() (held int, ok bool) {
+	select {
+	case held = <-w.pending:
+		return held, true
+	case <-w.s.done:
+		return 0, false
+	}
+}
+
+// drain waits until gnet holds at most limit bytes, the stream ends or the deadline fires. A silent
+// peer ends the stream.
+func (w *writer) drain(limit int, deadline <-chan time.Time) bool {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			return false
+		case <-w.s.done:
+			return false
+		}
+		if quiet := w.s.silence(); quiet > w.s.ep.cfg.DeadAfter && !w.paused() {
+			w.s.abort(&ErrDead, "send", errs.New("nothing received for %v", quiet.Round(time.Millisecond)))
+			return false
+		}
+		if err := w.s.conn.Wake(w.report); err != nil {
+			w.s.abort(&ErrLost, "send", err)
+			return false
+		}
+		held, ok := w.await()
+		if !ok {
+			return false
+		}
+		if held <= limit {
+			return true
+		}
+	}
+}
+
+// paused tells whether this process just ran again after a pause, and restarts the silence then.
+func (w *writer) paused() bool {
+	now := w.s.ep.now()
+	gap := now - w.lastTick
+	w.lastTick = now
+	if gap <= w.s.ep.cfg.DeadAfter/2 {
+		return false
+	}
+	w.s.lastIn.Store(int64(now))
+	return true
+}
+
+// finish ends a link in order: all queued frames are sent, then the sending side is shut down, and
+// the peer closes. Closing at once could reset the connection and destroy frames under way.
+func (w *writer) finish() {
+	s := w.s
+	deadline := time.NewTimer(s.ep.cfg.FlushTimeout)
+	defer deadline.Stop()
+	if w.drain(0, deadline.C) {
+		s.fail(&ErrClosed, "close", nil)
+		_ = s.conn.Wake(func(c gnet.Conn, err error) error {
+			if err == nil && c.Context() != nil {
+				_ = syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
+			}
+			return nil
+		})
+		select {
+		case <-s.done:
+			return
+		case <-deadline.C:
+		}
+	}
+	s.abort(&ErrClosed, "close", errs.New("not flushed within %v", s.ep.cfg.FlushTimeout))
+}
--- a/transport/wire/codec.go
+++ b/transport/wire/codec.go
@@ -29,19 +29,25 @@
 // maxCount bounds counters and indexes; it fits an int on every platform.
 const maxCount = math.MaxInt32
 
+// FrameSize returns the size in bytes of the frame that starts with head, which holds at least
+// the four bytes of the length.
+func FrameSize(head []byte) (int, error) {
+	length := binary.BigEndian.Uint32(head)
+	if length < 1 || length > MaxFrame-4 {
+		return 0, ErrTooLarge.New("frame length %d, at most %d allowed", length, MaxFrame-4)
+	}
+	return 4 + int(length), nil
+}
+
 // Split cuts the first frame off buf. A size of zero without an error means that buf holds only a part
 // of a frame. Body is a part of buf.
 func Split(buf []byte) (t Type, body []byte, size int, err error) {
 	if len(buf) < 4 {
 		return 0, nil, 0, nil
 	}
-	length := binary.BigEndian.Uint32(buf)
-	if length < 1 || length > MaxFrame-4 {
-		return 0, nil, 0, ErrTooLarge.New("frame length %d, at most %d allowed", length, MaxFrame-4)
-	}
-	size = 4 + int(length)
-	if len(buf) < size {
-		return 0, nil, 0, nil
+	size, err = FrameSize(buf)
+	if err != nil || len(buf) < size {
+		return 0, nil, 0, err
 	}
 	return Type(buf[4]), buf[HeaderSize:size], size, nil
 }
