--- a/cmd/rosectl/config_test.go
+++ b/cmd/rosectl/config_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -12,6 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemaryhill/rosemaryhill/core/config"
+	"github.com/rosemaryhill/rosemaryhill/node/admin"
 	"github.com/rosemaryhill/rosemaryhill/standin/platform"
 )
 
@@ -54,4 +57,21 @@
 	rosectl(exitOK, "config", "publish", "--base", "2", "--file", patch)
 	c.Assert(rosectl(exitOK, "config", "status"), qt.Contains, "accepted_version=4")
 	rosectl(exitUsage, "config", "publish", "--base", "4")
+
+	// A process that holds an older version fails the status check.
+	var held admin.ConfigInForce
+	process := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.Header.Get("Authorization"), qt.Equals, "Bearer secret")
+		json.NewEncoder(w).Encode(held)
+	}))
+	defer process.Close()
+	token := filepath.Join(t.TempDir(), "token")
+	c.Assert(os.WriteFile(token, []byte("secret\n"), 0o600), qt.IsNil)
+	status := []string{"config", "status", "--token_file", token, "--admin", process.Listener.Addr().String()}
+	held.Version = 3
+	rosectl(exitCheck, status...)
+	fold, err := readFold(context.Background(), srv.URL, func(config.Verdict) {})
+	c.Assert(err, qt.IsNil)
+	held.Version, held.Digest = fold.Version(), fold.Digest().String()
+	c.Assert(rosectl(exitOK, status...), qt.Contains, "current=true")
 }
--- a/cmd/rosectl/load.go
+++ b/cmd/rosectl/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/integrii/flaggy"
@@ -10,55 +12,80 @@
 	"github.com/rosemaryhill/rosemaryhill/lab/load"
 )
 
+// loadOptions holds the flags of rosectl load.
+type loadOptions struct {
+	file, jsonFile, plotFile, logFile   string
+	gateways, engines, services, others []string
+	seed                                uint64
+	loopback                            bool
+}
+
 func loadCommand() *command {
-	var file, jsonFile, plotFile string
-	var gateways, engines, services, others []string
-	var seed uint64
+	var o loadOptions
 	return &command{
 		name:    "load",
 		summary: "Drive a running system from an experiment file and check every answer",
-		examples: `  rosectl load --experiment lab/load/profiles/kernhof.toml --gateway 127.0.0.1:7001 \
+		examples: `  rosectl load --experiment lab/load/profiles/kernhof.toml --loopback --plot out/kernhof.svg
+  rosectl load --experiment lab/load/profiles/kernhof.toml --gateway 127.0.0.1:7001 \
     --engine e1=127.0.0.1:7201 --engine e2=127.0.0.1:7202 --service ledger-1=127.0.0.1:7301 \
     --json out/kernhof.json --plot out/kernhof.svg`,
-		flags: func(sc *flaggy.Subcommand) {
-			sc.String(&file, "e", "experiment", "experiment file (TOML)")
-			sc.String(&jsonFile, "j", "json", "file for the result as JSON")
-			sc.String(&plotFile, "p", "plot", "file for the plot (SVG)")
-			sc.UInt64(&seed, "", "seed", "replaces the file's seed; 0 keeps it")
-			sc.StringSlice(&gateways, "", "gateway", "address of a gateway; replaces those of the file")
-			sc.StringSlice(&engines, "", "engine", "id=address of an engine stand-in; replaces those of the file")
-			sc.StringSlice(&services, "", "service", "id=address of a service stand-in; replaces those of the file")
-			sc.StringSlice(&others, "", "other", "name=address of another fault target; replaces those of the file")
-		},
-		run: func(ctx context.Context, out io.Writer) error {
-			if file == "" {
-				return usageError.New("--experiment is missing")
-			}
-			exp, err := load.Read(file)
-			if err != nil {
-				return usageError.Wrap(err)
-			}
-			if seed != 0 {
-				exp.Seed = seed
-			}
-			if len(gateways) > 0 {
-				exp.Targets.Gateways = gateways
-			}
-			for _, o := range []struct {
-				flags []string
-				to    *map[string]string
-			}{{engines, &exp.Targets.Engines}, {services, &exp.Targets.Services}, {others, &exp.Targets.Others}} {
-				if err := replaceTargets(o.to, o.flags); err != nil {
-					return err
-				}
-			}
-			res, err := load.Run(ctx, exp)
-			if err != nil {
-				return err
-			}
-			return writeLoadResult(res, out, jsonFile, plotFile)
-		},
+		flags: o.flags,
+		run:   o.run,
+	}
+}
+
+func (o *loadOptions) flags(sc *flaggy.Subcommand) {
+	sc.String(&o.file, "e", "experiment", "experiment file (TOML)")
+	sc.String(&o.jsonFile, "j", "json", "file for the result as JSON")
+	sc.String(&o.plotFile, "p", "plot", "file for the plot (SVG)")
+	sc.UInt64(&o.seed, "", "seed", "replaces the file's seed; 0 keeps it")
+	sc.Bool(&o.loopback, "", "loopback", "start the file's system in this process and drive it")
+	sc.String(&o.logFile, "", "log", "file for the log lines of that system")
+	sc.StringSlice(&o.gateways, "", "gateway", "address of a gateway; replaces those of the file")
+	sc.StringSlice(&o.engines, "", "engine", "id=address of an engine stand-in; replaces those of the file")
+	sc.StringSlice(&o.services, "", "service", "id=address of a service stand-in; replaces those of the file")
+	sc.StringSlice(&o.others, "", "other", "name=address of another fault target; replaces those of the file")
+}
+
+func (o *loadOptions) run(ctx context.Context, out io.Writer) error {
+	exp, err := o.experiment()
+	if err != nil {
+		return err
+	}
+	drive := load.Run
+	if o.loopback {
+		drive = o.driveLoopback
+	}
+	res, err := drive(ctx, exp)
+	if err != nil {
+		return err
+	}
+	if err := o.write(res, out); err != nil {
+		return err
+	}
+	if faults := res.Faults(); len(faults) > 0 {
+		return checkError.New("%s", strings.Join(faults, "; "))
 	}
+	return nil
+}
+
+// experiment reads the file and applies the flags to it.
+func (o *loadOptions) experiment() (*load.Experiment, error) {
+	if o.file == "" {
+		return nil, usageError.New("--experiment is missing")
+	}
+	exp, err := load.Read(o.file)
+	if err != nil {
+		return nil, usageError.Wrap(err)
+	}
+	if o.seed != 0 {
+		exp.Seed = o.seed
+	}
+	t := &exp.Targets
+	if len(o.gateways) > 0 {
+		t.Gateways = o.gateways
+	}
+	return exp, errors.Join(replaceTargets(&t.Engines, o.engines), replaceTargets(&t.Services, o.services), replaceTargets(&t.Others, o.others))
 }
 
 // replaceTargets reads name=address values; without any, the file's targets stay.
@@ -77,22 +104,32 @@
 	return nil
 }
 
-func writeLoadResult(res *load.Result, out io.Writer, jsonFile, plotFile string) error {
-	if err := res.WriteTable(out); err != nil {
-		return err
-	}
-	if jsonFile != "" {
-		if err := res.WriteJSON(jsonFile); err != nil {
-			return err
+// driveLoopback starts the experiment's system, drives it and stops it.
+func (o *loadOptions) driveLoopback(ctx context.Context, exp *load.Experiment) (res *load.Result, err error) {
+	log := io.Discard
+	if o.logFile != "" {
+		f, err := os.Create(o.logFile)
+		if err != nil {
+			return nil, err
 		}
+		defer f.Close()
+		log = f
 	}
-	if plotFile != "" {
-		if err := res.WritePlot(plotFile); err != nil {
-			return err
-		}
+	c, err := exp.StartSystem(ctx, log)
+	if err != nil {
+		return nil, err
 	}
-	if faults := res.Faults(); len(faults) > 0 {
-		return checkError.New("%s", strings.Join(faults, "; "))
+	defer func() { err = errors.Join(err, c.Close()) }()
+	return load.Run(ctx, exp)
+}
+
+func (o *loadOptions) write(res *load.Result, out io.Writer) error {
+	err := res.WriteTable(out)
+	if o.jsonFile != "" {
+		err = errors.Join(err, res.WriteJSON(o.jsonFile))
 	}
-	return nil
+	if o.plotFile != "" {
+		err = errors.Join(err, res.WritePlot(o.plotFile))
+	}
+	return err
 }
--- a/lab/load/experiment.go
+++ b/lab/load/experiment.go
@@ -34,6 +34,7 @@
 	Postings Calls    `toml:"postings"`
 	Faults   []Fault  `toml:"faults"`
 	Targets  Targets  `toml:"targets"`
+	System   System   `toml:"system"` // what StartSystem starts; not needed for a system that runs
 }
 
 // Prompt is one entry of the prompt mix. Shares are relative to each other.
