Plot prompt sizes alone, and count the calls of plain services apart

Cause: a line from prompt sizes to service calls showed a drop that means nothing. Change: the result keeps times to the first token and call latencies in two lists; the plot shows the first. Conclusion: the plot can be read without its table.

--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -198,7 +198,7 @@
 		c.Assert(exp.DurationS <= 60, qt.IsTrue)
 	}
 	dir := t.TempDir()
-	res := &Result{Name: "x", Latencies: []Latency{{"1 k", Quantiles{Count: 1, P50: 1, P95: 1, P99: 1}}}}
+	res := &Result{Name: "x", FirstToken: []Latency{{"1 k", Quantiles{Count: 1, P50: 1, P95: 1, P99: 1}}}}
 	c.Assert(res.WriteJSON(filepath.Join(dir, "r.json")), qt.IsNil)
 	c.Assert(res.WritePlot(filepath.Join(dir, "r.svg")), qt.IsNil)
 	svg, err := os.ReadFile(filepath.Join(dir, "r.svg"))
--- a/lab/load/plot.go
+++ b/lab/load/plot.go
@@ -28,7 +28,7 @@
 	p.Add(plotter.NewGrid())
 	var names []string
 	var at []Quantiles
-	for _, l := range r.Latencies {
+	for _, l := range r.FirstToken {
 		if l.Count > 0 {
 			names, at = append(names, l.Label), append(at, l.Quantiles)
 		}
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -44,8 +44,9 @@
 	Answered     map[string]int `json:"answered"`
 	NotOffered   int            `json:"not_offered"` // arrivals above max_in_flight
 	StartLag     Quantiles      `json:"start_lag"`   // of the load generator itself
-	Latencies    []Latency      `json:"latencies"`
-	Teams        []Latency      `json:"teams"` // time to first token of short prompts
+	FirstToken   []Latency      `json:"first_token"` // by prompt size
+	Calls        []Latency      `json:"calls"`       // of plain services
+	Teams        []Latency      `json:"teams"`       // time to first token of short prompts
 	ShortAlone   Quantiles      `json:"short_alone"`
 	ShortBeside  Quantiles      `json:"short_beside_long"`
 	Slowdown     float64        `json:"slowdown"` // p95 beside long over p95 alone; 0 when one is empty
@@ -92,10 +93,10 @@
 		MemoryLeft: map[string]int{}, Repeated: map[string]int{},
 	}
 	for _, p := range exp.Prompts {
-		res.Latencies = append(res.Latencies, Latency{p.Label, r.byLabel[p.Label].quantiles()})
+		res.FirstToken = append(res.FirstToken, Latency{p.Label, r.byLabel[p.Label].quantiles()})
 	}
 	for _, k := range []string{string(kindLookup), string(kindPosting), "repeat"} {
-		res.Latencies = append(res.Latencies, Latency{k, r.byLabel[k].quantiles()})
+		res.Calls = append(res.Calls, Latency{k, r.byLabel[k].quantiles()})
 	}
 	for _, t := range exp.Teams {
 		res.Teams = append(res.Teams, Latency{t.Name, r.byTeam[t.Name].quantiles()})
@@ -128,7 +129,7 @@
 	row := func(label string, q Quantiles) {
 		fmt.Fprintf(t, "%s\t%d\t%.1f\t%.1f\t%.1f\n", label, q.Count, q.P50, q.P95, q.P99)
 	}
-	for _, l := range r.Latencies {
+	for _, l := range slices.Concat(r.FirstToken, r.Calls) {
 		row(l.Label, l.Quantiles)
 	}
 	row("short, alone", r.ShortAlone)
