Implement control calls over net/rpc

The codec frames messages with a length, bounds them at 8 MiB and decodes them field by field, for the same reason as in wire. Mutual TLS is on when certificate, key and CA are set.

--- /dev/null
+++ b/transport/control/codec.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"encoding/binary"
+	"io"
+	"math"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
+)
+
+// A message on the wire is uint32 length (big endian) and a msgpack array of sequence number, method,
+// error text and body. The body is an array of the fields of its struct, in order. A reply with an error
+// has no body.
+const (
+	envelopeFields = 4
+	maxMethod      = 64
+	maxErrorText   = 4 << 10
+)
+
+// framing reads and writes length-prefixed messages of one connection. net/rpc calls the reading and
+// the writing methods from one goroutine each.
+type framing struct {
+	conn         net.Conn
+	writeTimeout time.Duration
+	idleTimeout  time.Duration // 0 waits without limit
+	r            *pack.Reader
+	w            *pack.Writer
+	buf          []byte
+	reads        atomic.Uint64 // messages read
+	broken       atomic.Bool
+}
+
+func newFraming(conn net.Conn, cfg Config, idle time.Duration) framing {
+	return framing{conn: conn, writeTimeout: cfg.WriteTimeout, idleTimeout: idle, r: pack.NewReader(), w: pack.NewWriter()}
+}
+
+// next reads one message and its envelope. The reader then stands at the body.
+func (f *framing) next() (seq uint64, method, errText string, err error) {
+	defer func() {
+		if err != nil {
+			f.broken.Store(true)
+		}
+	}()
+	if f.idleTimeout > 0 {
+		_ = f.conn.SetReadDeadline(time.Now().Add(f.idleTimeout))
+	}
+	var head [4]byte
+	if _, err = io.ReadFull(f.conn, head[:]); err != nil {
+		return 0, "", "", err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n == 0 || n > MaxMessage {
+		return 0, "", "", ErrMessage.New("length %d, at most %d allowed", n, MaxMessage)
+	}
+	if f.buf, err = readBody(f.conn, f.buf[:0], int(n)); err != nil {
+		return 0, "", "", err
+	}
+	f.reads.Add(1)
+	f.r.Reset(f.buf)
+	f.r.Fields(envelopeFields)
+	seq = f.r.Uint(math.MaxUint64)
+	method = f.r.Str(maxMethod)
+	errText = f.r.Str(maxErrorText)
+	return seq, method, errText, f.r.Err()
+}
+
+// readBody grows the buffer as bytes arrive, so that a length alone claims no memory. A buffer that a
+// large message has grown is not kept.
+func readBody(conn io.Reader, buf []byte, n int) ([]byte, error) {
+	const step = 64 << 10
+	if cap(buf) > 16*step {
+		buf = nil
+	}
+	for len(buf) < n {
+		start := len(buf)
+		buf = append(buf, make([]byte, min(step, n-start))...)
+		if _, err := io.ReadFull(conn, buf[start:]); err != nil {
+			return buf, err
+		}
+	}
+	return buf, nil
+}
+
+// write sends one message. An error after the first byte leaves the connection unusable and closes it.
+func (f *framing) write(seq uint64, method, errText string, body any) error {
+	w := f.w
+	w.Buf = append(w.Buf[:0], 0, 0, 0, 0)
+	w.Array(envelopeFields)
+	w.Uint(seq)
+	w.Str(method)
+	w.Str(errText[:min(len(errText), maxErrorText)])
+	encodeBody(w, body)
+	n := len(w.Buf) - 4
+	if n > MaxMessage {
+		w.Buf = nil
+		return ErrTooLarge.New("%d bytes, at most %d allowed", n, MaxMessage)
+	}
+	binary.BigEndian.PutUint32(w.Buf, uint32(n))
+	_ = f.conn.SetWriteDeadline(time.Now().Add(f.writeTimeout))
+	if _, err := f.conn.Write(w.Buf); err != nil {
+		f.broken.Store(true)
+		_ = f.conn.Close()
+		return err
+	}
+	if cap(w.Buf) > 1<<20 {
+		w.Buf = nil
+	}
+	return nil
+}
+
+// body decodes the body into the struct that v points to; nil skips it.
+func (f *framing) body(v any) error {
+	if v == nil {
+		return nil
+	}
+	decodeBody(f.r, v)
+	if err := f.r.Close(); err != nil {
+		return ErrMessage.Wrap(err)
+	}
+	return nil
+}
+
+// serverCodec implements rpc.ServerCodec.
+type serverCodec struct{ framing }
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) (err error) {
+	r.Seq, r.ServiceMethod, _, err = c.next()
+	return err
+}
+
+func (c *serverCodec) ReadRequestBody(v any) error { return c.body(v) }
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	if r.Error != "" {
+		body = nil
+	}
+	err := c.write(r.Seq, r.ServiceMethod, r.Error, body)
+	if ErrTooLarge.Has(err) {
+		return c.write(r.Seq, r.ServiceMethod, err.Error(), nil)
+	}
+	return err
+}
+
+func (c *serverCodec) Close() error { return c.conn.Close() }
+
+// clientCodec implements rpc.ClientCodec.
+type clientCodec struct{ framing }
+
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(r.Seq, r.ServiceMethod, "", body)
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) (err error) {
+	r.Seq, r.ServiceMethod, r.Error, err = c.next()
+	return err
+}
+
+func (c *clientCodec) ReadResponseBody(v any) error { return c.body(v) }
+
+func (c *clientCodec) Close() error { return c.conn.Close() }
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -5,9 +5,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/rosemaryhill/rosemaryhill/core/ident"
-	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
 )
 
 // MaxMessage bounds one request or reply in bytes. A forwarded body has up to 1 MiB, a reply with
@@ -27,81 +24,6 @@
 	Status(ctx context.Context, req *StatusRequest) (*StatusReply, error)
 }
 
-// ForwardTicketRequest carries a call to a plain service to the executor of its ticket.
-type ForwardTicketRequest struct {
-	Ticket      string     `msgpack:"k"`
-	Team        ident.Team `msgpack:"t"`
-	Service     string     `msgpack:"s"`
-	Method      string     `msgpack:"m"`
-	Path        string     `msgpack:"p"` // with the raw query
-	ContentType string     `msgpack:"c"`
-	Body        []byte     `msgpack:"b"`
-	RemainingMS int64      `msgpack:"d"` // time left until the caller's deadline
-	TraceParent string     `msgpack:"tp"`
-}
-
-// ForwardTicketReply is the recorded outcome. With Outcome Answered, Status and Body are the backend
-// server's; otherwise Reason, Step, Peer and Detail say what happened.
-type ForwardTicketReply struct {
-	Outcome      uint8  `msgpack:"k"` // outcome.Kind
-	Status       int    `msgpack:"h"`
-	ContentType  string `msgpack:"c"`
-	Body         []byte `msgpack:"b"`
-	Reason       string `msgpack:"r"`
-	Step         string `msgpack:"s"`
-	Peer         string `msgpack:"p"`
-	Detail       string `msgpack:"d"`
-	RetryAfterMS int64  `msgpack:"w"`
-}
-
-// ConfigSinceRequest asks for entries.
-type ConfigSinceRequest struct {
-	After ident.Version `msgpack:"a"`
-	Limit int           `msgpack:"l"` // 0 leaves the number to the peer
-}
-
-// ConfigSinceReply holds entries in the order of their numbers. More tells that further entries
-// follow the last one.
-type ConfigSinceReply struct {
-	Version ident.Version       `msgpack:"v"` // accepted version of the peer
-	Digest  uint64              `msgpack:"d"`
-	Entries []platformapi.Entry `msgpack:"e"`
-	More    bool                `msgpack:"m"`
-}
-
-// HostsRequest asks for the host list.
-type HostsRequest struct{}
-
-// HostsReply holds the host list as the peer knows it.
-type HostsReply struct {
-	Hosts platformapi.Hosts `msgpack:"h"`
-}
-
-// StatusRequest asks for the status.
-type StatusRequest struct{}
-
-// StatusReply is a process's view of itself.
-type StatusReply struct {
-	Host        ident.HostID      `msgpack:"h"`
-	Role        string            `msgpack:"r"`
-	Incarnation ident.Incarnation `msgpack:"i"`
-	Version     ident.Version     `msgpack:"v"`
-	Digest      uint64            `msgpack:"d"`
-	HostsSeen   uint64            `msgpack:"hv"` // version of the host list
-	Ready       bool              `msgpack:"ok"`
-	NotReady    string            `msgpack:"why"` // what is missing, empty when ready
-	Leaving     bool              `msgpack:"lv"`
-	Load        []ModelLoad       `msgpack:"l"`
-}
-
-// ModelLoad is the load of one model at the engines that a process owns.
-type ModelLoad struct {
-	Model         ident.Model `msgpack:"m"`
-	FreeTokens    int64       `msgpack:"f"` // free memory
-	QueueDelayMS  int64       `msgpack:"q"`
-	QueuedPrefill int64       `msgpack:"p"` // tokens
-}
-
 // TLS holds the paths of PEM files for mutual TLS. All empty means plain TCP; a part of them is an
 // error.
 type TLS struct {
@@ -115,7 +37,8 @@
 	TLS TLS
 	// DialTimeout bounds one connection attempt. Default 1 s.
 	DialTimeout time.Duration
-	// CallTimeout bounds a call whose context has no earlier deadline. Default 5 s.
+	// CallTimeout bounds a call whose context has no deadline, and the handler of every call but
+	// ForwardTicket, which has the caller's remaining time. Default 5 s.
 	CallTimeout time.Duration
 	// WriteTimeout bounds the write of one message. A peer that stops reading holds other calls on its
 	// connection for this long. Default 2 s.
@@ -124,48 +47,29 @@
 	IdleTimeout time.Duration
 	// MaxConns bounds the connections of a server; further ones are closed. Default 2,048.
 	MaxConns int
+	// MaxCalls bounds the calls that run at once on a server; further ones are refused with ErrRemote.
+	// Default 1,024.
+	MaxCalls int
 	// Report receives errors of server connections. It must not block. Nil discards them.
 	Report func(error)
 }
 
-// Server answers calls.
-type Server struct{}
-
-// Listen starts a server on a TCP address "ip:port"; port 0 picks a free one.
-func Listen(cfg Config, addr string, h Handler) (*Server, error) { return &Server{}, nil }
-
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() string { return "" }
-
-// Close stops accepting, waits for running calls until the context ends, and closes the connections.
-func (s *Server) Close(ctx context.Context) error { return nil }
-
-// Client calls other processes and keeps one connection to each address. A failed connection is
-// dialled again by the next call, never by the failed one.
-type Client struct{}
-
-// NewClient returns a client. It connects on the first call to an address.
-func NewClient(cfg Config) (*Client, error) { return &Client{}, nil }
-
-// ForwardTicket calls the process at addr.
-func (c *Client) ForwardTicket(ctx context.Context, addr string, req *ForwardTicketRequest) (*ForwardTicketReply, error) {
-	return nil, nil
-}
-
-// ConfigSince calls the process at addr.
-func (c *Client) ConfigSince(ctx context.Context, addr string, req *ConfigSinceRequest) (*ConfigSinceReply, error) {
-	return nil, nil
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
 }
 
-// Hosts calls the process at addr.
-func (c *Client) Hosts(ctx context.Context, addr string, req *HostsRequest) (*HostsReply, error) {
-	return nil, nil
+func (c Config) withDefaults() Config {
+	orDefault(&c.DialTimeout, time.Second)
+	orDefault(&c.CallTimeout, 5*time.Second)
+	orDefault(&c.WriteTimeout, 2*time.Second)
+	orDefault(&c.IdleTimeout, 2*time.Minute)
+	orDefault(&c.MaxConns, 2048)
+	orDefault(&c.MaxCalls, 1024)
+	if c.Report == nil {
+		c.Report = func(error) {}
+	}
+	return c
 }
-
-// Status calls the process at addr.
-func (c *Client) Status(ctx context.Context, addr string, req *StatusRequest) (*StatusReply, error) {
-	return nil, nil
-}
-
-// Close closes all connections; running calls fail.
-func (c *Client) Close() error { return nil }
--- /dev/null
+++ b/transport/control/control_test.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeHandler answers with fixed values. ForwardTicket runs forward if set.
+type fakeHandler struct {
+	forward func(context.Context, *ForwardTicketRequest) (*ForwardTicketReply, error)
+	runs    atomic.Int64
+}
+
+var (
+	fakeConfig = ConfigSinceReply{Version: 9, Digest: 1 << 63, More: true, Entries: []platformapi.Entry{
+		{Number: 8, Kind: platformapi.KindPatch, Base: 7, Part: 1, Parts: 2, Body: json.RawMessage(`{"a":1}`)}}}
+	fakeHosts = HostsReply{Hosts: platformapi.Hosts{Version: 3, Hosts: []platformapi.Host{{ID: "h", Kind: "entry", Address: "a",
+		ControlAddress: "c", GossipAddress: "g", LinkAddress: "l", AvailabilityZone: "z", Region: "r", State: platformapi.Live}}}}
+	fakeStatus = StatusReply{Host: "h", Role: "gateway", Incarnation: 1 << 62, Version: 9, Digest: 4, HostsSeen: 3, Ready: true,
+		NotReady: "x", Leaving: true, Load: []ModelLoad{{Model: "m", FreeTokens: -1, QueueDelayMS: 2, QueuedPrefill: 3}}}
+)
+
+func (h *fakeHandler) ForwardTicket(ctx context.Context, q *ForwardTicketRequest) (*ForwardTicketReply, error) {
+	h.runs.Add(1)
+	if h.forward != nil {
+		return h.forward(ctx, q)
+	}
+	return &ForwardTicketReply{Outcome: 1, Status: 200, ContentType: q.ContentType, Body: q.Body, Reason: q.Ticket,
+		Step: string(q.Team), Peer: q.Service, Detail: q.Method + q.Path + q.TraceParent, RetryAfterMS: q.RemainingMS}, nil
+}
+
+func (h *fakeHandler) ConfigSince(context.Context, *ConfigSinceRequest) (*ConfigSinceReply, error) {
+	return &fakeConfig, nil
+}
+func (h *fakeHandler) Hosts(context.Context, *HostsRequest) (*HostsReply, error) {
+	return &fakeHosts, nil
+}
+func (h *fakeHandler) Status(context.Context, *StatusRequest) (*StatusReply, error) {
+	return &fakeStatus, nil
+}
+
+func start(c *qt.C, cfg Config, addr string, h Handler) (*Server, *Client) {
+	c.Helper()
+	s, err := Listen(cfg, addr, h)
+	c.Assert(err, qt.IsNil)
+	cl, err := NewClient(cfg)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = cl.Close()
+		_ = s.Close(ctx)
+	})
+	return s, cl
+}
+
+// Guards against a field that is lost or swapped on the way.
+func TestCallsCarryEveryField(t *testing.T) {
+	c := qt.New(t)
+	s, cl := start(c, Config{}, "127.0.0.1:0", &fakeHandler{})
+	ctx := context.Background()
+	cfg, err := cl.ConfigSince(ctx, s.Addr(), &ConfigSinceRequest{After: 7, Limit: 5})
+	c.Assert(err, qt.IsNil)
+	c.Assert(cfg, qt.DeepEquals, &fakeConfig)
+	hosts, err := cl.Hosts(ctx, s.Addr(), &HostsRequest{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(hosts, qt.DeepEquals, &fakeHosts)
+	status, err := cl.Status(ctx, s.Addr(), &StatusRequest{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.DeepEquals, &fakeStatus)
+	fwd, err := cl.ForwardTicket(ctx, s.Addr(), &ForwardTicketRequest{Ticket: "k", Team: "t", Service: "s", Method: "M", Path: "p",
+		ContentType: "ct", Body: []byte("body"), RemainingMS: 100, TraceParent: "tp"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(fwd, qt.DeepEquals, &ForwardTicketReply{Outcome: 1, Status: 200, ContentType: "ct", Body: []byte("body"), Reason: "k",
+		Step: "t", Peer: "s", Detail: "Mptp", RetryAfterMS: 100})
+	c.Assert(cl.conns, qt.HasLen, 1) // one connection carried all calls
+}
+
+// Guards against a late reply that reaches another call, and against a call that outlives its deadline.
+func TestLateReplyIsDropped(t *testing.T) {
+	c := qt.New(t)
+	h := &fakeHandler{}
+	cancelled := make(chan struct{})
+	h.forward = func(ctx context.Context, q *ForwardTicketRequest) (*ForwardTicketReply, error) {
+		if q.Ticket == "slow" {
+			<-ctx.Done()
+			close(cancelled)
+			time.Sleep(50 * time.Millisecond) // the reply must come after the caller's deadline
+		}
+		return &ForwardTicketReply{Reason: q.Ticket}, nil
+	}
+	s, cl := start(c, Config{}, "127.0.0.1:0", h)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := cl.ForwardTicket(ctx, s.Addr(), &ForwardTicketRequest{Ticket: "slow", RemainingMS: 10_000})
+	c.Assert(ErrTimeout.Has(err), qt.IsTrue, qt.Commentf("%v", err))
+	var e *Error
+	c.Assert(errors.As(err, &e) && e.Step == "ForwardTicket" && e.Peer == s.Addr(), qt.IsTrue)
+	<-cancelled // the handler's context ends at the caller's deadline
+	for range 20 {
+		got, err := cl.ForwardTicket(context.Background(), s.Addr(), &ForwardTicketRequest{Ticket: "fast", RemainingMS: 1000})
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.Reason, qt.Equals, "fast")
+	}
+	c.Assert(h.runs.Load(), qt.Equals, int64(21))
+}
+
+// Guards against a call that is sent again when its connection breaks, and against a client that does
+// not connect again.
+func TestBrokenConnectionIsNeverRetried(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	var conns, bytesIn atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			n, _ := conn.Read(make([]byte, 4096)) // the request arrived: it may have run
+			bytesIn.Add(int64(n))
+			conn.Close()
+		}
+	}()
+	cl, err := NewClient(Config{})
+	c.Assert(err, qt.IsNil)
+	defer cl.Close()
+	for n := int64(1); n <= 3; n++ {
+		_, err = cl.ForwardTicket(context.Background(), ln.Addr().String(), &ForwardTicketRequest{RemainingMS: 1000})
+		c.Assert(ErrLost.Has(err), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(conns.Load(), qt.Equals, n)
+	}
+	ln.Close()
+	_, err = cl.Status(context.Background(), ln.Addr().String(), &StatusRequest{})
+	c.Assert(ErrDial.Has(err), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Guards against a silent connection that every later call waits on.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	cl, err := NewClient(Config{CallTimeout: 30 * time.Millisecond})
+	c.Assert(err, qt.IsNil)
+	defer cl.Close()
+	for range 2 {
+		_, err = cl.Status(context.Background(), ln.Addr().String(), &StatusRequest{})
+		c.Assert(ErrTimeout.Has(err), qt.IsTrue, qt.Commentf("%v", err))
+		conn := <-accepted
+		_, err = io.Copy(io.Discard, conn) // the client closes it: no call waits on it any more
+		c.Assert(err, qt.IsNil)
+		conn.Close()
+	}
+}
+
+// Guards against unbounded messages and calls, errors without cause, and calls after Close.
+func TestRefusals(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	h := &fakeHandler{}
+	h.forward = func(context.Context, *ForwardTicketRequest) (*ForwardTicketReply, error) {
+		<-release
+		return nil, errors.New("executor refused")
+	}
+	s, cl := start(c, Config{MaxCalls: 1}, "127.0.0.1:0", h)
+	first := make(chan error)
+	go func() {
+		_, err := cl.ForwardTicket(context.Background(), s.Addr(), &ForwardTicketRequest{RemainingMS: 5000})
+		first <- err
+	}()
+	for h.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := cl.Status(context.Background(), s.Addr(), &StatusRequest{})
+	c.Assert(ErrRemote.Has(err) && strings.Contains(err.Error(), "too many calls"), qt.IsTrue, qt.Commentf("%v", err))
+	close(release)
+	err = <-first
+	c.Assert(ErrRemote.Has(err) && strings.Contains(err.Error(), "executor refused"), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = cl.ForwardTicket(context.Background(), s.Addr(), &ForwardTicketRequest{Body: make([]byte, MaxMessage), RemainingMS: 1000})
+	c.Assert(ErrTooLarge.Has(err), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = cl.Status(context.Background(), s.Addr(), &StatusRequest{})
+	c.Assert(err, qt.IsNil) // the connection survived
+	raw, err := net.Dial("tcp", s.Addr())
+	c.Assert(err, qt.IsNil)
+	defer raw.Close()
+	_, _ = raw.Write([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	_, err = raw.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil) // closed by the server
+	_ = cl.Close()
+	_, err = cl.Status(context.Background(), s.Addr(), &StatusRequest{})
+	c.Assert(ErrDial.Has(err), qt.IsTrue)
+}
+
+// Guards against panics and against memory claimed by a length on damaged input.
+func FuzzCodec(f *testing.F) {
+	seed := func(body any) {
+		client, server := net.Pipe()
+		go func() {
+			fr := newFraming(client, Config{}.withDefaults(), 0)
+			_ = fr.write(7, "Control.Status", "", body)
+			client.Close()
+		}()
+		b, _ := io.ReadAll(server)
+		f.Add(b)
+	}
+	seed(&ForwardTicketRequest{Ticket: "k", Body: []byte("b")})
+	seed(&fakeConfig)
+	seed(&fakeHosts)
+	seed(&fakeStatus)
+	f.Add([]byte{0, 0, 0, 9, 0x94, 1, 0xa0, 0xa0, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, v := range []any{&ForwardTicketRequest{}, &ForwardTicketReply{}, &ConfigSinceRequest{}, &ConfigSinceReply{},
+			&HostsRequest{}, &HostsReply{}, &StatusRequest{}, &StatusReply{}} {
+			fr := newFraming(&memConn{Reader: strings.NewReader(string(b))}, Config{}, 0)
+			if _, _, _, err := fr.next(); err == nil {
+				_ = fr.body(v)
+			}
+		}
+	})
+}
+
+type memConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (m *memConn) Read(p []byte) (int, error) { return m.Reader.Read(p) }
--- /dev/null
+++ b/transport/control/fields.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
+)
+
+// Limits of fields.
+const (
+	maxString  = 8 << 10 // bytes; a path with its query is the longest
+	maxBody    = 1 << 20 // bytes of a forwarded body or answer
+	maxEntry   = 1 << 20 // bytes of one configuration entry
+	maxEntries = 4096
+	maxHosts   = 8192 // twice the design size of 340 nodes and 3,700 servers
+	maxModels  = 256
+)
+
+func encodeBody(w *pack.Writer, v any) {
+	switch v := v.(type) {
+	case *ForwardTicketRequest:
+		w.Array(9)
+		putStrings(w, v.Ticket, string(v.Team), v.Service, v.Method, v.Path, v.ContentType, v.TraceParent)
+		w.Bytes(v.Body)
+		w.Int(v.RemainingMS)
+	case *ForwardTicketReply:
+		w.Array(9)
+		w.Uint(uint64(v.Outcome))
+		w.Int(int64(v.Status))
+		w.Bytes(v.Body)
+		w.Int(v.RetryAfterMS)
+		putStrings(w, v.ContentType, v.Reason, v.Step, v.Peer, v.Detail)
+	case *ConfigSinceRequest:
+		w.Array(2)
+		w.Uint(uint64(v.After))
+		w.Int(int64(v.Limit))
+	case *ConfigSinceReply:
+		encodeConfig(w, v)
+	case *HostsReply:
+		encodeHosts(w, v)
+	case *StatusReply:
+		encodeStatus(w, v)
+	default: // HostsRequest, StatusRequest, and the body that net/rpc gives for an error
+		w.Array(0)
+	}
+}
+
+func decodeBody(r *pack.Reader, v any) {
+	switch v := v.(type) {
+	case *ForwardTicketRequest:
+		r.Fields(9)
+		getStrings(r, &v.Ticket, (*string)(&v.Team), &v.Service, &v.Method, &v.Path, &v.ContentType, &v.TraceParent)
+		v.Body = r.Bytes(maxBody)
+		v.RemainingMS = r.Int()
+	case *ForwardTicketReply:
+		r.Fields(9)
+		v.Outcome = uint8(r.Uint(math.MaxUint8))
+		v.Status = int(r.Int())
+		v.Body = r.Bytes(maxBody)
+		v.RetryAfterMS = r.Int()
+		getStrings(r, &v.ContentType, &v.Reason, &v.Step, &v.Peer, &v.Detail)
+	case *ConfigSinceRequest:
+		r.Fields(2)
+		v.After = ident.Version(r.Uint(math.MaxUint64))
+		v.Limit = int(r.Int())
+	case *ConfigSinceReply:
+		decodeConfig(r, v)
+	case *HostsReply:
+		decodeHosts(r, v)
+	case *StatusReply:
+		decodeStatus(r, v)
+	default:
+		r.Fields(0)
+	}
+}
+
+func putStrings(w *pack.Writer, fields ...string) {
+	for _, f := range fields {
+		w.Str(f)
+	}
+}
+
+func getStrings(r *pack.Reader, fields ...*string) {
+	for _, f := range fields {
+		*f = r.Str(maxString)
+	}
+}
+
+func encodeConfig(w *pack.Writer, v *ConfigSinceReply) {
+	w.Array(4)
+	w.Uint(uint64(v.Version))
+	w.Fixed(v.Digest)
+	w.Bool(v.More)
+	w.Array(len(v.Entries))
+	for _, e := range v.Entries {
+		w.Array(6)
+		w.Uint(e.Number)
+		w.Str(e.Kind)
+		w.Uint(e.Base)
+		w.Int(int64(e.Part))
+		w.Int(int64(e.Parts))
+		w.Bytes(e.Body)
+	}
+}
+
+func decodeConfig(r *pack.Reader, v *ConfigSinceReply) {
+	r.Fields(4)
+	v.Version = ident.Version(r.Uint(math.MaxUint64))
+	v.Digest = r.Uint(math.MaxUint64)
+	v.More = r.Bool()
+	for range r.Array(maxEntries) {
+		r.Fields(6)
+		v.Entries = append(v.Entries, platformapi.Entry{
+			Number: r.Uint(math.MaxUint64),
+			Kind:   r.Str(maxString),
+			Base:   r.Uint(math.MaxUint64),
+			Part:   int(r.Int()),
+			Parts:  int(r.Int()),
+			Body:   json.RawMessage(r.Bytes(maxEntry)),
+		})
+	}
+}
+
+func encodeHosts(w *pack.Writer, v *HostsReply) {
+	w.Array(2)
+	w.Uint(v.Hosts.Version)
+	w.Array(len(v.Hosts.Hosts))
+	for _, h := range v.Hosts.Hosts {
+		w.Array(9)
+		putStrings(w, h.ID, h.Kind, h.Address, h.ControlAddress, h.GossipAddress, h.LinkAddress, h.AvailabilityZone, h.Region, h.State)
+	}
+}
+
+func decodeHosts(r *pack.Reader, v *HostsReply) {
+	r.Fields(2)
+	v.Hosts.Version = r.Uint(math.MaxUint64)
+	for range r.Array(maxHosts) {
+		var h platformapi.Host
+		r.Fields(9)
+		getStrings(r, &h.ID, &h.Kind, &h.Address, &h.ControlAddress, &h.GossipAddress, &h.LinkAddress, &h.AvailabilityZone, &h.Region, &h.State)
+		v.Hosts.Hosts = append(v.Hosts.Hosts, h)
+	}
+}
+
+func encodeStatus(w *pack.Writer, v *StatusReply) {
+	w.Array(10)
+	putStrings(w, string(v.Host), v.Role, v.NotReady)
+	w.Fixed(uint64(v.Incarnation))
+	w.Uint(uint64(v.Version))
+	w.Fixed(v.Digest)
+	w.Uint(v.HostsSeen)
+	w.Bool(v.Ready)
+	w.Bool(v.Leaving)
+	w.Array(len(v.Load))
+	for _, l := range v.Load {
+		w.Array(4)
+		w.Str(string(l.Model))
+		w.Int(l.FreeTokens)
+		w.Int(l.QueueDelayMS)
+		w.Int(l.QueuedPrefill)
+	}
+}
+
+func decodeStatus(r *pack.Reader, v *StatusReply) {
+	r.Fields(10)
+	getStrings(r, (*string)(&v.Host), &v.Role, &v.NotReady)
+	v.Incarnation = ident.Incarnation(r.Uint(math.MaxUint64))
+	v.Version = ident.Version(r.Uint(math.MaxUint64))
+	v.Digest = r.Uint(math.MaxUint64)
+	v.HostsSeen = r.Uint(math.MaxUint64)
+	v.Ready = r.Bool()
+	v.Leaving = r.Bool()
+	for range r.Array(maxModels) {
+		r.Fields(4)
+		v.Load = append(v.Load, ModelLoad{
+			Model:         ident.Model(r.Str(maxString)),
+			FreeTokens:    r.Int(),
+			QueueDelayMS:  r.Int(),
+			QueuedPrefill: r.Int(),
+		})
+	}
+}
--- /dev/null
+++ b/transport/control/messages.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+)
+
+// ForwardTicketRequest carries a call to a plain service to the executor of its ticket.
+type ForwardTicketRequest struct {
+	Ticket      string
+	Team        ident.Team
+	Service     string
+	Method      string
+	Path        string // with the raw query
+	ContentType string
+	Body        []byte
+	RemainingMS int64 // time left until the caller's deadline
+	TraceParent string
+}
+
+// ForwardTicketReply is the recorded outcome. With Outcome Answered, Status and Body are the backend
+// server's; otherwise Reason, Step, Peer and Detail say what happened.
+type ForwardTicketReply struct {
+	Outcome      uint8 // outcome.Kind
+	Status       int
+	ContentType  string
+	Body         []byte
+	Reason       string
+	Step         string
+	Peer         string
+	Detail       string
+	RetryAfterMS int64
+}
+
+// ConfigSinceRequest asks for entries.
+type ConfigSinceRequest struct {
+	After ident.Version
+	Limit int // 0 leaves the number to the peer
+}
+
+// ConfigSinceReply holds entries in the order of their numbers. More tells that further entries
+// follow the last one.
+type ConfigSinceReply struct {
+	Version ident.Version // accepted version of the peer
+	Digest  uint64
+	Entries []platformapi.Entry
+	More    bool
+}
+
+// HostsRequest asks for the host list.
+type HostsRequest struct{}
+
+// HostsReply holds the host list as the peer knows it.
+type HostsReply struct {
+	Hosts platformapi.Hosts
+}
+
+// StatusRequest asks for the status.
+type StatusRequest struct{}
+
+// StatusReply is a process's view of itself.
+type StatusReply struct {
+	Host        ident.HostID
+	Role        string
+	Incarnation ident.Incarnation
+	Version     ident.Version
+	Digest      uint64
+	HostsSeen   uint64 // version of the host list
+	Ready       bool
+	NotReady    string // what is missing, empty when ready
+	Leaving     bool
+	Load        []ModelLoad
+}
+
+// ModelLoad is the load of one model at the engines that a process owns.
+type ModelLoad struct {
+	Model         ident.Model
+	FreeTokens    int64 // free memory
+	QueueDelayMS  int64
+	QueuedPrefill int64 // tokens
+}
--- /dev/null
+++ b/transport/control/server.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// serviceName is the receiver name in net/rpc, as in "Control.Status".
+const serviceName = "Control"
+
+// Server answers calls.
+type Server struct {
+	cfg     Config
+	tls     *tls.Config
+	ln      net.Listener
+	rpc     *rpc.Server
+	service *service
+	loops   sync.WaitGroup // accept loop and connections
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	shut  bool
+}
+
+// Listen starts a server on a TCP address "ip:port"; port 0 picks a free one.
+func Listen(cfg Config, addr string, h Handler) (*Server, error) {
+	cfg = cfg.withDefaults()
+	tlsCfg, err := cfg.TLS.load()
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fail(&ErrDial, "listen", addr, err)
+	}
+	s := &Server{cfg: cfg, tls: tlsCfg, ln: ln, rpc: rpc.NewServer(), service: newService(cfg, h), conns: map[net.Conn]struct{}{}}
+	if err := s.rpc.RegisterName(serviceName, s.service); err != nil {
+		_ = ln.Close()
+		return nil, fail(&ErrConfig, "listen", addr, err)
+	}
+	s.loops.Add(1)
+	go s.accept()
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+func (s *Server) accept() {
+	defer s.loops.Done()
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			s.mu.Lock()
+			shut := s.shut
+			s.mu.Unlock()
+			if shut {
+				return
+			}
+			s.cfg.Report(fail(&ErrLost, "accept", s.Addr(), err))
+			time.Sleep(10 * time.Millisecond) // out of file descriptors: wait for some to be closed
+			continue
+		}
+		if !s.add(conn) {
+			_ = conn.Close()
+			s.cfg.Report(fail(&ErrRemote, "accept", conn.RemoteAddr().String(), errs.New("more than %d connections", s.cfg.MaxConns)))
+			continue
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shut || len(s.conns) >= s.cfg.MaxConns {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.loops.Add(1)
+	return true
+}
+
+func (s *Server) serve(raw net.Conn) {
+	defer s.loops.Done()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, raw)
+		_ = raw.Close()
+	}()
+	conn := raw
+	if s.tls != nil {
+		secure := tls.Server(raw, s.tls)
+		ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DialTimeout)
+		defer cancel()
+		if err := secure.HandshakeContext(ctx); err != nil {
+			s.cfg.Report(fail(&ErrDial, "accept", raw.RemoteAddr().String(), err))
+			return
+		}
+		conn = secure
+	}
+	s.rpc.ServeCodec(&serverCodec{newFraming(conn, s.cfg, s.cfg.IdleTimeout)}) // returns after the last reply
+}
+
+// Close stops accepting, waits for running calls until the context ends, and closes the connections.
+// Calls that still run then see their context end.
+func (s *Server) Close(ctx context.Context) error {
+	s.mu.Lock()
+	s.shut = true
+	s.mu.Unlock()
+	_ = s.ln.Close()
+	err := s.service.drain(ctx)
+	s.mu.Lock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.loops.Wait()
+	return err
+}
--- /dev/null
+++ b/transport/control/service.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+var (
+	errBusy    = errs.New("too many calls at once")
+	errClosing = errs.New("process is stopping")
+)
+
+// service is the net/rpc receiver. Its exported methods are the calls.
+type service struct {
+	cfg    Config
+	h      Handler
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	running int
+	closing bool
+	idle    chan struct{} // closed when closing and no call runs
+}
+
+func newService(cfg Config, h Handler) *service {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &service{cfg: cfg, h: h, ctx: ctx, cancel: cancel, idle: make(chan struct{})}
+}
+
+func (s *service) enter() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.closing:
+		return errClosing
+	case s.running >= s.cfg.MaxCalls:
+		return errBusy
+	}
+	s.running++
+	return nil
+}
+
+func (s *service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if s.closing && s.running == 0 {
+		close(s.idle)
+	}
+}
+
+// drain refuses new calls and waits for the running ones; when ctx ends, it cancels them.
+func (s *service) drain(ctx context.Context) error {
+	defer s.cancel()
+	s.mu.Lock()
+	if !s.closing {
+		s.closing = true
+		if s.running == 0 {
+			close(s.idle)
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// handle runs one call. A handler returns either a reply or an error.
+func handle[Q, R any](s *service, limit time.Duration, req *Q, reply *R, call func(context.Context, *Q) (*R, error)) error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	defer s.leave()
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
+	defer cancel()
+	got, err := call(ctx, req)
+	if err != nil {
+		return err
+	}
+	if got == nil {
+		return errs.New("handler returned no reply")
+	}
+	*reply = *got
+	return nil
+}
+
+// ForwardTicket is Control.ForwardTicket.
+func (s *service) ForwardTicket(req *ForwardTicketRequest, reply *ForwardTicketReply) error {
+	limit := time.Duration(req.RemainingMS) * time.Millisecond
+	return handle(s, limit, req, reply, s.h.ForwardTicket)
+}
+
+// ConfigSince is Control.ConfigSince.
+func (s *service) ConfigSince(req *ConfigSinceRequest, reply *ConfigSinceReply) error {
+	return handle(s, s.cfg.CallTimeout, req, reply, s.h.ConfigSince)
+}
+
+// Hosts is Control.Hosts.
+func (s *service) Hosts(req *HostsRequest, reply *HostsReply) error {
+	return handle(s, s.cfg.CallTimeout, req, reply, s.h.Hosts)
+}
+
+// Status is Control.Status.
+func (s *service) Status(req *StatusRequest, reply *StatusReply) error {
+	return handle(s, s.cfg.CallTimeout, req, reply, s.h.Status)
+}
