--- a/cmd/rosectl/load.go
+++ b/cmd/rosectl/load.go
@@ -25,8 +25,8 @@
 	return &command{
 		name:    "load",
 		summary: "Drive a running system from an experiment file and check every answer",
-		examples: `  rosectl load --experiment lab/load/profiles/kernhof.toml --loopback --plot out/kernhof.svg
-  rosectl load --experiment lab/load/profiles/kernhof.toml --gateway 127.0.0.1:7001 \
+		examples: `  rosectl load --experiment kernhof --loopback --plot out/kernhof.svg
+  rosectl load --experiment kernhof --gateway 127.0.0.1:7001 \
     --engine e1=127.0.0.1:7201 --engine e2=127.0.0.1:7202 --service ledger-1=127.0.0.1:7301 \
     --json out/kernhof.json --plot out/kernhof.svg`,
 		flags: o.flags,
@@ -35,7 +35,7 @@
 }
 
 func (o *loadOptions) flags(sc *flaggy.Subcommand) {
-	sc.String(&o.file, "e", "experiment", "experiment file (TOML)")
+	sc.String(&o.file, "e", "experiment", "shipped profile, kernhof or linen-lantern, or experiment file (TOML)")
 	sc.String(&o.jsonFile, "j", "json", "file for the result as JSON")
 	sc.String(&o.plotFile, "p", "plot", "file for the plot (SVG)")
 	sc.UInt64(&o.seed, "", "seed", "replaces the file's seed; 0 keeps it")
--- a/lab/load/experiment.go
+++ b/lab/load/experiment.go
@@ -1,8 +1,10 @@
 package load
 
 import (
+	"embed"
 	"fmt"
 	"math"
+	"os"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -97,10 +99,20 @@
 func (p Prompt) long() bool  { return p.Tokens > longTokens }
 func (p Prompt) short() bool { return p.Tokens <= shortTokens }
 
-// Read reads an experiment file. Unknown keys are mistakes.
+//go:embed profiles/*.toml
+var shipped embed.FS
+
+// Read reads an experiment file, or the shipped profile of that name. Unknown keys are mistakes.
 func Read(path string) (*Experiment, error) {
+	text, err := shipped.ReadFile("profiles/" + path + ".toml")
+	if err != nil {
+		text, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, Error.New("%s is no shipped profile and can't be read: %w", path, err)
+	}
 	exp := &Experiment{}
-	meta, err := toml.DecodeFile(path, exp)
+	meta, err := toml.Decode(string(text), exp)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -192,7 +192,7 @@
 func TestProfilesAndOutputs(t *testing.T) {
 	c := qt.New(t)
 	for _, name := range []string{"kernhof", "linen-lantern"} {
-		exp, err := Read("profiles/" + name + ".toml")
+		exp, err := Read(name)
 		c.Assert(err, qt.IsNil)
 		c.Assert(exp.check(), qt.IsNil)
 		c.Assert(exp.DurationS <= 60, qt.IsTrue)
