Count listed hosts as alive until membership has had time to hear them

Cause: a starting process knows only itself and would take over all engine groups of its region. Change: for 3 s after the start, processes that only the host list names count as alive.

--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -65,7 +65,7 @@
 	}
 	gone := l.engines.disown(owned, snap)
 	for _, p := range l.d.view.Processes() {
-		if p.Role == settings.RoleDispatcher {
+		if p.Role == settings.RoleDispatcher && !p.Presumed {
 			l.step(sched.IssuerSeen{Issuer: p.Host, Incarnation: p.Incarnation})
 		}
 	}
--- a/node/view/members.go
+++ b/node/view/members.go
@@ -1,8 +1,10 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/drain"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -21,6 +23,8 @@
 	Incarnation ident.Incarnation
 	State       member.State
 	Leaving     bool
+	// Presumed is set for a process that only the host list names, in the first time after the start.
+	Presumed bool
 	// Entry is the host's line of the host list; its ID is empty when the list does not name the host.
 	Entry platformapi.Host
 }
@@ -71,8 +75,10 @@
 			}
 		}
 	}
+	known := map[member.ID]bool{}
 	roster := make([]Process, 0, len(members))
 	for _, m := range members {
+		known[m.ID] = true
 		host, role := splitID(m.ID)
 		e := entries[string(host)]
 		roster = append(roster, Process{
@@ -80,9 +86,36 @@
 			State: m.State, Leaving: m.Leaving || e.State == platformapi.Leaving, Entry: e,
 		})
 	}
+	if v.Now() < startGrace {
+		roster = append(roster, presumed(entries, known)...)
+	}
 	v.roster.Store(&roster)
 }
 
+// startGrace is the time after the start in which hosts of the list count as alive although membership
+// has not heard them. Without it a starting process would take over all engine groups for a moment.
+const startGrace = 3 * time.Second
+
+// presumed returns the processes that the host list names and membership does not know.
+func presumed(entries map[string]platformapi.Host, known map[member.ID]bool) []Process {
+	var out []Process
+	for _, id := range slices.Sorted(maps.Keys(entries)) {
+		e := entries[id]
+		for role, address := range map[settings.Role]string{
+			settings.RoleGateway: e.Address, settings.RoleDispatcher: e.LinkAddress,
+		} {
+			if address == "" || known[member.MakeID(ident.HostID(id), string(role))] {
+				continue
+			}
+			out = append(out, Process{
+				Host: ident.HostID(id), Role: role, Zone: ident.Zone(e.AvailabilityZone), Region: e.Region,
+				State: member.Alive, Leaving: e.State == platformapi.Leaving, Presumed: true, Entry: e,
+			})
+		}
+	}
+	return out
+}
+
 // splitID is the inverse of member.MakeID.
 func splitID(id member.ID) (ident.HostID, string) {
 	host, role, _ := strings.Cut(string(id), "/")
@@ -120,6 +153,9 @@
 
 // Reachable tells whether membership considers the process alive and its zone was heard.
 func (v *View) Reachable(host ident.HostID, role settings.Role) (ok bool) {
+	if p, known := v.Find(host, role); known && p.Presumed {
+		return true
+	}
 	v.gossip.View(func(m *member.Machine) { ok = m.Reachable(v.Now(), member.MakeID(host, string(role))) })
 	return ok
 }
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -245,6 +245,7 @@
 	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
 	var copied, published time.Duration
+	grace := time.After(startGrace)
 	for {
 		select {
 		case <-ctx.Done():
@@ -253,6 +254,10 @@
 			v.rebuildRoster()
 			v.notify()
 			continue
+		case <-grace:
+			v.rebuildRoster()
+			v.notify()
+			continue
 		case <-t.C:
 		}
 		v.checkPause()
