--- a/lab/scenario/language.go
+++ b/lab/scenario/language.go
@@ -34,8 +34,8 @@
 //	serving NAME                        set $DISPATCHER and $ENGINE to what carries the stream
 //	fault PART JSON                     set the fault switches of a stand-in
 //	host ID STATE                       change a line of the host list
-//	kill|stop|start PART                lose, gracefully stop or start a part
-//	exited PART LIMIT                   the stopped part must have ended in order within the limit
+//	lose|terminate|start PART           end a part without farewell, or gracefully, or start it again
+//	exited PART LIMIT                   the terminated part must have ended in order within the limit
 //	publish FILE base=N                 publish a merge patch
 //	version N LIMIT [PART...]           the parts, or all roles, must hold the version within the limit
 //	leaving ID LIMIT                    all roles must know within the limit that a server is leaving
@@ -52,11 +52,11 @@
 		"load": (*state).load, "load-end": (*state).loadEnd, "serving": (*state).serving,
 		"fault": (*state).fault, "host": (*state).host, "publish": (*state).publish, "version": (*state).version,
 		"leaving": (*state).leaving, "idle": (*state).idle,
-		"kill":   func(s *state, a []string) { s.check(s.fleet.Kill(arg(s, a, 0))) },
-		"stop":   func(s *state, a []string) { s.check(s.fleet.Stop(arg(s, a, 0))) },
-		"start":  func(s *state, a []string) { s.check(s.fleet.Start(arg(s, a, 0))) },
-		"exited": func(s *state, a []string) { s.check(s.fleet.Exited(arg(s, a, 0), s.duration(arg(s, a, 1)))) },
-		"sleep":  func(s *state, a []string) { time.Sleep(s.duration(arg(s, a, 0))) },
+		"lose":      func(s *state, a []string) { s.check(s.fleet.Kill(arg(s, a, 0))) },
+		"terminate": func(s *state, a []string) { s.check(s.fleet.Stop(arg(s, a, 0))) },
+		"start":     func(s *state, a []string) { s.check(s.fleet.Start(arg(s, a, 0))) },
+		"exited":    func(s *state, a []string) { s.check(s.fleet.Exited(arg(s, a, 0), s.duration(arg(s, a, 1)))) },
+		"sleep":     func(s *state, a []string) { time.Sleep(s.duration(arg(s, a, 0))) },
 	}
 	out := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, f := range commands {
