Keep backend servers of the adapters immutable

Cause: the race detector saw a refresh replace the record that a report reader reads. Change: a changed record gets a new client; scripts skip engines that they lost. Conclusion: the in-process scripts path and engine_killed were the ones that showed the race.

--- a/lab/scenario/language.go
+++ b/lab/scenario/language.go
@@ -52,7 +52,7 @@
 		"load": (*state).load, "load-end": (*state).loadEnd, "serving": (*state).serving,
 		"fault": (*state).fault, "host": (*state).host, "publish": (*state).publish, "version": (*state).version,
 		"leaving": (*state).leaving, "idle": (*state).idle,
-		"lose":      func(s *state, a []string) { s.check(s.fleet.Kill(arg(s, a, 0))) },
+		"lose":      (*state).lose,
 		"terminate": func(s *state, a []string) { s.check(s.fleet.Stop(arg(s, a, 0))) },
 		"start":     func(s *state, a []string) { s.check(s.fleet.Start(arg(s, a, 0))) },
 		"exited":    func(s *state, a []string) { s.check(s.fleet.Exited(arg(s, a, 0), s.duration(arg(s, a, 1)))) },
@@ -86,6 +86,7 @@
 	tickets map[string]string
 	marks   map[string]int
 	loads   map[string]*load
+	lost    map[string]bool // parts that the script ended without farewell
 }
 
 // Setup prepares a script; use it as testscript.Params.Setup.
@@ -93,7 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &state{
 		ctx: ctx, dir: env.WorkDir, streams: map[string]*streamCall{}, calls: map[string]*serviceCall{},
-		tickets: map[string]string{}, marks: map[string]int{}, loads: map[string]*load{},
+		tickets: map[string]string{}, marks: map[string]int{}, loads: map[string]*load{}, lost: map[string]bool{},
 	}
 	env.Values[stateKey{}] = s
 	env.Defer(func() {
--- a/lab/scenario/parts.go
+++ b/lab/scenario/parts.go
@@ -137,6 +137,11 @@
 	}
 }
 
+func (s *state) lose(args []string) {
+	s.check(s.fleet.Kill(arg(s, args, 0)))
+	s.lost[args[0]] = true
+}
+
 // serving finds the dispatcher and the engine with sessions. The stream must be the only one.
 func (s *state) serving(args []string) {
 	s.stream(arg(s, args, 0))
@@ -147,7 +152,7 @@
 				continue
 			}
 			for _, e := range st.Engines {
-				if e.Sessions > 0 {
+				if e.Sessions > 0 && !s.lost[string(e.ID)] {
 					s.ts.Setenv("DISPATCHER", h.ID+"/dispatcher")
 					s.ts.Setenv("ENGINE", string(e.ID))
 					return nil
--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -21,7 +21,7 @@
 	engines map[ident.BackendID]*engine
 }
 
-// engine is one model engine with the goroutine that reads its report.
+// engine is one model engine with the goroutine that reads its report. Its Backend never changes.
 type engine struct {
 	view.Backend
 	client *enginehttp.Client
@@ -94,8 +94,8 @@
 // keep makes sure that an owned engine has a client and a report reader.
 func (s *engineSet) keep(b view.Backend) {
 	old := s.engines[b.ID]
-	if old != nil && old.Address == b.Address {
-		old.Backend, old.owned = b, true
+	if old != nil && old.Backend == b {
+		old.owned = true
 		return
 	}
 	if old != nil {
--- a/node/gateway/services.go
+++ b/node/gateway/services.go
@@ -34,7 +34,7 @@
 	by map[ident.BackendID]*instance
 }
 
-// instance is one server of a plain service.
+// instance is one server of a plain service. Its Backend never changes.
 type instance struct {
 	view.Backend
 	client  *servicehttp.Client
@@ -73,8 +73,7 @@
 
 func (s *services) keep(b view.Backend) {
 	old := s.by[b.ID]
-	if old != nil && old.Address == b.Address {
-		old.Backend = b
+	if old != nil && old.Backend == b {
 		return
 	}
 	if old != nil {
