Put a changed scheduling policy in force and carry traces to engines

Cause: the scheduler took its policy once at the start, so a patch of the policy needed a restart; the trace of a request ended at the dispatcher. Change: sched.SetPolicy, called with each accepted configuration; the engine client writes traceparent. Conclusion: package tests pass; a trace scenario follows.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -124,16 +124,6 @@
 	return d, nil
 }
 
-func (d *Dispatcher) schedConfig() sched.Config {
-	c := sched.Config{Issuer: d.host(), Incarnation: d.view.Incarnation()}
-	if s := d.view.Config(); s != nil {
-		c.Policy = sched.Policy(s.Policy.Name)
-		c.BatchMemoryShare = s.Policy.BatchMemoryShare
-		c.BatchEngineShare = s.Policy.BatchEngineShare
-	}
-	return c
-}
-
 func (d *Dispatcher) gauges() {
 	d.obs.Gauge("dispatcher_prompt_bytes_held", "Prompt bytes of attempts that have not ended.",
 		func() float64 { return float64(d.intake.held.Load()) })
--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -49,8 +49,9 @@
 		return
 	}
 	if l.sched == nil {
-		l.sched = sched.New(l.d.schedConfig())
+		l.sched = sched.New(sched.Config{Issuer: l.d.host(), Incarnation: l.d.view.Incarnation()})
 	}
+	l.sched.SetPolicy(sched.Policy(snap.Policy.Name), snap.Policy.BatchMemoryShare, snap.Policy.BatchEngineShare)
 	groups := owner.Owned(l.d.host(), snap.Groups, l.d.view.Dispatchers())
 	var owned []sched.Engine
 	for _, b := range snap.Engines {
--- a/node/enginehttp/enginehttp.go
+++ b/node/enginehttp/enginehttp.go
@@ -18,6 +18,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
 // Config says how to reach one engine.
@@ -154,6 +155,7 @@
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	obs.ToHTTP(ctx, req.Header)
 	resp, err := c.tr.RoundTrip(req)
 	if err != nil {
 		return nil, hc.Failed(ctx, err)
