--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -21,7 +21,7 @@
 	engines map[ident.BackendID]*engine
 }
 
-// engine is one model engine with the goroutine that reads its report.
+// engine is one model engine with the goroutine that reads its report. Its Backend never changes.
 type engine struct {
 	view.Backend
 	client *enginehttp.Client
@@ -49,8 +49,9 @@
 		return
 	}
 	if l.sched == nil {
-		l.sched = sched.New(l.d.schedConfig())
+		l.sched = sched.New(sched.Config{Issuer: l.d.host(), Incarnation: l.d.view.Incarnation()})
 	}
+	l.sched.SetPolicy(sched.Policy(snap.Policy.Name), snap.Policy.BatchMemoryShare, snap.Policy.BatchEngineShare)
 	groups := owner.Owned(l.d.host(), snap.Groups, l.d.view.Dispatchers())
 	var owned []sched.Engine
 	for _, b := range snap.Engines {
@@ -65,7 +66,7 @@
 	}
 	gone := l.engines.disown(owned, snap)
 	for _, p := range l.d.view.Processes() {
-		if p.Role == settings.RoleDispatcher {
+		if p.Role == settings.RoleDispatcher && !p.Presumed {
 			l.step(sched.IssuerSeen{Issuer: p.Host, Incarnation: p.Incarnation})
 		}
 	}
@@ -94,8 +95,8 @@
 // keep makes sure that an owned engine has a client and a report reader.
 func (s *engineSet) keep(b view.Backend) {
 	old := s.engines[b.ID]
-	if old != nil && old.Address == b.Address {
-		old.Backend, old.owned = b, true
+	if old != nil && old.Backend == b {
+		old.owned = true
 		return
 	}
 	if old != nil {
