Recognise KV handles whose session id is followed by a tilde

Cause: the engine stand-in separates the parts of a handle by a tilde, so handles of dead dispatchers were kept for an hour. Change: a tilde ends the session id like a slash, colon or hash. A test covers stray KV caches. Conclusion: such handles are released with the first report after the new incarnation is known.

--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -250,10 +250,10 @@
 
 // deadHandle reports whether the handle names a session of an issuer that cannot need it any more.
 // Handles that contain no session id are only released after strayKVWait (*assumption*: an engine
-// builds its handles from the session id, optionally followed by a slash or colon and more).
+// builds its handles from the session id, optionally followed by one of "/:#~" and more).
 func (s *Scheduler) deadHandle(handle string) bool {
 	text := handle
-	if i := strings.IndexAny(handle, "/:#"); i >= 0 {
+	if i := strings.IndexAny(handle, "/:#~"); i >= 0 {
 		text = handle[:i]
 	}
 	host, inc, _, err := SessionID(text).Parse()
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -195,3 +195,23 @@
 	c.Assert(pick[ReleaseKV](out), qt.HasLen, stages)
 	c.Assert(pick[CancelSession](out), qt.HasLen, 1)
 }
+
+// Guards against exported KV caches that stay for ever when the dispatcher that asked for them is lost,
+// and against releasing those of a dispatcher that lives.
+func TestStrayKVIsReleased(t *testing.T) {
+	c := qt.New(t)
+	s := ready(testConfig(Predict), testEngines(1)...)
+	s.Step(0, IssuerSeen{"d2", 1})
+	mine, lost := string(NewSessionID("d1", 6, 1))+"~e0~1.2", string(NewSessionID("d2", 1, 1))+"~e0~1.2"
+	r := report("e0", 2, time.Second)
+	r.Report.UsedTokens, r.Report.KVHandles = 6000, []string{mine, lost, "unknown"}
+	c.Assert(pick[ReleaseKV](s.Step(time.Second, r)), qt.DeepEquals, []ReleaseKV{{"e0", mine}})
+	c.Assert(s.Status().Engines[0].OthersTokens, qt.Equals, 6000)
+	s.Step(2*time.Second, IssuerSeen{"d2", 2})
+	r.Requested, r.Report.KVHandles = 2500*ms, []string{lost, "unknown"}
+	c.Assert(pick[ReleaseKV](s.Step(2500*ms, r)), qt.DeepEquals, []ReleaseKV{{"e0", lost}})
+	r.Requested, r.Report.KVHandles = 3*time.Second, []string{"unknown"}
+	s.Step(3*time.Second, r)
+	r.Requested = time.Hour + time.Second
+	c.Assert(pick[ReleaseKV](s.Step(time.Hour+time.Second, r)), qt.DeepEquals, []ReleaseKV{{"e0", "unknown"}})
+}
