Benchmark the steps of a request

Cause: the cost of a scheduler step at full size was unknown. Change: a benchmark of the four steps of a short request with 4, 20 and 200 engines and a queue of 1,000.

--- /dev/null
+++ b/core/sched/bench_test.go
@@ -0,0 +1,54 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// BenchmarkRequest measures the four steps of one short request beside 20 running ones per engine,
+// with and without a queue of batch attempts that find no place.
+func BenchmarkRequest(b *testing.B) {
+	for _, engines := range []int{4, 20, 200} {
+		for _, waiting := range []int{0, 1000} {
+			b.Run(fmt.Sprintf("engines=%d/waiting=%d", engines, waiting), func(b *testing.B) { benchRequest(b, engines, waiting) })
+		}
+	}
+}
+
+func benchRequest(b *testing.B, engines, waiting int) {
+	list := testEngines(engines)
+	for i := range list {
+		list[i].MemoryTokens = 400_000
+	}
+	s := New(Config{Issuer: "d1", Incarnation: 7, ReportMaxAge: never})
+	s.Step(0, EnginesChanged{Engines: list})
+	for _, e := range list {
+		r := report(e.ID, 1, 0)
+		r.Report.MemoryTokens = 400_000
+		s.Step(0, r)
+	}
+	n := uint64(0)
+	for range 20 * engines {
+		n++
+		for _, x := range pick[Send](s.Step(0, submit(n, ident.Interactive, 1000, 100, never/4))) {
+			s.Step(0, FirstToken{x.Session, 1})
+		}
+	}
+	for range waiting + 2*engines {
+		n++
+		s.Step(0, submit(n, ident.Batch, 300_000, 1000, 100*time.Hour))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		x := pick[Send](s.Step(0, submit(n, ident.Interactive, 1000, 100, never/4)))[0]
+		s.Step(0, EngineAccepted{x.Session})
+		s.Step(0, FirstToken{x.Session, 1})
+		s.Step(0, EngineEnded{Session: x.Session, Count: 100})
+		s.holds[x.Session].changedAt = -never / 2 // as if a report had confirmed the end
+		s.drop(s.holds[x.Session])
+	}
+}
