Keep long prompts of every class off reserved engines

Cause: prompts of 10,000 tokens chose the engines without archive prefill, which are those reserved for short prompts, so these were rarely free of long prefill. Change: a long prompt goes to a reserved engine only if that is predicted to be 0.5 s faster.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -7,6 +7,11 @@
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 )
 
+// reservedPenalty is the predicted time by which an engine reserved for short prompts has to be ahead
+// of all others before a long prompt goes there. Long prefill on a reserved engine makes every short
+// prompt wait for a step.
+const reservedPenalty = 500 * time.Millisecond
+
 type planKind uint8
 
 const (
@@ -219,6 +224,9 @@
 	}
 	return best(fit, func(e *engine) float64 {
 		t := e.predictFirst(s, int(a.Class), a.PromptTokens, a.Prefix)
+		if !e.mayBatch && a.PromptTokens >= s.cfg.LongPromptTokens {
+			t += reservedPenalty
+		}
 		// Memory in use breaks near ties: a fuller engine decodes larger batches, which is slower.
 		return float64(t) + float64(5*time.Millisecond)*float64(e.own+e.others)/float64(max(1, e.memory))
 	})
