Count as passing only prompts of higher priority

Cause: a prompt that came later with equal priority counted as work done before the first token of the earlier one. Learnt rates rose to 30,000 tokens/s on engines that do at most 20,000, and archives were taken for hanging and cancelled at 120 % load. Change: equal priority no longer counts, since engines serve it in order of arrival.

--- a/core/sched/gang.go
+++ b/core/sched/gang.go
@@ -83,7 +83,8 @@
 		e.longPrefill += h.prefill
 		e.longs++
 	}
-	for p := h.priority; p < classes; p++ {
+	// Only work of lower priority is passed: equal priority goes in order of arrival.
+	for p := h.priority + 1; p < classes; p++ {
 		e.passing[p] += int64(h.prefill)
 	}
 	h.passedBy = e.passing[h.priority]
