Let batch prompts hold 92 % of an engine's memory

Cause: two archives of mean size need 360,000 tokens and did not fit into 85 % of 400,000, so an engine did no prefill while one archive generated its output. Change: default batch_memory_share 0.85 -> 0.92.

--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -63,7 +63,7 @@
 	return Config{
 		Policy:            Predict,
 		QueueLength:       1024,
-		BatchMemoryShare:  0.85,
+		BatchMemoryShare:  0.92,
 		BatchEngineShare:  0.85,
 		LongPromptTokens:  ident.InteractiveMaxTokens + 1,
 		LongPrefillTokens: 200_000,
