--- /dev/null
+++ b/core/member/aggregate.go
@@ -0,0 +1,229 @@
+package member
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+const (
+	// reportTTL and remoteTTL are the times for which a member's report and another availability zone's
+	// demand count. They cover one lost message with teams at the design size.
+	reportTTL = 45 * time.Second
+	remoteTTL = 30 * time.Second
+	// reportSpacing times the members of the availability zone, at most reportMost, is the time between the
+	// reports of one member: a delegate receives them all, and at 42 processes reports each 2 s would
+	// alone take it above the budget.
+	reportSpacing = 500 * time.Millisecond
+	reportMost    = 10 * time.Second
+	// originMargin is the age by which a value of another origin must be younger to replace the held
+	// one; transit time is not part of an age.
+	originMargin = time.Second
+)
+
+// aggregate holds load and demand by where they came from.
+type aggregate struct {
+	nextReport time.Duration
+	round      int                         // of reports
+	reports    map[ID]contribution         // members of this availability zone, at a delegate
+	remotes    map[ident.Zone]contribution // other availability zones, at a delegate
+	own        contribution                // this availability zone, computed at a delegate
+	loads      map[ident.Zone]*computed[ZoneLoad]
+	teams      computed[TeamTotals]
+}
+
+type contribution struct {
+	at      time.Duration
+	load    []ModelLoad
+	teams   []TeamDemand
+	teamsAt time.Duration
+}
+
+// computed is a value with the time at which it was computed, in this process's clock.
+type computed[T any] struct {
+	value    T
+	at       time.Duration
+	lastSent time.Duration
+	held     bool
+}
+
+func (a *aggregate) init() {
+	a.reports = map[ID]contribution{}
+	a.remotes = map[ident.Zone]contribution{}
+	a.loads = map[ident.Zone]*computed[ZoneLoad]{}
+}
+
+// newer tells whether a value with the stamp replaces the held one.
+func newer(now time.Duration, s Stamp, held Stamp, at time.Duration) bool {
+	if s.Origin == held.Origin {
+		return s.Number > held.Number
+	}
+	return now-s.Age > at+originMargin
+}
+
+func (m *Machine) learnLoad(l ZoneLoad) {
+	c := m.agg.loads[l.Zone]
+	if c == nil {
+		if l.Zone == "" || len(m.agg.loads) >= maxMembers {
+			return
+		}
+		c = &computed[ZoneLoad]{}
+		m.agg.loads[l.Zone] = c
+	}
+	if !c.held || newer(m.now, l.Stamp, c.value.Stamp, c.at) {
+		*c = computed[ZoneLoad]{value: l, at: m.now - l.Stamp.Age, held: true, lastSent: c.lastSent}
+		m.heard(l.Zone, l.Stamp.Age)
+	}
+}
+
+func (m *Machine) learnTeams(t TeamTotals) {
+	c := &m.agg.teams
+	if !c.held || newer(m.now, t.Stamp, c.value.Stamp, c.at) {
+		*c = computed[TeamTotals]{value: t, at: m.now - t.Stamp.Age, held: true, lastSent: c.lastSent}
+	}
+}
+
+// tickReport sends this process's load and demand to the delegates.
+func (m *Machine) tickReport() {
+	if m.now < m.agg.nextReport {
+		return
+	}
+	spacing := reportSpacing * time.Duration(len(m.zones[m.cfg.Zone]))
+	m.agg.nextReport = m.now + max(m.cfg.DigestInterval, min(spacing, reportMost))
+	if len(m.local.Load) == 0 && len(m.local.Teams) == 0 {
+		return
+	}
+	m.agg.round++
+	var teams []TeamDemand // in every second report, since they are most of its bytes
+	if m.agg.round%2 == 1 {
+		teams = m.local.Teams
+	} else if len(m.local.Load) == 0 {
+		return
+	}
+	for _, id := range m.Delegates(m.cfg.Zone) {
+		if id != m.cfg.Self {
+			m.send(m.members[id].Addr, id, &Report{Load: m.local.Load, Teams: teams})
+		}
+	}
+}
+
+func (m *Machine) reported(msg *Report) {
+	if msg.Head.Zone == m.cfg.Zone {
+		c := m.agg.reports[msg.Head.ID]
+		if len(msg.Teams) > 0 || m.now-c.teamsAt > reportTTL {
+			c.teams, c.teamsAt = msg.Teams, m.now
+		}
+		c.at, c.load = m.now, msg.Load
+		m.agg.reports[msg.Head.ID] = c
+	}
+}
+
+func (a *aggregate) remote(z ident.Zone, msg *Digest, now time.Duration) {
+	if len(msg.Teams) > 0 {
+		a.remotes[z] = contribution{at: now, teams: msg.Teams}
+	}
+}
+
+// computeZone sums up this availability zone and, with the other ones, the heavy teams.
+func (m *Machine) computeZone() {
+	free := map[ident.Model]int64{}
+	delay := map[ident.Model]time.Duration{}
+	demand := map[ident.Team]float64{}
+	add := func(c contribution) {
+		for _, l := range c.load {
+			if d, ok := delay[l.Model]; !ok || l.QueueDelay < d {
+				delay[l.Model] = l.QueueDelay // new work goes to the shortest queue
+			}
+			free[l.Model] += l.FreeTokens
+		}
+		sumTeams(demand, c.teams)
+	}
+	add(contribution{load: m.local.Load, teams: m.local.Teams})
+	for _, id := range sortedKeys(m.agg.reports) {
+		c := m.agg.reports[id]
+		if e := m.members[id]; e == nil || e.State == Dead || m.now-c.at > reportTTL {
+			delete(m.agg.reports, id)
+			continue
+		}
+		add(c)
+	}
+	own := contribution{at: m.now, teams: top(demand)}
+	for _, model := range sortedKeys(free) {
+		own.load = append(own.load, ModelLoad{Model: model, FreeTokens: free[model], QueueDelay: delay[model]})
+	}
+	own.load = own.load[:min(len(own.load), MaxModels)]
+	m.agg.own = own
+	for _, z := range sortedKeys(m.agg.remotes) {
+		if m.now-m.agg.remotes[z].at <= remoteTTL {
+			sumTeams(demand, m.agg.remotes[z].teams)
+		}
+	}
+	stamp := Stamp{Origin: m.cfg.Self, Number: m.stamp()}
+	m.learnLoad(ZoneLoad{Zone: m.cfg.Zone, Stamp: stamp, Load: own.load})
+	m.learnTeams(TeamTotals{Stamp: stamp, Teams: top(demand)})
+}
+
+func sumTeams(sum map[ident.Team]float64, teams []TeamDemand) {
+	for _, t := range teams {
+		sum[t.Team] += t.Demand
+	}
+}
+
+// top returns the largest demands, the larger first, at most MaxTeams.
+func top(demand map[ident.Team]float64) []TeamDemand {
+	var list []TeamDemand
+	for _, team := range sortedKeys(demand) {
+		list = append(list, TeamDemand{Team: team, Demand: demand[team]})
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Demand > list[j].Demand })
+	return list[:min(len(list), MaxTeams)]
+}
+
+func sortedKeys[K ~string, V any](set map[K]V) []K {
+	keys := make([]K, 0, len(set))
+	for k := range set {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// pickComputed adds the value that was not sent for the longest time to a message: the load of an
+// availability zone of this region, or the heavy teams.
+func (m *Machine) pickComputed(p *Piggyback, limit int) {
+	var oldest *computed[ZoneLoad]
+	for _, z := range sortedKeys(m.agg.loads) {
+		c := m.agg.loads[z]
+		if m.now-c.at <= reportTTL && c.value.size() <= limit && (oldest == nil || c.lastSent < oldest.lastSent) {
+			oldest = c
+		}
+	}
+	teams := &m.agg.teams
+	fits := teams.held && m.now-teams.at <= reportTTL && teams.value.size() <= limit
+	switch {
+	case fits && (oldest == nil || teams.lastSent <= oldest.lastSent):
+		teams.lastSent = m.now
+		t := teams.value
+		t.Stamp.Age = m.now - teams.at
+		p.Teams = []TeamTotals{t}
+	case oldest != nil:
+		oldest.lastSent = m.now
+		l := oldest.value
+		l.Stamp.Age = m.now - oldest.at
+		p.Loads = []ZoneLoad{l}
+	}
+}
+
+// Load returns the latest load of each model in an availability zone, ordered by model.
+func (m *Machine) Load(zone ident.Zone) []ModelLoad {
+	if c := m.agg.loads[zone]; c != nil {
+		return slices.Clone(c.value.Load)
+	}
+	return nil
+}
+
+// Teams returns the heavy teams with their demand over all availability zones, largest first, at
+// most 16.
+func (m *Machine) Teams() []TeamDemand { return slices.Clone(m.agg.teams.value.Teams) }
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -2,55 +2,316 @@
 
 import (
 	"math/rand"
+	"sort"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
-// MarkTTL is the time for which a leaving mark on a backend server holds without being repeated. A
-// backend server that returns under the same id gets work again after it.
-const MarkTTL = 60 * time.Second
+const (
+	// MarkTTL is the time for which a leaving mark on a backend server holds without being repeated. A
+	// backend server that returns under the same id gets work again after it.
+	MarkTTL = 60 * time.Second
+	// ZoneStale is the time after which an availability zone that is not heard counts as unreachable.
+	// Members that are no delegates hear of other regions only by Syncs, which takes up to some 40 s at the
+	// design size.
+	ZoneStale = 60 * time.Second
+	// MaxTeams and MaxModels bound the teams and models that a process reports.
+	MaxTeams  = 16
+	MaxModels = 16
+	// maxMembers bounds the table, at three times the processes of the design size.
+	maxMembers = 2048
+	// maxMarks bounds the leaving marks, at the number of servers of the design size.
+	maxMarks = 4096
+	// tombstone is the time for which a dead member is kept, so that late statements that it is alive
+	// do not bring it back.
+	tombstone = 10 * time.Minute
+)
 
 // Machine is the membership state machine of one process. It is not safe for concurrent use.
-type Machine struct{}
+type Machine struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Duration
+	lastStep time.Duration
+	out      []Action
+	local    Local
+
+	self     *entry
+	members  map[ID]*entry
+	ids      []ID                     // sorted
+	zones    map[ident.Zone][]ID      // sorted within each zone
+	marks    map[string]time.Duration // when each ends
+	suspects []ID                     // in the order of suspicion; may hold members that are no longer suspect
+	seeds    []Seed
+
+	probe   prober
+	news    queue
+	urgent  []burst
+	sync    syncState
+	agg     aggregate
+	seen    newest
+	lastMsg time.Duration
+	// bulk is set while Records are merged. Unknown members from there are no news, nor are unknown ones of other
+	// availability zones: the others get them by their own Syncs, and hundreds of them would hold up real
+	// news for minutes after a start.
+	bulk bool
+}
+
+// entry is a member with the times that belong to it.
+type entry struct {
+	Member
+	suspectUntil time.Duration // when State is Suspect
+	deadSince    time.Duration // when State is Dead
+}
 
 // New returns a machine that knows only itself.
-func New(cfg Config, rng *rand.Rand, now time.Duration) *Machine { return &Machine{} }
+func New(cfg Config, rng *rand.Rand, now time.Duration) *Machine {
+	cfg = cfg.withDefaults()
+	m := &Machine{
+		cfg:      cfg,
+		rng:      rng,
+		now:      now,
+		lastStep: now,
+		members:  map[ID]*entry{},
+		zones:    map[ident.Zone][]ID{},
+		marks:    map[string]time.Duration{},
+	}
+	m.agg.init()
+	m.sync.heard = map[ident.Zone]time.Duration{}
+	// The first rounds start at random times, so that processes started together do not send together.
+	m.probe.next = now + m.jitter(cfg.ProbeInterval)
+	m.sync.nextSync = now + m.jitter(cfg.ProbeInterval)
+	m.sync.nextDigest = now + m.jitter(cfg.DigestInterval)
+	m.agg.nextReport = now + m.jitter(cfg.DigestInterval)
+	m.self = m.insert(Member{ID: cfg.Self, Zone: cfg.Zone, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Epoch: cfg.StartedMS})
+	m.news.add(newsKey{member: cfg.Self})
+	return m
+}
+
+func (m *Machine) jitter(d time.Duration) time.Duration { return time.Duration(m.rng.Int63n(int64(d))) }
 
 // Step handles one event and returns what to do, in order.
-func (m *Machine) Step(now time.Duration, ev Event) []Action { return nil }
+func (m *Machine) Step(now time.Duration, ev Event) []Action {
+	m.now, m.out = now, nil
+	if gap := now - m.lastStep; gap > m.cfg.PauseLimit {
+		m.resume(gap)
+	}
+	m.lastStep = now
+	switch ev := ev.(type) {
+	case Tick:
+		m.tick()
+	case Received:
+		m.receive(ev.From, ev.Msg)
+	case Seeds:
+		m.seeds = ev.Seeds
+	case Update:
+		m.update(ev.Local)
+	case MarkLeaving:
+		m.markLeaving(ev.Name)
+	}
+	return m.out
+}
+
+// resume runs after a pause. Acks and refutations may wait in the socket, so running probes are
+// discarded and suspects get their whole time again. After a pause in which others may have begun to
+// suspect this process, it refutes without waiting to hear of it: with a suspicion timeout of 3 s a
+// pause of 2.5 s otherwise leaves too little time for the news to go round.
+func (m *Machine) resume(gap time.Duration) {
+	m.probe.discard()
+	if gap >= m.cfg.ProbeInterval*3/4 {
+		m.assert()
+	}
+	m.probe.next = max(m.probe.next, m.now+m.cfg.ProbeInterval)
+	for _, id := range m.suspects {
+		if e := m.members[id]; e != nil {
+			e.suspectUntil = m.now + m.cfg.SuspicionTimeout
+		}
+	}
+}
+
+func (m *Machine) tick() {
+	m.expire()
+	m.tickProbe()
+	m.tickUrgent()
+	m.tickSync()
+	m.tickReport()
+	m.tickDigest()
+}
+
+// expire turns suspects into dead members, drops old tombstones and lets marks end.
+func (m *Machine) expire() {
+	waiting := m.suspects[:0]
+	for _, id := range m.suspects {
+		e := m.members[id]
+		if e == nil || e.State != Suspect || e.Zone != m.cfg.Zone {
+			continue
+		}
+		if m.now < e.suspectUntil {
+			waiting = append(waiting, id)
+			continue
+		}
+		dead := e.Member
+		dead.State = Dead
+		m.merge(dead)
+	}
+	m.suspects = waiting
+	if m.now < m.sync.nextSweep {
+		return
+	}
+	m.sync.nextSweep = m.now + time.Second
+	for _, id := range append([]ID(nil), m.ids...) {
+		if e := m.members[id]; e.State == Dead && m.now-e.deadSince > tombstone {
+			m.remove(e)
+		}
+	}
+	for name, until := range m.marks { // deletion only, so the order does not show
+		if m.now >= until {
+			delete(m.marks, name)
+		}
+	}
+}
+
+func (m *Machine) receive(from Addr, msg Message) {
+	h := msg.Header()
+	if h.ID == "" || h.ID == m.cfg.Self && h.Incarnation == m.cfg.Incarnation {
+		return
+	}
+	m.lastMsg = m.now
+	m.merge(Member{ID: h.ID, Zone: h.Zone, Addr: h.Addr, Incarnation: h.Incarnation, Epoch: h.Epoch, Leaving: h.Leaving})
+	m.heard(h.Zone, 0)
+	m.see(h)
+	switch msg := msg.(type) {
+	case *Ping:
+		m.learn(h, &msg.News)
+		m.send(from, h.ID, &Ack{Seq: msg.Seq})
+	case *Ack:
+		m.learn(h, &msg.News)
+		m.acked(msg.Seq)
+	case *PingReq:
+		m.learn(h, &msg.News)
+		m.probeFor(from, msg)
+	case *Urgent:
+		m.learn(h, &msg.News)
+	case *Digest:
+		m.learn(h, &msg.News)
+		m.digested(from, msg)
+	case *Sync:
+		m.synced(from, msg)
+	case *Records:
+		m.bulk = true
+		for _, r := range msg.Members {
+			m.mergeFrom(h.Zone, r)
+		}
+		m.bulk = false
+	case *Report:
+		m.reported(msg)
+	}
+}
+
+// learn takes over the news of a message.
+func (m *Machine) learn(h *Head, p *Piggyback) {
+	for _, r := range p.Members {
+		m.mergeFrom(h.Zone, r)
+	}
+	for _, k := range p.Marks {
+		m.learnMark(h.Zone, k)
+	}
+	for _, l := range p.Loads {
+		m.learnLoad(l)
+	}
+	for _, t := range p.Teams {
+		m.learnTeams(t)
+	}
+}
+
+func (m *Machine) emit(a Action) { m.out = append(m.out, a) }
+
+// send fills in head and news and sends a message to a process; id may be empty if not known.
+func (m *Machine) send(to Addr, id ID, msg Message) {
+	s := &m.self.Member
+	*msg.Header() = Head{ID: s.ID, Zone: s.Zone, Addr: s.Addr, Incarnation: s.Incarnation, Epoch: s.Epoch, Leaving: s.Leaving,
+		Config: m.local.Config, Hosts: m.local.Hosts}
+	switch msg := msg.(type) {
+	case *Ping:
+		msg.News = m.pick(id, newsBytes, len(m.zones[s.Zone]) <= smallZone)
+	case *Ack:
+		msg.News = m.pick(id, newsBytes, true)
+	case *PingReq:
+		msg.News = m.pick(id, newsBytes, false)
+	}
+	m.emit(Send{To: to, Msg: msg})
+}
+
+func (m *Machine) update(l Local) {
+	leave := l.Leaving && !m.self.Leaving
+	l.Load = l.Load[:min(len(l.Load), MaxModels)]
+	l.Teams = l.Teams[:min(len(l.Teams), MaxTeams)]
+	m.local = l
+	if leave {
+		m.markLeaving(string(m.cfg.Self))
+	}
+}
 
 // Self returns this process's own record.
-func (m *Machine) Self() Member { return Member{} }
+func (m *Machine) Self() Member { return m.self.Member }
 
 // Members returns all known members, this process included, ordered by ID. Dead ones are kept for
 // some minutes.
-func (m *Machine) Members() []Member { return nil }
+func (m *Machine) Members() []Member {
+	list := make([]Member, 0, len(m.ids))
+	for _, id := range m.ids {
+		list = append(list, m.members[id].Member)
+	}
+	return list
+}
 
 // Lookup returns the member with the ID.
-func (m *Machine) Lookup(id ID) (Member, bool) { return Member{}, false }
+func (m *Machine) Lookup(id ID) (Member, bool) {
+	if e := m.members[id]; e != nil {
+		return e.Member, true
+	}
+	return Member{}, false
+}
 
-// Reachable tells whether the member is alive and, if it is in another availability zone, that zone
-// was heard within 10 s.
-func (m *Machine) Reachable(now time.Duration, id ID) bool { return false }
+// Reachable tells whether the member is not dead and, if it is in another availability zone, that zone
+// was heard within ZoneStale.
+func (m *Machine) Reachable(now time.Duration, id ID) bool {
+	e := m.members[id]
+	if e == nil || e.State == Dead {
+		return false
+	}
+	if e.Zone == m.cfg.Zone {
+		return true
+	}
+	at, ok := m.sync.heard[e.Zone]
+	return ok && now-at <= ZoneStale
+}
 
 // Leaving tells whether the backend server or process is known to be leaving.
-func (m *Machine) Leaving(now time.Duration, name string) bool { return false }
-
-// Load returns the latest load of each model in an availability zone, ordered by model.
-func (m *Machine) Load(zone ident.Zone) []ModelLoad { return nil }
-
-// Teams returns the heavy teams with their demand over all availability zones, largest first, at
-// most 16.
-func (m *Machine) Teams() []TeamDemand { return nil }
+func (m *Machine) Leaving(now time.Duration, name string) bool {
+	if e := m.members[ID(name)]; e != nil {
+		return e.Leaving
+	}
+	until, ok := m.marks[name]
+	return ok && now < until
+}
 
-// Delegates returns the delegates of an availability zone, at most two.
-func (m *Machine) Delegates(zone ident.Zone) []ID { return nil }
+// LastHeard returns the time of the last datagram from any peer, zero if none came.
+func (m *Machine) LastHeard() time.Duration { return m.lastMsg }
 
-// Newest returns the highest configuration version and host list version known, with a holder.
-func (m *Machine) Newest() (config ConfigMark, configFrom ID, hosts uint64, hostsFrom ID) {
-	return
+func insertSorted(ids []ID, id ID) []ID {
+	i := sort.Search(len(ids), func(i int) bool { return ids[i] >= id })
+	ids = append(ids, "")
+	copy(ids[i+1:], ids[i:])
+	ids[i] = id
+	return ids
 }
 
-// LastHeard returns the time of the last datagram from any peer, zero if none came.
-func (m *Machine) LastHeard() time.Duration { return 0 }
+func removeSorted(ids []ID, id ID) []ID {
+	i := sort.Search(len(ids), func(i int) bool { return ids[i] >= id })
+	if i < len(ids) && ids[i] == id {
+		return append(ids[:i], ids[i+1:]...)
+	}
+	return ids
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -75,7 +75,8 @@
 type Config struct {
 	Self        ID
 	Zone        ident.Zone
-	Addr        Addr // address that others reach this process at
+	Region      string // availability zones of one region exchange load; empty counts as one region
+	Addr        Addr   // address that others reach this process at
 	Incarnation ident.Incarnation
 	StartedMS   uint64 // wall clock at process start, unix ms
 	// ProbeInterval is the time between probes. Shorter values find failures earlier and cost bytes in
@@ -158,5 +159,20 @@
 func (LeavingLearned) isAction() {}
 func (ConfigSeen) isAction()     {}
 
-// Message is the content of one datagram.
-type Message interface{ isMessage() }
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.ProbeInterval, time.Second)
+	orDefault(&c.ProbeTimeout, 300*time.Millisecond)
+	orDefault(&c.SuspicionTimeout, 3*time.Second)
+	orDefault(&c.IndirectProbes, 3)
+	orDefault(&c.DigestInterval, 2*time.Second)
+	orDefault(&c.PauseLimit, 250*time.Millisecond)
+	orDefault(&c.MaxDatagram, 1200)
+	return c
+}
--- /dev/null
+++ b/core/member/merge.go
@@ -0,0 +1,145 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// supersedes tells whether statement a replaces statement b about the same process. Between
+// incarnations the higher epoch wins; within one, the higher epoch, then the higher state. Leaving is
+// merged apart, because it holds for an incarnation whatever the epoch.
+func supersedes(a, b Member) bool {
+	if a.Epoch != b.Epoch {
+		return a.Epoch > b.Epoch
+	}
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.State > b.State
+}
+
+// mergeFrom takes a statement from a member of the given availability zone and passes leaving on.
+func (m *Machine) mergeFrom(zone ident.Zone, r Member) {
+	was := m.members[r.ID]
+	known := was != nil && was.Leaving && was.Incarnation == r.Incarnation
+	m.merge(r)
+	if now := m.members[r.ID]; !known && now != nil && now.Leaving && now.Incarnation == r.Incarnation && now.State != Dead {
+		m.relay(zone, Piggyback{Members: []Member{now.Member}})
+	}
+}
+
+// merge takes a statement about a process into the table.
+func (m *Machine) merge(r Member) {
+	if r.ID == m.cfg.Self {
+		m.refute(r)
+		return
+	}
+	if r.State == Suspect && r.Zone != m.cfg.Zone {
+		// Suspicion is a matter of the process's own availability zone. Its refutation is no change of
+		// the hash that other zones compare, so it would not reach them.
+		r.State = Alive
+	}
+	e := m.members[r.ID]
+	if e == nil {
+		// A death of an unknown process says nothing.
+		if r.State != Dead && r.ID != "" && r.Zone != "" && len(m.ids) < maxMembers {
+			e = m.insert(r)
+			if !m.bulk && r.Zone == m.cfg.Zone {
+				m.news.add(newsKey{member: r.ID})
+			}
+			m.changed(e)
+			if r.Leaving {
+				m.emit(LeavingLearned{Name: string(r.ID)})
+			}
+		}
+		return
+	}
+	old := e.Member
+	if supersedes(r, old) {
+		r.Leaving = r.Leaving || old.Leaving && r.Incarnation == old.Incarnation
+		m.replace(e, r)
+	} else if r.Incarnation == old.Incarnation && r.Leaving {
+		e.Leaving = true
+	}
+	if e.Member != old {
+		// A higher epoch alone is news for others that hold a suspicion, but no change for the caller.
+		m.news.add(newsKey{member: e.ID})
+		same := e.Member
+		same.Epoch = old.Epoch
+		if same != old {
+			m.changed(e)
+		}
+		if e.Leaving && !(old.Leaving && old.Incarnation == e.Incarnation) {
+			m.emit(LeavingLearned{Name: string(e.ID)})
+		}
+	}
+}
+
+// refute answers a statement about this process that is wrong: it is dead or suspected, or another
+// incarnation holds its name. Leaving is accepted from others, since the host list may know it first.
+func (m *Machine) refute(r Member) {
+	self := m.self
+	wrong := r.Incarnation != self.Incarnation || r.State != Alive
+	if wrong && r.Epoch >= self.Epoch {
+		self.Epoch = r.Epoch
+		m.assert()
+	}
+	if r.Incarnation == self.Incarnation && r.Leaving && !self.Leaving {
+		self.Leaving = true
+		m.news.add(newsKey{member: self.ID})
+		m.emit(LeavingLearned{Name: string(self.ID)})
+	}
+}
+
+// assert raises this process's epoch and tells the availability zone at once that it is alive.
+func (m *Machine) assert() {
+	m.self.Epoch++
+	m.news.add(newsKey{member: m.self.ID})
+	m.burst(Piggyback{Members: []Member{m.self.Member}}, m.zoneMates(), relayDelays)
+}
+
+// replace overwrites an entry with a newer statement.
+func (m *Machine) replace(e *entry, r Member) {
+	if e.Zone != r.Zone {
+		m.zones[e.Zone] = removeSorted(m.zones[e.Zone], e.ID)
+		m.zones[r.Zone] = insertSorted(m.zones[r.Zone], e.ID)
+	}
+	if r.State == Suspect && (e.State != Suspect || e.Epoch != r.Epoch) {
+		m.suspect(e)
+	}
+	if r.State == Dead && e.State != Dead {
+		e.deadSince = m.now
+	}
+	e.Member = r
+}
+
+// suspect starts the suspicion timeout. Only members of this availability zone are declared dead here.
+func (m *Machine) suspect(e *entry) {
+	e.suspectUntil = m.now + m.cfg.SuspicionTimeout
+	if !slices.Contains(m.suspects, e.ID) {
+		m.suspects = append(m.suspects, e.ID)
+	}
+}
+
+func (m *Machine) changed(e *entry) { m.emit(MemberChanged{Member: e.Member}) }
+
+func (m *Machine) insert(r Member) *entry {
+	e := &entry{Member: r}
+	if r.State == Suspect {
+		m.suspect(e)
+	}
+	m.members[r.ID] = e
+	m.ids = insertSorted(m.ids, r.ID)
+	m.zones[r.Zone] = insertSorted(m.zones[r.Zone], r.ID)
+	return e
+}
+
+func (m *Machine) remove(e *entry) {
+	delete(m.members, e.ID)
+	m.ids = removeSorted(m.ids, e.ID)
+	m.zones[e.Zone] = removeSorted(m.zones[e.Zone], e.ID)
+	if len(m.zones[e.Zone]) == 0 {
+		delete(m.zones, e.Zone)
+	}
+}
--- /dev/null
+++ b/core/member/newest.go
@@ -0,0 +1,52 @@
+package member
+
+import "time"
+
+// newest holds the highest versions that were seen.
+type newest struct {
+	config     ConfigMark
+	configFrom ID
+	hosts      uint64
+	hostsFrom  ID
+	told       ConfigMark
+	toldAt     time.Duration
+}
+
+// seenInterval is the least time between two ConfigSeen for one version. The repetitions let the
+// receiver fetch from another holder.
+const seenInterval = time.Second
+
+// see notes the versions of a sender.
+func (m *Machine) see(h *Head) {
+	s := &m.seen
+	if h.Config.Version > s.config.Version {
+		s.config, s.configFrom = h.Config, h.ID
+	}
+	if h.Hosts > s.hosts {
+		s.hosts, s.hostsFrom = h.Hosts, h.ID
+	}
+	own := m.local.Config
+	differs := h.Config.Version == own.Version && h.Config.Digest != own.Digest
+	if h.Config.Version < own.Version || h.Config.Version == own.Version && !differs {
+		return
+	}
+	if h.Config == s.told && m.now-s.toldAt < seenInterval {
+		return
+	}
+	s.told, s.toldAt = h.Config, m.now
+	m.emit(ConfigSeen{Mark: h.Config, From: h.ID})
+}
+
+// Newest returns the highest configuration version and host list version known, with a holder of
+// each.
+func (m *Machine) Newest() (config ConfigMark, configFrom ID, hosts uint64, hostsFrom ID) {
+	s := &m.seen
+	config, configFrom, hosts, hostsFrom = s.config, s.configFrom, s.hosts, s.hostsFrom
+	if m.local.Config.Version >= config.Version {
+		config, configFrom = m.local.Config, m.cfg.Self
+	}
+	if m.local.Hosts >= hosts {
+		hosts, hostsFrom = m.local.Hosts, m.cfg.Self
+	}
+	return config, configFrom, hosts, hostsFrom
+}
--- /dev/null
+++ b/core/member/probe.go
@@ -0,0 +1,132 @@
+package member
+
+import "time"
+
+// prober runs one probe at a time through the members of the availability zone in random order.
+type prober struct {
+	next     time.Duration
+	order    []ID
+	seq      uint64
+	target   ID // empty when no probe runs
+	waiting  uint64
+	indirect time.Duration // when to ask others, if no Ack came
+	asked    bool
+	relays   []relayedProbe
+}
+
+// relayedProbe is a probe that another member asked for.
+type relayedProbe struct {
+	seq   uint64 // of this process's own Ping
+	to    Addr
+	toID  ID
+	toSeq uint64
+	until time.Duration
+}
+
+// maxRelays bounds the probes run for others at a time.
+const maxRelays = 64
+
+func (p *prober) discard() { p.target, p.relays = "", nil }
+
+func (m *Machine) tickProbe() {
+	p := &m.probe
+	if p.target != "" && !p.asked && m.now >= p.indirect {
+		m.askOthers()
+	}
+	if m.now < p.next {
+		return
+	}
+	p.next += m.cfg.ProbeInterval
+	if p.next <= m.now {
+		p.next = m.now + m.cfg.ProbeInterval
+	}
+	if e := m.members[p.target]; e != nil && e.State == Alive {
+		suspect := e.Member
+		suspect.State = Suspect
+		m.merge(suspect)
+	}
+	p.target = ""
+	m.startProbe()
+}
+
+// startProbe pings the next member. Dead members are skipped.
+func (m *Machine) startProbe() {
+	p := &m.probe
+	for range 2 {
+		for len(p.order) > 0 {
+			id := p.order[0]
+			p.order = p.order[1:]
+			e := m.members[id]
+			if e == nil || e.State == Dead || e.Zone != m.cfg.Zone || id == m.cfg.Self {
+				continue
+			}
+			p.seq++
+			p.target, p.waiting, p.asked = id, p.seq, false
+			p.indirect = m.now + m.cfg.ProbeTimeout
+			m.send(e.Addr, id, &Ping{Seq: p.seq})
+			return
+		}
+		p.order = append(p.order, m.zones[m.cfg.Zone]...)
+		m.rng.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+	}
+}
+
+// askOthers sends indirect probes.
+func (m *Machine) askOthers() {
+	p := &m.probe
+	p.asked = true
+	helpers := m.alive(m.cfg.Zone, p.target)
+	m.rng.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
+	for _, e := range helpers[:min(len(helpers), m.cfg.IndirectProbes)] {
+		m.send(e.Addr, e.ID, &PingReq{Seq: p.waiting, Target: p.target})
+	}
+}
+
+// alive returns the members of an availability zone in state Alive, without this process and one other.
+func (m *Machine) alive(zone zoneName, without ID) []*entry {
+	var list []*entry
+	for _, id := range m.zones[zone] {
+		if e := m.members[id]; e.State == Alive && id != without && id != m.cfg.Self {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// probeFor pings the target of another member's indirect probe.
+func (m *Machine) probeFor(from Addr, msg *PingReq) {
+	p := &m.probe
+	e := m.members[msg.Target]
+	if e == nil {
+		return
+	}
+	kept := p.relays[:0]
+	for _, r := range p.relays {
+		if m.now < r.until {
+			kept = append(kept, r)
+		}
+	}
+	p.relays = kept
+	if len(p.relays) >= maxRelays {
+		return
+	}
+	p.seq++
+	p.relays = append(p.relays, relayedProbe{seq: p.seq, to: from, toID: msg.Head.ID, toSeq: msg.Seq, until: m.now + m.cfg.ProbeInterval})
+	m.send(e.Addr, e.ID, &Ping{Seq: p.seq})
+}
+
+// acked ends the probe with the sequence number, or passes the Ack on to the member that asked.
+func (m *Machine) acked(seq uint64) {
+	p := &m.probe
+	if p.target != "" && seq == p.waiting {
+		p.target = ""
+		return
+	}
+	for i, r := range p.relays {
+		if r.seq == seq {
+			p.relays = append(p.relays[:i], p.relays[i+1:]...)
+			m.send(r.to, r.toID, &Ack{Seq: r.toSeq})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/member/sim_test.go
@@ -0,0 +1,153 @@
+package member
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// world holds machines and a bag of datagrams under virtual time. The test decides what happens to a
+// datagram by drop and copies.
+type world struct {
+	now    time.Duration
+	nodes  []*node
+	bag    []letter
+	rng    *rand.Rand
+	delay  time.Duration // most transit time; a random part of it reorders datagrams
+	drop   func(from, to int) bool
+	copies func() int
+	lost   int // probes or their answers that were dropped or not handled
+}
+
+type node struct {
+	m       *Machine
+	cfg     Config
+	paused  bool
+	down    bool
+	died    map[ID]bool // members that this one ever declared or learned dead
+	learned map[string]time.Duration
+	starts  int
+}
+
+type letter struct {
+	at       time.Duration
+	from, to int
+	msg      Message
+}
+
+func newWorld(seed int64, count, zones int) *world {
+	w := &world{rng: rand.New(rand.NewSource(seed)), delay: 20 * time.Millisecond}
+	w.drop = func(int, int) bool { return false }
+	w.copies = func() int { return 1 }
+	for i := range count {
+		w.nodes = append(w.nodes, &node{cfg: Config{
+			Self: MakeID(ident.HostID(fmt.Sprintf("h%d", i)), "gateway"),
+			Zone: ident.Zone(fmt.Sprintf("z%d", i%zones)),
+			Addr: Addr(fmt.Sprintf("a%d", i)),
+		}})
+		w.start(i)
+	}
+	return w
+}
+
+// start starts the process of a node, with a new incarnation.
+func (w *world) start(i int) {
+	n := w.nodes[i]
+	n.starts++
+	n.down, n.paused = false, false
+	n.died, n.learned = map[ID]bool{}, map[string]time.Duration{}
+	n.cfg.Incarnation = ident.Incarnation(w.rng.Uint64() | 1)
+	n.cfg.StartedMS = uint64(w.now.Milliseconds())
+	n.m = New(n.cfg, rand.New(rand.NewSource(w.rng.Int63())), w.now)
+	var seeds []Seed
+	for _, o := range w.nodes {
+		seeds = append(seeds, Seed{Addr: o.cfg.Addr})
+	}
+	for k := range w.nodes { // earlier nodes learn of later hosts from the host list
+		w.step(k, Seeds{Seeds: seeds})
+	}
+}
+
+func (w *world) step(i int, ev Event) {
+	n := w.nodes[i]
+	if n.m == nil || n.down || n.paused {
+		return
+	}
+	for _, a := range n.m.Step(w.now, ev) {
+		switch a := a.(type) {
+		case Send:
+			w.post(i, a)
+		case MemberChanged:
+			if a.Member.State == Dead {
+				n.died[a.Member.ID] = true
+			}
+		case LeavingLearned:
+			n.learned[a.Name] = w.now
+		}
+	}
+}
+
+func (w *world) post(from int, s Send) {
+	for to, n := range w.nodes {
+		if n.cfg.Addr != s.To {
+			continue
+		}
+		if w.drop(from, to) {
+			w.lost++
+			return
+		}
+		for range w.copies() {
+			at := w.now + time.Millisecond + time.Duration(w.rng.Int63n(int64(w.delay)))
+			w.bag = append(w.bag, letter{at: at, from: from, to: to, msg: s.Msg})
+		}
+	}
+}
+
+// run lets time pass in steps of 10 ms. Each node gets a Tick every 100 ms; datagrams for a paused node
+// wait, those for a stopped one are lost.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += 10 * time.Millisecond {
+		var due []letter
+		kept := w.bag[:0]
+		for _, l := range w.bag {
+			if l.at <= w.now && !w.nodes[l.to].paused {
+				due = append(due, l)
+			} else {
+				kept = append(kept, l)
+			}
+		}
+		w.bag = kept
+		w.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+		for _, l := range due {
+			w.step(l.to, Received{From: w.nodes[l.from].cfg.Addr, Msg: l.msg})
+		}
+		for i := range w.nodes {
+			if (int(w.now/(10*time.Millisecond))+i)%10 == 0 {
+				w.step(i, Tick{})
+			}
+		}
+	}
+}
+
+// disagreement returns a difference between a node's table and the truth, or "".
+func (w *world) disagreement() string {
+	for _, n := range w.nodes {
+		if n.down {
+			continue
+		}
+		for _, o := range w.nodes {
+			r, known := n.m.Lookup(o.cfg.Self)
+			switch {
+			case o.down && known && r.State != Dead:
+				return fmt.Sprintf("%s holds stopped %s in state %d", n.cfg.Self, o.cfg.Self, r.State)
+			case !o.down && (!known || r.State != Alive || r.Incarnation != o.cfg.Incarnation):
+				return fmt.Sprintf("%s holds live %s: known %v, %+v", n.cfg.Self, o.cfg.Self, known, r)
+			case !o.down && r.Leaving != o.m.Self().Leaving:
+				return fmt.Sprintf("%s holds %s with leaving %v", n.cfg.Self, o.cfg.Self, r.Leaving)
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/core/member/spread.go
@@ -0,0 +1,272 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+type zoneName = ident.Zone
+
+const (
+	// newsBytes bounds the news in one Ping, Ack or PingReq. A member sends about two of them a second,
+	// so 200 bytes more cost 400 bytes/s of the budget.
+	newsBytes = 400
+	// smallZone is the number of members up to which Pings carry load and teams as Acks do. In larger
+	// availability zones both would take a host above the budget.
+	smallZone = 6
+	// spreadExtra is added to log2(members) for the number of times that one member sends one piece of
+	// news. Each receiver passes it on as often, and Syncs repair what loss still keeps from a member; a
+	// factor of 3 in place of the sum kept the news of a start under way for over a minute at 42 members.
+	spreadExtra = 2
+)
+
+// Times after which leaving news is sent directly. The repetitions cover lost datagrams. The member that
+// found it out is the only one that tells its availability zone; what delegates relay comes from two of
+// them.
+var (
+	tellDelays  = []time.Duration{0, 400 * time.Millisecond, 1200 * time.Millisecond}
+	relayDelays = []time.Duration{0, 600 * time.Millisecond}
+)
+
+// newsKey names a piece of news: a member or a leaving mark.
+type newsKey struct {
+	member ID
+	mark   string
+}
+
+// queue holds news by the number of times they were sent.
+type queue struct{ items []newsItem }
+
+type newsItem struct {
+	key  newsKey
+	sent int
+}
+
+func (q *queue) add(k newsKey) {
+	for i := range q.items {
+		if q.items[i].key == k {
+			q.items = append(q.items[:i], q.items[i+1:]...)
+			break
+		}
+	}
+	q.items = append(q.items, newsItem{key: k})
+}
+
+// pick chooses the news for a message to a member: first what is said against it, so that it can
+// refute, then one computed value if asked for, then the least sent news.
+func (m *Machine) pick(to ID, limit int, computed bool) Piggyback {
+	var p Piggyback
+	limit -= p.size()
+	if e := m.members[to]; e != nil && e.State != Alive {
+		p.Members = append(p.Members, e.Member)
+		limit -= e.Member.size()
+	}
+	// Computed values come first, because a long queue of news would keep them out.
+	if computed {
+		before := p.size()
+		m.pickComputed(&p, limit)
+		limit -= p.size() - before
+	}
+	m.pickNews(&p, to, limit)
+	return p
+}
+
+func (m *Machine) pickNews(p *Piggyback, to ID, limit int) {
+	most := bits.Len(uint(len(m.zones[m.cfg.Zone]))) + spreadExtra
+	q := &m.news
+	sort.SliceStable(q.items, func(i, j int) bool { return q.items[i].sent < q.items[j].sent })
+	kept := q.items[:0]
+	for _, it := range q.items {
+		size := 0
+		if e := m.members[it.key.member]; e != nil {
+			// What is said against the receiver stands at the head of the message already.
+			if size = e.Member.size(); size <= limit && (it.key.member != to || e.State == Alive) {
+				p.Members = append(p.Members, e.Member)
+				limit -= size
+				it.sent++
+			}
+		} else if until, ok := m.marks[it.key.mark]; ok && until > m.now {
+			k := Mark{Name: it.key.mark, TTL: until - m.now}
+			if size = k.size(); size <= limit {
+				p.Marks = append(p.Marks, k)
+				limit -= size
+				it.sent++
+			}
+		}
+		if size > 0 && it.sent < most {
+			kept = append(kept, it)
+		}
+	}
+	q.items = kept
+}
+
+// burst is urgent news with the receivers and the times at which it is still to be sent.
+type burst struct {
+	news Piggyback
+	to   []ID
+	at   []time.Duration
+}
+
+// markLeaving handles what this process found out itself.
+func (m *Machine) markLeaving(name string) {
+	if name == string(m.cfg.Self) {
+		if !m.self.Leaving {
+			m.self.Leaving = true
+			m.news.add(newsKey{member: m.cfg.Self})
+			m.emit(LeavingLearned{Name: name})
+			m.tell(Piggyback{Members: []Member{m.self.Member}})
+		}
+		return
+	}
+	if e := m.members[ID(name)]; e != nil {
+		if !e.Leaving {
+			r := e.Member
+			r.Leaving = true
+			m.merge(r)
+			m.tell(Piggyback{Members: []Member{e.Member}})
+		}
+		return
+	}
+	if m.addMark(name, MarkTTL) {
+		m.tell(Piggyback{Marks: []Mark{{Name: name, TTL: MarkTTL}}})
+	}
+}
+
+// tell sends leaving news to the availability zone and, from a delegate, to the others.
+func (m *Machine) tell(p Piggyback) {
+	m.burst(p, m.zoneMates(), tellDelays)
+	if m.isDelegate() {
+		m.burst(p, m.otherDelegates(), relayDelays)
+	}
+}
+
+// relay passes on leaving news that came from a member of the given availability zone. Only delegates
+// do: news from their own availability zone goes to the delegates of the others, and the reverse.
+func (m *Machine) relay(from zoneName, p Piggyback) {
+	switch {
+	case !m.isDelegate():
+	case from == m.cfg.Zone:
+		m.burst(p, m.otherDelegates(), relayDelays)
+	default:
+		m.burst(p, m.zoneMates(), relayDelays)
+	}
+}
+
+func (m *Machine) burst(p Piggyback, to []ID, delays []time.Duration) {
+	if len(to) == 0 {
+		return
+	}
+	b := burst{news: p, to: to}
+	for _, d := range delays {
+		b.at = append(b.at, m.now+d)
+	}
+	m.urgent = append(m.urgent, b)
+	m.tickUrgent()
+}
+
+func (m *Machine) zoneMates() []ID {
+	var ids []ID
+	for _, id := range m.zones[m.cfg.Zone] {
+		if e := m.members[id]; e.State != Dead && id != m.cfg.Self {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// otherDelegates returns one delegate of each other availability zone: the first delegate here talks to the
+// first ones there, the second to the second ones.
+func (m *Machine) otherDelegates() []ID {
+	rank := slices.Index(m.Delegates(m.cfg.Zone), m.cfg.Self)
+	var ids []ID
+	for _, z := range m.zoneNames() {
+		if d := m.Delegates(z); z != m.cfg.Zone && len(d) > 0 && rank >= 0 {
+			ids = append(ids, d[rank%len(d)])
+		}
+	}
+	return ids
+}
+
+// tickUrgent sends what is due. All due news for one receiver shares its datagrams.
+func (m *Machine) tickUrgent() {
+	due := map[ID]*Piggyback{}
+	var order []ID
+	kept := m.urgent[:0]
+	for _, b := range m.urgent {
+		if m.now >= b.at[0] {
+			b.at = b.at[1:]
+			for _, id := range b.to {
+				if due[id] == nil {
+					due[id] = &Piggyback{}
+					order = append(order, id)
+				}
+				due[id].Members = append(due[id].Members, b.news.Members...)
+				due[id].Marks = append(due[id].Marks, b.news.Marks...)
+			}
+		}
+		if len(b.at) > 0 {
+			kept = append(kept, b)
+		}
+	}
+	m.urgent = kept
+	for _, id := range order {
+		if e := m.members[id]; e != nil {
+			m.sendUrgent(e, due[id])
+		}
+	}
+}
+
+// sendUrgent cuts the news into datagrams.
+func (m *Machine) sendUrgent(e *entry, p *Piggyback) {
+	msg := &Urgent{}
+	flush := func(size int) {
+		if msg.Size()+size > m.cfg.MaxDatagram-headReserve {
+			m.send(e.Addr, e.ID, msg)
+			msg = &Urgent{}
+		}
+	}
+	for _, r := range p.Members {
+		flush(r.size())
+		msg.News.Members = append(msg.News.Members, r)
+	}
+	for _, k := range p.Marks {
+		flush(k.size())
+		msg.News.Marks = append(msg.News.Marks, k)
+	}
+	m.send(e.Addr, e.ID, msg)
+}
+
+// headReserve is kept free for the head, which is filled in when the message is sent.
+const headReserve = 200
+
+// minMarkTTL is the TTL below which a received mark is ignored, so that an ending mark does not come
+// back from a member where it ends a little later.
+const minMarkTTL = 5 * time.Second
+
+// addMark notes a leaving mark. It returns true if the mark is new or much longer than before.
+func (m *Machine) addMark(name string, ttl time.Duration) bool {
+	until, known := m.marks[name]
+	known = known && until > m.now
+	if name == "" || !known && len(m.marks) >= maxMarks {
+		return false
+	}
+	if known && m.now+ttl < until+MarkTTL/4 {
+		return false
+	}
+	m.marks[name] = m.now + min(ttl, MarkTTL)
+	m.news.add(newsKey{mark: name})
+	if !known {
+		m.emit(LeavingLearned{Name: name})
+	}
+	return !known
+}
+
+func (m *Machine) learnMark(from zoneName, k Mark) {
+	if k.TTL >= minMarkTTL && m.addMark(k.Name, k.TTL) {
+		m.relay(from, Piggyback{Marks: []Mark{{Name: k.Name, TTL: min(k.TTL, MarkTTL)}}})
+	}
+}
--- /dev/null
+++ b/transport/gossip/codec.go
@@ -0,0 +1,367 @@
+package gossip
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
+	"github.com/zeebo/errs"
+)
+
+// Error classes of the codec.
+var (
+	// ErrDatagram: a datagram does not decode.
+	ErrDatagram = errs.Class("gossip: bad datagram")
+	// ErrTooLarge: a message does not fit a datagram.
+	ErrTooLarge = errs.Class("gossip: too large")
+)
+
+// Message types. Numbers are fixed: a peer of another version reads them.
+const (
+	typePing = iota + 1
+	typeAck
+	typePingReq
+	typeUrgent
+	typeDigest
+	typeSync
+	typeRecords
+	typeReport
+)
+
+// Limits of fields; a datagram of 1,200 bytes bounds them further.
+const (
+	maxString = 255
+	maxList   = 256
+	// maxAge bounds ages and times to live, which also keeps them clear of overflow.
+	maxAge = 24 * time.Hour
+)
+
+// codec encodes and decodes datagrams. It is not safe for concurrent use. A datagram is a msgpack array of type,
+// head and the fields of the message in order.
+type codec struct {
+	w *pack.Writer
+	r *pack.Reader
+}
+
+func newCodec() *codec { return &codec{w: pack.NewWriter(), r: pack.NewReader()} }
+
+// encode returns the datagram of a message. The bytes are valid until the next call.
+func (c *codec) encode(m member.Message) ([]byte, error) {
+	w := c.w
+	w.Buf = w.Buf[:0]
+	switch m := m.(type) {
+	case *member.Ping:
+		c.begin(typePing, &m.Head, 2)
+		w.Uint(m.Seq)
+		c.putNews(&m.News)
+	case *member.Ack:
+		c.begin(typeAck, &m.Head, 2)
+		w.Uint(m.Seq)
+		c.putNews(&m.News)
+	case *member.PingReq:
+		c.begin(typePingReq, &m.Head, 3)
+		w.Uint(m.Seq)
+		w.Str(string(m.Target))
+		c.putNews(&m.News)
+	case *member.Urgent:
+		c.begin(typeUrgent, &m.Head, 1)
+		c.putNews(&m.News)
+	case *member.Digest:
+		c.begin(typeDigest, &m.Head, 5)
+		w.Str(m.Region)
+		w.Fixed(m.Hash)
+		c.putLoad(m.Load)
+		c.putTeams(m.Teams)
+		c.putNews(&m.News)
+	case *member.Sync:
+		c.begin(typeSync, &m.Head, 3)
+		w.Bool(m.Reply)
+		w.Bool(m.Partial)
+		w.Array(len(m.Hashes))
+		for _, h := range m.Hashes {
+			w.Array(3)
+			w.Str(string(h.Zone))
+			w.Fixed(h.Hash)
+			c.putAge(h.Age)
+		}
+	case *member.Records:
+		c.begin(typeRecords, &m.Head, 1)
+		c.putMembers(m.Members)
+	case *member.Report:
+		c.begin(typeReport, &m.Head, 2)
+		c.putLoad(m.Load)
+		c.putTeams(m.Teams)
+	default:
+		return nil, ErrDatagram.New("message %T", m)
+	}
+	if len(w.Buf) > MaxDatagram {
+		return nil, ErrTooLarge.New("%T of %d bytes, at most %d allowed", m, len(w.Buf), MaxDatagram)
+	}
+	return w.Buf, nil
+}
+
+func (c *codec) begin(typ uint64, h *member.Head, fields int) {
+	w := c.w
+	w.Array(2 + fields)
+	w.Uint(typ)
+	w.Array(9)
+	w.Str(string(h.ID))
+	w.Str(string(h.Zone))
+	w.Str(string(h.Addr))
+	w.Fixed(uint64(h.Incarnation))
+	w.Uint(h.Epoch)
+	w.Bool(h.Leaving)
+	w.Uint(uint64(h.Config.Version))
+	w.Fixed(h.Config.Digest)
+	w.Uint(h.Hosts)
+}
+
+func (c *codec) putAge(d time.Duration) { c.w.Uint(uint64(max(d, 0).Milliseconds())) }
+
+func (c *codec) putNews(p *member.Piggyback) {
+	w := c.w
+	if len(p.Members)+len(p.Marks)+len(p.Loads)+len(p.Teams) == 0 {
+		w.Array(0)
+		return
+	}
+	w.Array(4)
+	c.putMembers(p.Members)
+	w.Array(len(p.Marks))
+	for _, k := range p.Marks {
+		w.Array(2)
+		w.Str(k.Name)
+		c.putAge(k.TTL)
+	}
+	w.Array(len(p.Loads))
+	for _, l := range p.Loads {
+		w.Array(5)
+		w.Str(string(l.Zone))
+		c.putStamp(l.Stamp)
+		c.putLoad(l.Load)
+	}
+	w.Array(len(p.Teams))
+	for _, t := range p.Teams {
+		w.Array(4)
+		c.putStamp(t.Stamp)
+		c.putTeams(t.Teams)
+	}
+}
+
+func (c *codec) putStamp(s member.Stamp) {
+	c.w.Str(string(s.Origin))
+	c.w.Uint(s.Number)
+	c.putAge(s.Age)
+}
+
+func (c *codec) putMembers(list []member.Member) {
+	w := c.w
+	w.Array(len(list))
+	for _, r := range list {
+		w.Array(6)
+		w.Str(string(r.ID))
+		w.Str(string(r.Zone))
+		w.Str(string(r.Addr))
+		w.Fixed(uint64(r.Incarnation))
+		w.Uint(r.Epoch)
+		flags := uint64(r.State) << 1
+		if r.Leaving {
+			flags |= 1
+		}
+		w.Uint(flags)
+	}
+}
+
+func (c *codec) putLoad(list []member.ModelLoad) {
+	w := c.w
+	w.Array(len(list))
+	for _, l := range list {
+		w.Array(3)
+		w.Str(string(l.Model))
+		w.Int(l.FreeTokens)
+		c.putAge(l.QueueDelay)
+	}
+}
+
+func (c *codec) putTeams(list []member.TeamDemand) {
+	w := c.w
+	w.Array(len(list))
+	for _, t := range list {
+		w.Array(2)
+		w.Str(string(t.Team))
+		w.Float(float32(t.Demand))
+	}
+}
+
+// decode returns the message of a datagram. It holds copies, so b may be reused.
+func (c *codec) decode(b []byte) (member.Message, error) {
+	if len(b) > MaxDatagram {
+		return nil, ErrTooLarge.New("%d bytes, at most %d allowed", len(b), MaxDatagram)
+	}
+	c.r.Reset(b)
+	fields := c.r.Array(8)
+	typ := c.r.Uint(math.MaxUint8)
+	m, want := newMessage(typ)
+	if m == nil {
+		c.r.Fail("type %d", typ)
+	} else if fields != want+2 {
+		c.r.Fail("%d fields in type %d", fields, typ)
+	} else {
+		c.getHead(m.Header())
+		c.getFields(m)
+	}
+	if err := c.r.Close(); err != nil {
+		return nil, ErrDatagram.Wrap(err)
+	}
+	return m, nil
+}
+
+func newMessage(typ uint64) (m member.Message, fields int) {
+	switch typ {
+	case typePing:
+		return &member.Ping{}, 2
+	case typeAck:
+		return &member.Ack{}, 2
+	case typePingReq:
+		return &member.PingReq{}, 3
+	case typeUrgent:
+		return &member.Urgent{}, 1
+	case typeDigest:
+		return &member.Digest{}, 5
+	case typeSync:
+		return &member.Sync{}, 3
+	case typeRecords:
+		return &member.Records{}, 1
+	case typeReport:
+		return &member.Report{}, 2
+	default:
+		return nil, 0
+	}
+}
+
+func (c *codec) str() string { return c.r.Str(maxString) }
+
+func (c *codec) uint() uint64 { return c.r.Uint(math.MaxUint64) }
+
+func (c *codec) age() time.Duration {
+	return time.Duration(c.r.Uint(uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
+
+func (c *codec) getHead(h *member.Head) {
+	c.r.Fields(9)
+	h.ID = member.ID(c.str())
+	h.Zone = ident.Zone(c.str())
+	h.Addr = member.Addr(c.str())
+	h.Incarnation = ident.Incarnation(c.uint())
+	h.Epoch = c.epoch()
+	h.Leaving = c.r.Bool()
+	h.Config.Version = ident.Version(c.uint())
+	h.Config.Digest = c.uint()
+	h.Hosts = c.uint()
+	if h.ID == "" || h.Zone == "" || h.Addr == "" || h.Incarnation == 0 {
+		c.r.Fail("head without sender")
+	}
+}
+
+// epoch refuses numbers at the top of the range: nobody could refute a statement with them.
+func (c *codec) epoch() uint64 { return c.r.Uint(math.MaxUint64 >> 1) }
+
+func (c *codec) getFields(m member.Message) {
+	switch m := m.(type) {
+	case *member.Ping:
+		m.Seq = c.uint()
+		c.getNews(&m.News)
+	case *member.Ack:
+		m.Seq = c.uint()
+		c.getNews(&m.News)
+	case *member.PingReq:
+		m.Seq = c.uint()
+		m.Target = member.ID(c.str())
+		c.getNews(&m.News)
+	case *member.Urgent:
+		c.getNews(&m.News)
+	case *member.Digest:
+		m.Region = c.str()
+		m.Hash = c.uint()
+		m.Load = c.getLoad()
+		m.Teams = c.getTeams()
+		c.getNews(&m.News)
+	case *member.Sync:
+		m.Reply = c.r.Bool()
+		m.Partial = c.r.Bool()
+		for range c.r.Array(maxList) {
+			c.r.Fields(3)
+			m.Hashes = append(m.Hashes, member.ZoneHash{Zone: ident.Zone(c.str()), Hash: c.uint(), Age: c.age()})
+		}
+	case *member.Records:
+		m.Members = c.getMembers()
+	case *member.Report:
+		m.Load = c.getLoad()
+		m.Teams = c.getTeams()
+	}
+}
+
+func (c *codec) getNews(p *member.Piggyback) {
+	n := c.r.Array(4)
+	if n == 0 {
+		return
+	}
+	if n != 4 {
+		c.r.Fail("news with %d fields", n)
+		return
+	}
+	p.Members = c.getMembers()
+	for range c.r.Array(maxList) {
+		c.r.Fields(2)
+		p.Marks = append(p.Marks, member.Mark{Name: c.str(), TTL: c.age()})
+	}
+	for range c.r.Array(maxList) {
+		c.r.Fields(5)
+		p.Loads = append(p.Loads, member.ZoneLoad{Zone: ident.Zone(c.str()), Stamp: c.stamp(), Load: c.getLoad()})
+	}
+	for range c.r.Array(1) {
+		c.r.Fields(4)
+		p.Teams = append(p.Teams, member.TeamTotals{Stamp: c.stamp(), Teams: c.getTeams()})
+	}
+}
+
+func (c *codec) stamp() member.Stamp {
+	return member.Stamp{Origin: member.ID(c.str()), Number: c.uint(), Age: c.age()}
+}
+
+func (c *codec) getMembers() []member.Member {
+	var list []member.Member
+	for range c.r.Array(maxList) {
+		c.r.Fields(6)
+		r := member.Member{
+			ID:          member.ID(c.str()),
+			Zone:        ident.Zone(c.str()),
+			Addr:        member.Addr(c.str()),
+			Incarnation: ident.Incarnation(c.uint()),
+			Epoch:       c.epoch(),
+		}
+		flags := c.r.Uint(uint64(member.Dead)<<1 | 1)
+		r.State, r.Leaving = member.State(flags>>1), flags&1 == 1
+		list = append(list, r)
+	}
+	return list
+}
+
+func (c *codec) getLoad() []member.ModelLoad {
+	var list []member.ModelLoad
+	for range c.r.Array(member.MaxModels) {
+		c.r.Fields(3)
+		list = append(list, member.ModelLoad{Model: ident.Model(c.str()), FreeTokens: c.r.Int(), QueueDelay: c.age()})
+	}
+	return list
+}
+
+func (c *codec) getTeams() []member.TeamDemand {
+	var list []member.TeamDemand
+	for range c.r.Array(member.MaxTeams) {
+		c.r.Fields(2)
+		list = append(list, member.TeamDemand{Team: ident.Team(c.str()), Demand: float64(c.r.Float())})
+	}
+	return list
+}
