--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -178,7 +178,7 @@
 		return
 	}
 	m.lastMsg = m.now
-	m.merge(Member{ID: h.ID, Zone: h.Zone, Addr: h.Addr, Incarnation: h.Incarnation, Epoch: h.Epoch, Leaving: h.Leaving})
+	m.mergeFrom(h.Zone, Member{ID: h.ID, Zone: h.Zone, Addr: h.Addr, Incarnation: h.Incarnation, Epoch: h.Epoch, Leaving: h.Leaving})
 	m.heard(h.Zone, 0)
 	m.see(h)
 	switch msg := msg.(type) {
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -131,7 +131,17 @@
 	}
 }
 
-// disagreement returns a difference between a node's table and the truth, or "".
+func (w *world) zoneIsDown(zone ident.Zone) bool {
+	for _, n := range w.nodes {
+		if n.cfg.Zone == zone && !n.down {
+			return false
+		}
+	}
+	return true
+}
+
+// disagreement returns a difference between a node's table and the truth, or "". Only processes of one's own availability
+// zone are declared dead; when a whole zone stopped, its processes must count as unreachable.
 func (w *world) disagreement() string {
 	for _, n := range w.nodes {
 		if n.down {
@@ -140,6 +150,7 @@
 		for _, o := range w.nodes {
 			r, known := n.m.Lookup(o.cfg.Self)
 			switch {
+			case o.down && known && r.State != Dead && w.zoneIsDown(o.cfg.Zone) && !n.m.Reachable(w.now, r.ID):
 			case o.down && known && r.State != Dead:
 				return fmt.Sprintf("%s holds stopped %s in state %d", n.cfg.Self, o.cfg.Self, r.State)
 			case !o.down && (!known || r.State != Alive || r.Incarnation != o.cfg.Incarnation):
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -29,7 +29,7 @@
 // them.
 var (
 	tellDelays  = []time.Duration{0, 400 * time.Millisecond, 1200 * time.Millisecond}
-	relayDelays = []time.Duration{0, 600 * time.Millisecond}
+	relayDelays = []time.Duration{0, 400 * time.Millisecond, 900 * time.Millisecond}
 )
 
 // newsKey names a piece of news: a member or a leaving mark.
--- a/transport/gossip/budget_test.go
+++ b/transport/gossip/budget_test.go
@@ -150,6 +150,7 @@
 			for i, m := range f.machines {
 				c.Assert(m.Members(), qt.HasLen, 2*n.hosts, qt.Commentf("machine %d", i))
 			}
+			t.Logf("start: largest sender %d B, largest receiver %d B in 60 s", slices.Max(f.sent), slices.Max(f.received))
 			f.resetCounts()
 			const measured = 60
 			for s := range measured {
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -1,16 +1,41 @@
 // Package gossip carries the datagrams of core/member over UDP.
+//
+// Datagrams are neither authenticated nor encrypted: gnet has no DTLS. Run it on a trusted network.
 package gossip
 
 import (
 	"context"
+	"math/rand"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/gnetlog"
+	"github.com/rosemaryhill/rosemaryhill/transport/ring"
+	"github.com/zeebo/errs"
 )
 
-// MaxDatagram bounds a datagram in bytes, below the smallest common path MTU.
-const MaxDatagram = 1200
+const (
+	// MaxDatagram bounds a datagram in bytes, below the smallest common path MTU.
+	MaxDatagram = 1200
+	// tickInterval is the time between two Ticks, well below the machine's pause limit of 250 ms.
+	tickInterval = 50 * time.Millisecond
+	// inboundCap bounds the datagrams and events that wait for the machine. A node gets some ten
+	// datagrams a second; the rest is room for bursts of leaving marks.
+	inboundCap = 4096
+	// stopTimeout bounds the wait for gnet to stop.
+	stopTimeout = 2 * time.Second
+)
+
+// ErrSocket marks a socket that cannot be opened.
+var ErrSocket = errs.Class("gossip: socket")
 
-// Handler receives changes from the machine on the service's goroutine. It must not block.
+// Handler receives changes from the machine on the service's goroutine. It must not block, and it must
+// not call View.
 type Handler interface {
 	// OnChange hands over MemberChanged, LeavingLearned and ConfigSeen.
 	OnChange(a member.Action)
@@ -25,23 +50,209 @@
 }
 
 // Service runs a membership machine over UDP: one goroutine owns the machine.
-type Service struct{}
+type Service struct {
+	gnet.BuiltinEventEngine
+	handler Handler
+	engine  gnet.Engine
+	sock    net.PacketConn // the listening socket, for sending
+	addr    string
+	start   time.Time
+	in      *ring.Ring[member.Event]
+	codec   *codec // owned by run
+	decoder *codec // owned by the event loop
+	booted  chan error
+	stopped chan struct{} // gnet has stopped
+	ended   chan struct{} // run has ended
+	quit    chan struct{}
+	once    sync.Once
+
+	mu      sync.Mutex
+	machine *member.Machine
+
+	dgramsIn, dgramsOut, bytesIn, bytesOut, undecodable, refused, sendFailures atomic.Uint64
+}
 
 // Listen starts the service. An address with port 0 picks a free port. Empty cfg.Addr is replaced by
 // the listening address.
-func Listen(cfg member.Config, addr string, h Handler) (*Service, error) { return &Service{}, nil }
+func Listen(cfg member.Config, addr string, h Handler) (*Service, error) {
+	s := &Service{
+		handler: h,
+		start:   time.Now(),
+		in:      ring.New[member.Event](inboundCap),
+		codec:   newCodec(),
+		decoder: newCodec(),
+		booted:  make(chan error, 1),
+		stopped: make(chan struct{}),
+		ended:   make(chan struct{}),
+		quit:    make(chan struct{}),
+	}
+	go func() {
+		defer close(s.stopped)
+		if err := gnet.Run(s, "udp://"+addr, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetlog.Discard{})); err != nil {
+			s.booted <- err
+		}
+	}()
+	if err := <-s.booted; err != nil {
+		<-s.stopped
+		return nil, ErrSocket.Wrap(errs.New("step=listen peer=%s: %v", addr, err))
+	}
+	if cfg.Addr == "" {
+		cfg.Addr = member.Addr(s.addr)
+	}
+	if cfg.StartedMS == 0 {
+		cfg.StartedMS = uint64(time.Now().UnixMilli())
+	}
+	s.machine = member.New(cfg, rand.New(rand.NewSource(int64(cfg.Incarnation))), 0)
+	go s.run()
+	return s, nil
+}
+
+// OnBoot implements gnet.EventHandler. The socket is bound at this point. gnet reads from it; sending
+// needs a handle of its own, because gnet hands out UDP connections only while it reads from them.
+func (s *Service) OnBoot(eng gnet.Engine) gnet.Action {
+	s.engine = eng
+	err := s.dup(eng)
+	s.booted <- err
+	if err != nil {
+		return gnet.Shutdown
+	}
+	return gnet.None
+}
+
+func (s *Service) dup(eng gnet.Engine) error {
+	fd, err := eng.Dup()
+	if err != nil {
+		return err
+	}
+	f := os.NewFile(uintptr(fd), "gossip")
+	defer f.Close()
+	s.sock, err = net.FilePacketConn(f)
+	if err != nil {
+		return err
+	}
+	s.addr = s.sock.LocalAddr().String()
+	return nil
+}
+
+// OnTraffic implements gnet.EventHandler. One call brings one datagram.
+func (s *Service) OnTraffic(c gnet.Conn) gnet.Action {
+	b, err := c.Next(-1)
+	if err != nil || c.RemoteAddr() == nil {
+		return gnet.None
+	}
+	s.dgramsIn.Add(1)
+	s.bytesIn.Add(uint64(len(b)))
+	msg, err := s.decoder.decode(b)
+	if err != nil {
+		s.undecodable.Add(1)
+		return gnet.None
+	}
+	s.Do(member.Received{From: member.Addr(c.RemoteAddr().String()), Msg: msg})
+	return gnet.None
+}
 
 // Addr returns the address that the service listens on.
-func (s *Service) Addr() member.Addr { return "" }
+func (s *Service) Addr() member.Addr { return member.Addr(s.addr) }
 
 // Do hands the machine an event. It returns false when the service is overloaded or closed.
-func (s *Service) Do(ev member.Event) bool { return true }
+func (s *Service) Do(ev member.Event) bool {
+	if s.in.Push(ev) {
+		return true
+	}
+	s.refused.Add(1)
+	return false
+}
+
+// Now returns the machine's clock, the time since the start of the service.
+func (s *Service) Now() time.Duration { return time.Since(s.start) }
+
+// View runs f with exclusive access to the machine. It must not keep the machine or call Step.
+func (s *Service) View(f func(m *member.Machine)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.machine)
+}
 
-// View runs f with exclusive access to the machine. It must not keep the machine.
-func (s *Service) View(f func(m *member.Machine)) {}
+// run owns the machine.
+func (s *Service) run() {
+	defer close(s.ended)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case ev := <-s.in.Items():
+			s.step(ev)
+		case <-ticker.C:
+			s.step(member.Tick{})
+		case <-s.quit:
+			for ev, ok := s.in.TryPop(); ok; ev, ok = s.in.TryPop() {
+				s.step(ev) // such as the Update that says that this process is leaving
+			}
+			return
+		}
+	}
+}
+
+func (s *Service) step(ev member.Event) {
+	s.mu.Lock()
+	actions := s.machine.Step(s.Now(), ev)
+	s.mu.Unlock()
+	for _, a := range actions {
+		if send, ok := a.(member.Send); ok {
+			s.send(send)
+		} else {
+			s.handler.OnChange(a)
+		}
+	}
+}
+
+func (s *Service) send(a member.Send) {
+	b, err := s.codec.encode(a.Msg)
+	if err != nil {
+		s.sendFailures.Add(1)
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", string(a.To))
+	if err == nil {
+		_, err = s.sock.WriteTo(b, to)
+	}
+	if err != nil {
+		s.sendFailures.Add(1)
+		return
+	}
+	s.dgramsOut.Add(1)
+	s.bytesOut.Add(uint64(len(b)))
+}
 
 // Stats returns the counters.
-func (s *Service) Stats() Stats { return Stats{} }
+func (s *Service) Stats() Stats {
+	return Stats{
+		In:           s.dgramsIn.Load(),
+		Out:          s.dgramsOut.Load(),
+		BytesIn:      s.bytesIn.Load(),
+		BytesOut:     s.bytesOut.Load(),
+		Undecodable:  s.undecodable.Load(),
+		Refused:      s.refused.Load(),
+		SendFailures: s.sendFailures.Load(),
+	}
+}
 
-// Close stops the service.
-func (s *Service) Close(ctx context.Context) error { return nil }
+// Close stops the service after the events that wait. Announce leaving before it with an Update, and
+// leave some seconds for the repetitions.
+func (s *Service) Close(ctx context.Context) error {
+	s.once.Do(func() { close(s.quit) })
+	select {
+	case <-s.ended:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	// Stop looks for the end only each 500 ms; with an ended context it returns once it has asked for it.
+	asked, cancel := context.WithCancel(ctx)
+	cancel()
+	_ = s.engine.Stop(asked)
+	select {
+	case <-s.stopped:
+	case <-time.After(stopTimeout):
+	}
+	return s.sock.Close()
+}
