Keep every gossip message within a datagram

Lists with long names and hashes of many availability zones do not fit a datagram and would be dropped at the encoder; a computed value above the limit for news would never travel. Load and teams are cut to bytes that fit one digest, and a Sync that cannot list all availability zones is marked partial. A reply asks for the availability zones that differ, so that unknown ones are transferred too.

--- a/core/member/aggregate.go
+++ b/core/member/aggregate.go
@@ -18,6 +18,10 @@
 	// alone take it above the budget.
 	reportSpacing = 500 * time.Millisecond
 	reportMost    = 10 * time.Second
+	// loadBytes and teamBytes bound the load and the teams of one process or availability zone, so that both fit a digest
+	// with its head: 16 models with names of 17 bytes, 16 teams with names of 16 bytes.
+	loadBytes = 560
+	teamBytes = 400
 	// originMargin is the age by which a value of another origin must be younger to replace the held
 	// one; transit time is not part of an age.
 	originMargin = time.Second
@@ -153,7 +157,7 @@
 	for _, model := range sortedKeys(free) {
 		own.load = append(own.load, ModelLoad{Model: model, FreeTokens: free[model], QueueDelay: delay[model]})
 	}
-	own.load = own.load[:min(len(own.load), MaxModels)]
+	own.load = fitLoad(own.load)
 	m.agg.own = own
 	for _, z := range sortedKeys(m.agg.remotes) {
 		if m.now-m.agg.remotes[z].at <= remoteTTL {
@@ -178,7 +182,24 @@
 		list = append(list, TeamDemand{Team: team, Demand: demand[team]})
 	}
 	sort.SliceStable(list, func(i, j int) bool { return list[i].Demand > list[j].Demand })
-	return list[:min(len(list), MaxTeams)]
+	return fitTeams(list)
+}
+
+// fitLoad and fitTeams cut a list to the bytes that a datagram has for it.
+func fitLoad(list []ModelLoad) []ModelLoad {
+	list = list[:min(len(list), MaxModels)]
+	for sizeLoad(list) > loadBytes {
+		list = list[:len(list)-1]
+	}
+	return list
+}
+
+func fitTeams(list []TeamDemand) []TeamDemand {
+	list = list[:min(len(list), MaxTeams)]
+	for sizeTeams(list) > teamBytes {
+		list = list[:len(list)-1]
+	}
+	return list
 }
 
 func sortedKeys[K ~string, V any](set map[K]V) []K {
--- a/core/member/digest.go
+++ b/core/member/digest.go
@@ -144,7 +144,7 @@
 		if !near || (i+m.sync.round)/delegatesPerZone%farRounds == 0 {
 			msg.Teams = m.agg.own.teams
 		}
-		msg.News = m.pick(e.ID, digestNewsBytes, false)
+		msg.News = m.pick(e.ID, min(digestNewsBytes, m.cfg.MaxDatagram-headReserve-msg.Size()), false)
 		m.send(e.Addr, e.ID, msg)
 	}
 }
@@ -181,7 +181,13 @@
 
 func (m *Machine) syncMessage(reply bool, zones ...ident.Zone) *Sync {
 	msg := &Sync{Reply: reply}
-	for _, z := range zones {
+	start := m.rng.Intn(len(zones))
+	for i := range zones {
+		z := zones[(start+i)%len(zones)]
+		if msg.Size() > m.cfg.MaxDatagram-headReserve {
+			msg.Partial = true // the others take their turn in a later Sync
+			break
+		}
 		h := ZoneHash{Zone: z, Hash: m.hash(z), Age: time.Hour}
 		if at, ok := m.sync.heard[z]; ok {
 			h.Age = min(m.now-at, time.Hour)
@@ -196,7 +202,8 @@
 
 // synced answers a Sync with the records of the availability zones that differ.
 func (m *Machine) synced(from Addr, msg *Sync) {
-	start, sent, differs := 0, 0, false
+	start, sent := 0, 0
+	var differ []ident.Zone
 	if len(msg.Hashes) > 0 {
 		start = m.rng.Intn(len(msg.Hashes))
 	}
@@ -208,7 +215,7 @@
 		if h.Hash == m.hash(h.Zone) {
 			continue
 		}
-		differs = true
+		differ = append(differ, h.Zone)
 		if sent < zonesPerSync && len(m.zones[h.Zone]) > 0 {
 			sent++
 			m.sendRecords(from, msg.Head.ID, h.Zone)
@@ -220,11 +227,14 @@
 			m.sendRecords(from, msg.Head.ID, z)
 		}
 	}
-	if differs && !msg.Partial {
+	if len(differ) > 0 && !msg.Reply {
 		m.sync.nextSync = min(m.sync.nextSync, m.now+m.cfg.ProbeInterval+m.jitter(m.cfg.ProbeInterval))
 	}
-	if !msg.Reply && (sent > 0 || differs) {
-		m.send(from, msg.Head.ID, m.syncMessage(true, m.zoneNames()...))
+	if !msg.Reply && len(differ) > 0 {
+		// Asks for what the sender has, also of availability zones that are not known here.
+		reply := m.syncMessage(true, differ...)
+		reply.Partial = true
+		m.send(from, msg.Head.ID, reply)
 	}
 }
 
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -245,8 +245,7 @@
 
 func (m *Machine) update(l Local) {
 	leave := l.Leaving && !m.self.Leaving
-	l.Load = l.Load[:min(len(l.Load), MaxModels)]
-	l.Teams = l.Teams[:min(len(l.Teams), MaxTeams)]
+	l.Load, l.Teams = fitLoad(l.Load), fitTeams(l.Teams)
 	m.local = l
 	if leave {
 		m.markLeaving(string(m.cfg.Self))
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -62,7 +62,8 @@
 	Demand float64
 }
 
-// Local is what this process tells the others. Models beyond 16 and teams beyond 16 are cut.
+// Local is what this process tells the others. Load is cut to 16 models and 560 bytes, teams to 16 and 400 bytes;
+// order them by weight.
 type Local struct {
 	Config  ConfigMark
 	Hosts   uint64 // version of the host list
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -15,6 +15,9 @@
 	// newsBytes bounds the news in one Ping, Ack or PingReq. A member sends about two of them a second,
 	// so 200 bytes more cost 400 bytes/s of the budget.
 	newsBytes = 400
+	// computedBytes bounds a computed value, whose size depends on the names in it: loadBytes and what
+	// stands beside it. A limit at newsBytes would keep long names out altogether.
+	computedBytes = loadBytes + 120
 	// smallZone is the number of members up to which Pings carry load and teams as Acks do. In larger
 	// availability zones both would take a host above the budget.
 	smallZone = 6
@@ -68,7 +71,7 @@
 	// Computed values come first, because a long queue of news would keep them out.
 	if computed {
 		before := p.size()
-		m.pickComputed(&p, limit)
+		m.pickComputed(&p, computedBytes)
 		limit -= p.size() - before
 	}
 	m.pickNews(&p, to, limit)
--- a/transport/gossip/budget_test.go
+++ b/transport/gossip/budget_test.go
@@ -184,3 +184,37 @@
 		})
 	}
 }
+
+// Guards against lists that silently never travel because their names are long: every message must
+// fit a datagram, and load and teams must arrive, the largest teams at least.
+func TestLongNamesFit(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 6, 3, 1)
+	for i := range f.machines {
+		l := local(0)
+		l.Teams, l.Load = nil, nil
+		for k := range 30 {
+			l.Teams = append(l.Teams, member.TeamDemand{Team: ident.Team(fmt.Sprintf("%030d", k)), Demand: float64(100 - k)})
+			l.Load = append(l.Load, member.ModelLoad{Model: ident.Model(fmt.Sprintf("%030d", k)), FreeTokens: 1 << 40, QueueDelay: time.Hour})
+		}
+		f.step(i, member.Update{Local: l})
+	}
+	f.run(30 * time.Second)
+	for _, m := range f.machines {
+		c.Assert(len(m.Teams()) >= 8, qt.IsTrue)
+		c.Assert(m.Teams()[0].Team, qt.Equals, ident.Team(fmt.Sprintf("%030d", 0)))
+		for _, z := range []ident.Zone{"be-zone-00", "be-zone-01", "be-zone-02"} {
+			c.Assert(len(m.Load(z)) >= 8, qt.IsTrue)
+		}
+	}
+}
+
+// Guards against hashes of many availability zones that do not fit a datagram.
+func TestManyZonesFit(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 100, 50, 10)
+	f.run(150 * time.Second)
+	for _, m := range f.machines {
+		c.Assert(m.Members(), qt.HasLen, 200)
+	}
+}
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -34,8 +34,8 @@
 // ErrSocket marks a socket that cannot be opened.
 var ErrSocket = errs.Class("gossip: socket")
 
-// Handler receives changes from the machine on the service's goroutine. It must not block, and it must
-// not call View.
+// Handler receives changes from the machine on the service's goroutine. It must not block. It may call
+// View and Do.
 type Handler interface {
 	// OnChange hands over MemberChanged, LeavingLearned and ConfigSeen.
 	OnChange(a member.Action)
--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -291,3 +291,16 @@
 	c.Assert(ErrReplaced.Has(rec.downs()[0]), qt.IsTrue)
 	c.Assert(s.Peers(), qt.HasLen, 1)
 }
+
+// Guards against links that are closed after a pause of this process, although the peer's traffic only
+// waited in the socket.
+func TestPauseIsNoSilence(t *testing.T) {
+	c := qt.New(t)
+	ep, err := newEndpoint(testConfig("d0", RoleDispatcher), &recorder{})
+	c.Assert(err, qt.IsNil)
+	w := newWriter(newStream(ep, "addr", ""))
+	ep.start = ep.start.Add(-time.Minute) // a minute passes without a tick
+	c.Assert(w.s.silence() > ep.cfg.DeadAfter, qt.IsTrue)
+	c.Assert(w.tick(), qt.IsTrue)
+	c.Assert(w.s.silence() < ep.cfg.DeadAfter, qt.IsTrue)
+}
