Shorten deadlines of requests that waited for a paused process

Cause: a request that lies in the kernel while the process is paused would get its whole budget again.

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -28,7 +28,7 @@
 	Plan     *Plan
 	Platform *platform.Server
 	HostList *hostlist.Server
-	log      io.Writer
+	options  Options
 
 	mu       sync.Mutex
 	engines  map[string]*engine.Engine
@@ -37,14 +37,29 @@
 	roles    map[string]*process.Process // by "host/role"
 }
 
+// Options change how a system is started. The zero value changes nothing.
+type Options struct {
+	Log     io.Writer      // lines of all roles
+	Traces  io.Writer      // spans of exporter "stdout"
+	Prepare func(*Cluster) // runs before anything is started, to set faults
+}
+
 // Start runs the stand-ins and all roles of a plan. log gets the lines of all roles; nil discards them.
 func Start(plan *Plan, log io.Writer) (*Cluster, error) {
+	return StartWith(plan, Options{Log: log})
+}
+
+// StartWith is Start with options.
+func StartWith(plan *Plan, o Options) (*Cluster, error) {
 	c := &Cluster{
-		Plan: plan, log: log, Platform: platform.New(platform.Config{}),
+		Plan: plan, options: o, Platform: platform.New(platform.Config{}),
 		HostList: hostlist.New(hostlist.Config{Lag: plan.HostListLag}, plan.HostList()),
 		engines:  map[string]*engine.Engine{}, services: map[string]*service.Server{},
 		standins: map[string]*http.Server{}, roles: map[string]*process.Process{},
 	}
+	if o.Prepare != nil {
+		o.Prepare(c)
+	}
 	if err := c.start(); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
@@ -94,7 +109,7 @@
 	if !ok {
 		return fmt.Errorf("host %q is not planned", host)
 	}
-	p, err := process.Start(process.Config{Settings: s, Role: role, LogTo: c.log})
+	p, err := process.Start(process.Config{Settings: s, Role: role, LogTo: c.options.Log, TraceTo: c.options.Traces})
 	if err != nil {
 		return err
 	}
--- a/lab/scenario/fleet.go
+++ b/lab/scenario/fleet.go
@@ -22,6 +22,9 @@
 	// Exited waits for the end of a part that was stopped. The error says that it did not end in time
 	// or not in order.
 	Exited(name string, limit time.Duration) error
+	// Pause stops a part from running for a time and returns when it runs again. Parts that share a
+	// process can't be paused.
+	Pause(name string, d time.Duration) error
 	// Start starts a part again.
 	Start(name string) error
 	// Close ends all parts.
@@ -70,6 +73,11 @@
 	}
 }
 
+// Pause implements Fleet.
+func (f *inProcess) Pause(string, time.Duration) error {
+	return errors.New("parts that share a process can't be paused")
+}
+
 // Start implements Fleet.
 func (f *inProcess) Start(name string) error {
 	host, role, err := splitRole(name)
--- a/lab/scenario/language.go
+++ b/lab/scenario/language.go
@@ -35,6 +35,7 @@
 //	fault PART JSON                     set the fault switches of a stand-in
 //	host ID STATE                       change a line of the host list
 //	lose|terminate|start PART           end a part without farewell, or gracefully, or start it again
+//	pause PART D                        stop a part from running for a time, in the background
 //	exited PART LIMIT                   the terminated part must have ended in order within the limit
 //	publish FILE base=N                 publish a merge patch
 //	version N LIMIT [PART...]           the parts, or all roles, must hold the version within the limit
@@ -52,7 +53,7 @@
 		"load": (*state).load, "load-end": (*state).loadEnd, "serving": (*state).serving,
 		"fault": (*state).fault, "host": (*state).host, "publish": (*state).publish, "version": (*state).version,
 		"leaving": (*state).leaving, "idle": (*state).idle,
-		"lose":      (*state).lose,
+		"lose": (*state).lose, "pause": (*state).pause,
 		"terminate": func(s *state, a []string) { s.check(s.fleet.Stop(arg(s, a, 0))) },
 		"start":     func(s *state, a []string) { s.check(s.fleet.Start(arg(s, a, 0))) },
 		"exited":    func(s *state, a []string) { s.check(s.fleet.Exited(arg(s, a, 0), s.duration(arg(s, a, 1)))) },
--- a/lab/scenario/parts.go
+++ b/lab/scenario/parts.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -142,6 +143,14 @@
 	s.lost[args[0]] = true
 }
 
+// pause returns once the part no longer runs, so that the next command meets a paused part.
+func (s *state) pause(args []string) {
+	name, d := arg(s, args, 0), s.duration(arg(s, args, 1))
+	go func() { _ = s.fleet.Pause(name, d) }() // a failed pause shows in what the script expects next
+	const signalTime = 100 * time.Millisecond
+	time.Sleep(signalTime)
+}
+
 // serving finds the dispatcher and the engine with sessions. The stream must be the only one.
 func (s *state) serving(args []string) {
 	s.stream(arg(s, args, 0))
--- a/lab/scenario/processes_test.go
+++ b/lab/scenario/processes_test.go
@@ -156,6 +156,15 @@
 // Stop implements Fleet.
 func (f *processes) Stop(name string) error { return f.signal(name, syscall.SIGTERM) }
 
+// Pause implements Fleet.
+func (f *processes) Pause(name string, d time.Duration) error {
+	if err := f.signal(name, syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return f.signal(name, syscall.SIGCONT)
+}
+
 // Exited implements Fleet.
 func (f *processes) Exited(name string, limit time.Duration) error {
 	p, err := f.part(name)
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -37,16 +37,21 @@
 	return m.Run()
 }
 
-func scripts(t *testing.T, start Starter) {
+func scripts(t *testing.T, start Starter, processes bool) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script", Setup: Setup, Cmds: Commands(start), RequireExplicitExec: true,
-		ContinueOnError: false,
+		Condition: func(name string) (bool, error) {
+			if name != "processes" {
+				return false, fmt.Errorf("unknown condition %q", name)
+			}
+			return processes, nil
+		},
 	})
 }
 
 // Guards against faults of the roles and their protocols, with all goroutines in one process so that
 // the race detector sees them.
-func TestInProcess(t *testing.T) { scripts(t, InProcess) }
+func TestInProcess(t *testing.T) { scripts(t, InProcess, false) }
 
 // Guards against the same faults where each part is a process of its own, which can be killed.
-func TestProcesses(t *testing.T) { scripts(t, startProcesses) }
+func TestProcesses(t *testing.T) { scripts(t, startProcesses, true) }
--- a/node/gateway/lookup.go
+++ b/node/gateway/lookup.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	received := g.view.Now()
+	received := g.received()
 	body, err := readBody(w, r, MaxServiceBody)
 	if err != nil {
 		return nil, false, err
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -65,6 +65,7 @@
 	fold     *config.Fold
 	backends *drain.Backends
 	pauses   *pause.Detector
+	lastTick time.Duration
 	lastGap  time.Duration
 	load     []member.ModelLoad
 	demand   []member.TeamDemand
@@ -225,10 +226,14 @@
 func (v *View) PauseSlack() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.pauses.JustPaused(v.Now()) {
-		return 0
+	now := v.Now()
+	switch {
+	case now-v.lastTick > pause.Gap:
+		return now - v.lastTick // the ticker has not run since the pause
+	case v.pauses.JustPaused(now):
+		return v.lastGap
 	}
-	return v.lastGap
+	return 0
 }
 
 const (
@@ -274,7 +279,8 @@
 
 func (v *View) checkPause() {
 	v.mu.Lock()
-	gap, paused := v.pauses.Tick(v.Now())
+	v.lastTick = v.Now()
+	gap, paused := v.pauses.Tick(v.lastTick)
 	if paused {
 		v.lastGap = gap
 	}
