--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -63,8 +63,8 @@
 	return Config{
 		Policy:            Predict,
 		QueueLength:       1024,
-		BatchMemoryShare:  0.7,
-		BatchEngineShare:  0.75,
+		BatchMemoryShare:  0.85,
+		BatchEngineShare:  0.85,
 		LongPromptTokens:  ident.InteractiveMaxTokens + 1,
 		LongPrefillTokens: 200_000,
 		AgeingLimit:       20 * time.Second,
