--- a/lab/cluster/plan.go
+++ b/lab/cluster/plan.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -192,21 +193,26 @@
 	return "http://" + p.Settings[host].Gateway.HTTPAddress
 }
 
-// portPicker picks ports that are free for TCP and UDP. They stay free until another process takes
-// them, which on loopback is rare enough for a test.
+// portPicker picks ports that are free for TCP and UDP. They lie below the range from which the kernel
+// takes ports of outgoing connections, which would otherwise occupy them before their process starts.
 type portPicker struct {
 	used map[string]bool
 	err  error
 }
 
+const (
+	firstPort = 10_240
+	lastPort  = 32_000
+)
+
 func (p *portPicker) next() string {
 	if p.used == nil {
 		p.used = map[string]bool{}
 	}
-	const tries = 100
+	const tries = 1000
 	for range tries {
-		addr, ok := freePort()
-		if ok && !p.used[addr] {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if !p.used[addr] && free(addr) {
 			p.used[addr] = true
 			return addr
 		}
@@ -215,16 +221,15 @@
 	return ""
 }
 
-func freePort() (addr string, ok bool) {
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+func free(addr string) bool {
+	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
-		return "", false
+		return false
 	}
-	defer tcp.Close()
-	addr = tcp.Addr().String()
 	udp, err := net.ListenPacket("udp", addr)
 	if err != nil {
-		return "", false
+		_ = tcp.Close() // the port is not used either way
+		return false
 	}
-	return addr, udp.Close() == nil
+	return tcp.Close() == nil && udp.Close() == nil
 }
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -178,6 +178,12 @@
 // Kill stops everything at once and breaks running requests off, as the loss of the process would. It
 // is for tests and the demo.
 func (p *Process) Kill() {
+	if p.control != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = p.control.Close(ctx) // first, because a lost process answers no forwarded call
+		p.control = nil
+	}
 	if p.Gateway != nil {
 		p.Gateway.Kill()
 	}
