Charge teams by the configuration in force, and let demand shares follow with three gateways

(2) With three or more gateways only one of the others ever counted as having reported, so shares stayed equal for ever. (4) Systems that start together on 127.0.0.1 picked each other's free ports. Change: the limit takes the team's rate from the configuration in force; the aggregated demand counts as the report of one other gateway and the rest report nothing; the harness waits for the end of a killed process and gives each system a loopback address of its own.

--- a/core/limits/teams.go
+++ b/core/limits/teams.go
@@ -144,16 +144,22 @@
 		}
 	}
 	for name, r := range rates {
-		if old, ok := t.teams[name]; ok {
-			old.rate = r
-			continue
-		}
-		n := &team{rate: r}
-		share := t.share(now, name, n)
-		n.requests.fill(now, r.RequestsPerS*share, t.cfg.Burst, 1)
-		n.tokens.fill(now, r.TokensPerS*share, t.cfg.Burst, 0)
-		t.teams[name] = n
+		t.ConfigureTeam(now, name, r)
+	}
+}
+
+// ConfigureTeam sets the rate of one team. A request may come with a newer configuration than the last
+// Configure saw; its team must not be refused as unknown.
+func (t *Teams) ConfigureTeam(now time.Duration, name ident.Team, r Rate) {
+	if old, ok := t.teams[name]; ok {
+		old.rate = r
+		return
 	}
+	n := &team{rate: r}
+	share := t.share(now, name, n)
+	n.requests.fill(now, r.RequestsPerS*share, t.cfg.Burst, 1)
+	n.tokens.fill(now, r.TokensPerS*share, t.cfg.Burst, 0)
+	t.teams[name] = n
 }
 
 // SetGateways sets the live gateways, this one included.
--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -163,3 +163,18 @@
 	}
 	c.Assert(limited > 5, qt.IsTrue, qt.Commentf("%d of 20 requests limited at 5 per second", limited))
 }
+
+// Guards against systems that start at the same time and pick each other's ports before they are bound.
+func TestPlansOfOneTimeShareNoAddress(t *testing.T) {
+	c := qt.New(t)
+	seen := map[string]bool{}
+	for range 20 {
+		ports := newPortPicker()
+		for range 30 {
+			addr := ports.next()
+			c.Assert(seen[addr], qt.IsFalse, qt.Commentf("%s was picked before", addr))
+			seen[addr] = true
+		}
+		c.Assert(ports.err, qt.IsNil)
+	}
+}
--- a/lab/cluster/plan.go
+++ b/lab/cluster/plan.go
@@ -79,7 +79,7 @@
 // NewPlan picks free loopback ports for a system.
 func NewPlan(spec Spec) (*Plan, error) {
 	p := &Plan{Spec: spec, Settings: map[string]settings.Settings{}}
-	ports := &portPicker{}
+	ports := newPortPicker()
 	p.PlatformAddress = ports.next()
 	p.HostListAddress = ports.next()
 	for _, g := range spec.Groups {
@@ -195,23 +195,28 @@
 
 // portPicker picks ports that are free for TCP and UDP. They lie below the range from which the kernel
 // takes ports of outgoing connections, which would otherwise occupy them before their process starts.
+// Each picker uses a loopback address of its own: with one address for all, systems that start at the
+// same time took ports that another had picked and not yet bound.
 type portPicker struct {
+	ip   string
 	used map[string]bool
 	err  error
 }
 
+func newPortPicker() *portPicker {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(255), 2+rand.IntN(252))
+	return &portPicker{ip: ip, used: map[string]bool{}}
+}
+
 const (
 	firstPort = 10_240
 	lastPort  = 32_000
 )
 
 func (p *portPicker) next() string {
-	if p.used == nil {
-		p.used = map[string]bool{}
-	}
 	const tries = 1000
 	for range tries {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		addr := fmt.Sprintf("%s:%d", p.ip, firstPort+rand.IntN(lastPort-firstPort))
 		if !p.used[addr] && free(addr) {
 			p.used[addr] = true
 			return addr
--- a/lab/scenario/processes_test.go
+++ b/lab/scenario/processes_test.go
@@ -150,8 +150,19 @@
 	return p.cmd.Process.Signal(s)
 }
 
-// Kill implements Fleet.
-func (f *processes) Kill(name string) error { return f.signal(name, syscall.SIGKILL) }
+// Kill implements Fleet. It waits for the end: until then the process holds its ports, and one that is
+// started again at once could not bind them.
+func (f *processes) Kill(name string) error {
+	p, err := f.part(name)
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
 
 // Stop implements Fleet.
 func (f *processes) Stop(name string) error { return f.signal(name, syscall.SIGTERM) }
--- a/node/gateway/teams.go
+++ b/node/gateway/teams.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/config"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -34,22 +35,38 @@
 	return name, team, nil
 }
 
-// takeLimit charges a request of the given number of tokens to its team.
-func (g *Gateway) takeLimit(team ident.Team, tokens int) *outcome.Error {
+// takeLimit charges a request of the given number of tokens to its team. The rate comes from the
+// configuration in force and not from the last refresh of the limits: right after a start or a patch
+// the refresh has not seen the team yet, and the request was refused as one of an unknown team.
+func (g *Gateway) takeLimit(name ident.Team, tokens int) *outcome.Error {
+	s := g.view.Config()
+	if s == nil {
+		return outcome.Refuse("team_limit", outcome.NotReady, "no configuration is held")
+	}
+	team, ok := s.Teams[name]
+	if !ok {
+		return outcome.Refuse("team_limit", outcome.UnknownTeam, "the team was removed from the configuration")
+	}
 	g.limitsMu.Lock()
-	d := g.limits.Take(g.view.Now(), team, tokens)
-	g.limitsMu.Unlock()
-	switch {
-	case d.OK:
+	defer g.limitsMu.Unlock()
+	return take(g.limits, g.view.Now(), name, team, tokens)
+}
+
+func take(l *limits.Teams, now time.Duration, name ident.Team, team config.Team, tokens int) *outcome.Error {
+	l.ConfigureTeam(now, name, rateOf(team))
+	d := l.Take(now, name, tokens)
+	if d.OK {
 		return nil
-	case !d.Known:
-		return outcome.Refuse("team_limit", outcome.UnknownTeam, "the team was removed from the configuration")
 	}
 	e := outcome.Refuse("team_limit", outcome.TeamLimit, "the team is over its configured rate")
 	e.RetryAfter = d.RetryAfter
 	return e
 }
 
+func rateOf(t config.Team) limits.Rate {
+	return limits.Rate{RequestsPerS: t.RatePerS, TokensPerS: t.TokensPerS}
+}
+
 // refreshLimits takes over teams and live gateways.
 func (g *Gateway) refreshLimits() {
 	s := g.view.Config()
@@ -58,7 +75,7 @@
 	}
 	rates := make(map[ident.Team]limits.Rate, len(s.Teams))
 	for name, t := range s.Teams {
-		rates[name] = limits.Rate{RequestsPerS: t.RatePerS, TokensPerS: t.TokensPerS}
+		rates[name] = rateOf(t)
 	}
 	g.limitsMu.Lock()
 	defer g.limitsMu.Unlock()
@@ -77,17 +94,12 @@
 	return ids
 }
 
-// exchangeDemand reports the own demand and learns that of the others. Membership carries the sum over
-// all gateways, so what is not the own part counts as the report of one other gateway; shares depend
-// on the sum of the others only.
+// exchangeDemand reports the own demand and learns that of the others.
 func (g *Gateway) exchangeDemand() {
 	total := g.view.TeamDemand()
 	others := g.gatewayIDs()[1:]
 	g.limitsMu.Lock()
-	own := g.limits.Publish(g.view.Now())
-	if len(others) > 0 {
-		g.limits.Learn(g.view.Now(), others[0], remainder(total, own))
-	}
+	own := exchange(g.limits, g.view.Now(), others, total)
 	g.limitsMu.Unlock()
 	report := make([]member.TeamDemand, len(own))
 	for i, d := range own {
@@ -96,6 +108,20 @@
 	g.view.SetDemand(report)
 }
 
+// exchange publishes the own demand in l and learns the demand of the others. Membership carries the
+// sum over all gateways, so what is not the own part counts as the report of one other gateway, and
+// the rest report nothing; shares depend on the sum of the others only. Every gateway needs a report:
+// limits keep equal shares until each has one.
+func exchange(l *limits.Teams, now time.Duration, others []ident.HostID, total []member.TeamDemand) []limits.TeamDemand {
+	own := l.Publish(now)
+	rest := remainder(total, own)
+	for _, id := range others {
+		l.Learn(now, id, rest)
+		rest = nil
+	}
+	return own
+}
+
 func remainder(total []member.TeamDemand, own []limits.TeamDemand) []limits.TeamDemand {
 	var out []limits.TeamDemand
 	for _, t := range total {
