--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/pause"
@@ -15,11 +16,18 @@
 	SendLimit = pause.Gap
 	Retry     = 10 * time.Second
 	Timeout   = 60 * time.Second
+	Recheck   = 5 * time.Minute
 )
 
+// ownerBits are the low bits of a term, which differ between owners: two owners that read the same
+// report must not take the same term, since an engine takes both. The other bits leave 2^33 terms
+// before a JSON number loses digits.
+const ownerBits = 20
+
 // Config sets up a Controller. Zero fields take the package's defaults.
 type Config struct {
-	Host ident.HostID
+	Host        ident.HostID
+	Incarnation ident.Incarnation
 	// Fresh is the age of the last word from a peer or the platform up to which the view counts as
 	// fresh. Longer lets a cut off owner give orders to engines that ignore fencing for longer.
 	Fresh time.Duration
@@ -33,6 +41,10 @@
 	Retry time.Duration
 	// Timeout is the time after which an order without an end counts as failed.
 	Timeout time.Duration
+	// Recheck is the time after which adapters are loaded again. Reports don't name adapters, so a loss
+	// stays hidden when another owner orders an engine that ignores fencing, or loads the model again
+	// right after a restart of the engine. Longer leaves the engine without the adapter for longer.
+	Recheck time.Duration
 }
 
 // Controller gives orders to the engines that this process owns. It isn't safe for concurrent use.
@@ -45,6 +57,7 @@
 	heardAny    bool
 	pausedUntil time.Duration
 	nextID      uint64
+	owner       uint64 // low bits of every own term
 }
 
 // engine is the state of one engine.
@@ -57,7 +70,9 @@
 	term      uint64           // own term; zero when none is taken
 	last      backendapi.Fence // of the newest own order
 	adapters  []string         // loaded by own orders since the model was loaded
+	adapterAt time.Duration    // when the first of them was loaded
 	sent      *sent
+	taken     time.Duration // of the newest report
 	settledAt time.Duration // reports taken before don't show the last order
 	notBefore time.Duration
 }
@@ -77,7 +92,12 @@
 	setDefault(&cfg.SendLimit, SendLimit)
 	setDefault(&cfg.Retry, Retry)
 	setDefault(&cfg.Timeout, Timeout)
-	return &Controller{cfg: cfg, engines: make(map[ident.BackendID]*engine)}
+	setDefault(&cfg.Recheck, Recheck)
+	return &Controller{
+		cfg:     cfg,
+		engines: make(map[ident.BackendID]*engine),
+		owner:   xxhash.Sum64String(string(cfg.Host)+"/"+cfg.Incarnation.String()) & (1<<ownerBits - 1),
+	}
 }
 
 func setDefault(v *time.Duration, d time.Duration) {
@@ -165,11 +185,12 @@
 // take records a report. Adapters aren't reported: they count as loaded only while nothing shows that
 // the engine was restarted, given another model or ordered by another process.
 func (e *engine) take(ev Reported) {
-	if ev.Taken < e.settledAt {
+	if ev.Taken < max(e.settledAt, e.taken) {
 		return
 	}
+	e.taken = ev.Taken
 	r := ev.Report
-	restarted := e.reported && (r.Report < e.report.Report || r.Fence.Less(e.report.Fence))
+	restarted := e.reported && (r.Report < e.report.Report || r.Fence.Less(e.reportable()))
 	foreign := e.last.Less(r.Fence)
 	if restarted || foreign || !e.loaded(r) {
 		e.adapters = nil
@@ -179,6 +200,15 @@
 	e.reported = true
 }
 
+// reportable is the fence below which an engine's report shows a restart. An engine that ignores
+// fencing may not report the numbers of the orders that it took.
+func (e *engine) reportable() backendapi.Fence {
+	if e.desired != nil && e.desired.HonoursFence {
+		return e.fence
+	}
+	return e.report.Fence
+}
+
 // loaded reports whether an engine's report shows the desired model and version.
 func (e *engine) loaded(r backendapi.Report) bool {
 	return e.desired != nil && r.Model == string(e.desired.Model) && r.Version == e.desired.Version
@@ -195,20 +225,35 @@
 	e.notBefore = now + c.cfg.Retry
 	switch ev.Result {
 	case Done:
-		if e.fence.Less(s.order.Fence) {
-			e.fence = s.order.Fence
-		}
-		if s.order.Adapter != "" {
-			e.adapters = append(e.adapters, s.order.Adapter)
-			e.notBefore = now // the next adapter doesn't wait
-		}
+		e.done(now, s.order)
 	case Refused:
 		if e.fence.Less(ev.Highest) {
 			e.fence = ev.Highest
 		}
-		e.notBefore = now // the next order carries a higher term
+		if s.order.Fence.Less(ev.Highest) {
+			e.notBefore = now // the next order carries a higher term
+			e.adapters = nil  // another owner ordered
+		}
 	case Failed:
 		e.reported = false // it may have arrived: wait for a report that shows it
+		e.term = 0         // and it may arrive later: outrank it
 		e.adapters = nil
 	}
 }
+
+// done records an order that the engine took. An adapter doesn't count if another owner's order came
+// after it.
+func (e *engine) done(now time.Duration, o backendapi.Order) {
+	outranked := o.Fence.Less(e.fence)
+	if !outranked {
+		e.fence = o.Fence
+	}
+	if o.Adapter == "" || outranked {
+		return
+	}
+	if len(e.adapters) == 0 {
+		e.adapterAt = now
+	}
+	e.adapters = append(e.adapters, o.Adapter)
+	e.notBefore = now // the next adapter doesn't wait
+}
--- /dev/null
+++ b/core/orders/proof_test.go
@@ -0,0 +1,315 @@
+package orders
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/backendapi"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/pause"
+	"pgregory.net/rapid"
+)
+
+// fakeEngine takes orders. It refuses an old fencing number if it honours them.
+type fakeEngine struct {
+	id       ident.BackendID
+	honours  bool
+	fence    backendapi.Fence
+	model    string
+	version  string
+	config   uint64 // of the last order that it took
+	adapters []string
+	reports  uint64
+	restarts int
+}
+
+func (e *fakeEngine) take(o backendapi.Order) Result {
+	if e.honours && o.Fence.Less(e.fence) {
+		return Refused
+	}
+	if o.Adapter != "" && (o.Model != e.model || o.Version != e.version) {
+		return Failed
+	}
+	if e.fence.Less(o.Fence) {
+		e.fence = o.Fence
+	}
+	e.config = o.Fence.Config
+	if o.Adapter != "" {
+		e.adapters = append(e.adapters, o.Adapter)
+		return Done
+	}
+	e.model, e.version, e.adapters = o.Model, o.Version, nil
+	return Done
+}
+
+func (e *fakeEngine) report() backendapi.Report {
+	e.reports++
+	return backendapi.Report{Report: e.reports, Model: e.model, Version: e.version, Fence: e.fence}
+}
+
+// process is an owner with its detector of pauses.
+type process struct {
+	*Controller
+	pauses    *pause.Detector
+	paused    bool
+	lastHeard time.Duration
+	lastTick  time.Duration
+	lastWoken time.Duration // end of the last pause
+	pending   []Send        // decided, first byte not yet written
+	owns      []ident.BackendID
+	running   map[ident.BackendID]Send // sent, without an end
+	since     map[ident.BackendID]time.Duration
+}
+
+type world struct {
+	*rapid.T
+	now       time.Duration
+	engines   []*fakeEngine
+	processes []*process
+	bag       []func()
+}
+
+// desired is the configuration of a version: a new model version and adapter each.
+func desired(v ident.Version) ConfigAccepted {
+	name := string(rune('0' + v))
+	var out []Desired
+	for _, id := range []ident.BackendID{"honours", "ignores"} {
+		out = append(out, Desired{Engine: id, HonoursFence: id == "honours", Model: "m", Version: name, Adapters: []string{"a" + name, "b"}})
+	}
+	return ConfigAccepted{Version: v, Desired: out}
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{T: t, now: time.Minute, engines: []*fakeEngine{{id: "honours", honours: true}, {id: "ignores"}}}
+	for _, host := range []ident.HostID{"h1", "h2"} {
+		p := &process{Controller: New(Config{Host: host, Recheck: 40 * time.Second}), pauses: pause.New(pause.Config{}), lastWoken: -time.Minute, running: map[ident.BackendID]Send{}, since: map[ident.BackendID]time.Duration{}}
+		w.processes = append(w.processes, p)
+		w.step(p, desired(1))
+		w.step(p, Owned{Engines: []ident.BackendID{"honours", "ignores"}})
+	}
+	return w
+}
+
+func (w *world) pick() *process {
+	p := rapid.SampledFrom(w.processes).Draw(w.T, "process")
+	if p.paused {
+		w.Skip("paused")
+	}
+	return p
+}
+
+// step feeds an event, after the tick that a running process gets first.
+func (w *world) step(p *process, ev Event) {
+	if _, paused := p.pauses.Tick(w.now); paused {
+		p.pending = append(p.pending, p.Step(w.now, Paused{})...)
+	}
+	p.lastTick = w.now
+	if end, ok := ev.(Ended); ok && p.running[end.Engine].ID == end.ID {
+		delete(p.running, end.Engine)
+	}
+	if _, ok := ev.(Heard); ok {
+		p.lastHeard = w.now
+	}
+	p.pending = append(p.pending, p.Step(w.now, ev)...)
+}
+
+// send writes the first byte of a decided order and lets it travel.
+func (w *world) send(p *process) {
+	if len(p.pending) == 0 {
+		w.Skip("no order")
+	}
+	s := p.pending[0]
+	p.pending = p.pending[1:]
+	if !p.Confirm(w.now, s.Engine, s.ID) {
+		return
+	}
+	e := w.engines[slices.IndexFunc(w.engines, func(e *fakeEngine) bool { return e.id == s.Engine })]
+	if !e.honours && (w.now-p.lastHeard > Fresh || w.now-p.lastWoken < pause.Recent) {
+		w.Fatalf("an order went to an engine that ignores fencing %s after the last word and %s after a pause", w.now-p.lastHeard, w.now-p.lastWoken)
+	}
+	if known := p.Controller.engines[s.Engine].fence; s.Order.Fence.Config < known.Config {
+		w.Fatalf("an order of version %d went to an engine with fence %v", s.Order.Fence.Config, known)
+	}
+	if _, running := p.running[s.Engine]; running && w.now-p.since[s.Engine] < Timeout-SendLimit {
+		w.Fatalf("%s sent two orders to %s at once", p.cfg.Host, s.Engine)
+	}
+	p.running[s.Engine], p.since[s.Engine] = s, w.now
+	w.bag = append(w.bag, func() {
+		before := e.config
+		result := Ended{Engine: s.Engine, ID: s.ID, Result: e.take(s.Order)}
+		if result.Result == Refused {
+			result.Highest = e.fence
+		}
+		if e.honours && e.config < before {
+			w.Fatalf("an engine that honours fencing went from version %d to %d", before, e.config)
+		}
+		w.bag = append(w.bag, func() { w.unlessPaused(p, result) })
+	})
+}
+
+func (w *world) unlessPaused(p *process, ev Event) {
+	if !p.paused {
+		w.step(p, ev)
+	}
+}
+
+func (w *world) deliver(run bool) {
+	if len(w.bag) == 0 {
+		w.Skip("no message")
+	}
+	i := rapid.IntRange(0, len(w.bag)-1).Draw(w.T, "message")
+	m := w.bag[i]
+	w.bag = slices.Delete(w.bag, i, i+1)
+	if run {
+		m()
+	}
+}
+
+// observe lets a report of an engine travel to a process.
+func (w *world) observe(p *process, e *fakeEngine) {
+	ev := Reported{Engine: e.id, Taken: w.now, Report: e.report()}
+	w.bag = append(w.bag, func() { w.unlessPaused(p, ev) })
+}
+
+// round lets a process look at an engine, order and hear the end without delay.
+func (w *world) round(p *process, e *fakeEngine) {
+	late := w.bag
+	w.bag = nil
+	w.observe(p, e)
+	for range 8 {
+		if len(p.pending) > 0 {
+			w.send(p)
+		}
+		if len(w.bag) > 0 {
+			m := w.bag[0]
+			w.bag = w.bag[1:]
+			m()
+		}
+	}
+	w.bag = append(late, w.bag...)
+}
+
+func (w *world) pass(ticks int) {
+	for range ticks {
+		w.now += 200 * time.Millisecond
+		for _, p := range w.processes {
+			if !p.paused {
+				w.step(p, Tick{})
+			}
+		}
+	}
+}
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	rare := func(n int) {
+		if rapid.IntRange(1, n).Draw(w.T, "rare") > 1 {
+			w.Skip("rare")
+		}
+	}
+	engine := func() *fakeEngine { return rapid.SampledFrom(append(w.engines, w.engines[0])).Draw(w.T, "engine") }
+	return map[string]func(*rapid.T){
+		"config": func(*rapid.T) {
+			rare(5)
+			w.step(w.pick(), desired(ident.Version(rapid.IntRange(2, 4).Draw(w.T, "version"))))
+		},
+		"own": func(*rapid.T) { // both may own an engine: that is a partition
+			p := w.pick()
+			p.owns = []ident.BackendID{"honours", "ignores"}[rapid.IntRange(0, 1).Draw(w.T, "from"):]
+			w.step(p, Owned{Engines: p.owns})
+		},
+		"disown":  func(*rapid.T) { rare(4); w.step(w.pick(), Owned{}) },
+		"hear":    func(*rapid.T) { w.step(w.pick(), Heard{}) },
+		"report":  func(*rapid.T) { w.observe(w.pick(), engine()) },
+		"look":    func(*rapid.T) { w.observe(w.pick(), engine()) },
+		"send":    func(*rapid.T) { w.send(w.pick()) },
+		"post":    func(*rapid.T) { w.send(w.pick()) },
+		"deliver": func(*rapid.T) { w.deliver(true) },
+		"arrive":  func(*rapid.T) { w.deliver(true) },
+		"cut":     func(*rapid.T) { rare(4); w.deliver(false) },
+		"round":   func(*rapid.T) { w.round(w.pick(), engine()) },
+		"again":   func(*rapid.T) { w.round(w.pick(), engine()) },
+		"time":    func(*rapid.T) { w.pass(rapid.SampledFrom([]int{1, 20, 51}).Draw(w.T, "ticks")) },
+		"timeout": func(*rapid.T) { rare(2); w.pass(301) },
+		"pause":   func(*rapid.T) { rare(3); w.pick().paused = true },
+		"resume": func(*rapid.T) {
+			for _, p := range w.processes {
+				if p.paused && w.now-p.lastTick > pause.Gap {
+					p.lastWoken = w.now
+				}
+				p.paused = false
+			}
+		},
+		"engine restarts": func(*rapid.T) {
+			rare(8)
+			e := engine()
+			*e = fakeEngine{id: e.id, honours: e.honours, restarts: e.restarts + 1}
+		},
+		"": func(*rapid.T) { w.check() },
+	}
+}
+
+// check compares what owners believe about adapters, which engines don't report, with the engines. A
+// restart may hide a loss until Recheck; settle covers it.
+func (w *world) check() {
+	for _, p := range w.processes {
+		for _, e := range w.engines {
+			s := p.Controller.engines[e.id]
+			if s == nil || !e.honours || e.restarts > 0 || s.fence != e.fence || s.sent != nil {
+				continue
+			}
+			for _, a := range s.adapters {
+				if !slices.Contains(e.adapters, a) {
+					w.Fatalf("%s believes that adapter %s is loaded under the fence %v", p.cfg.Host, a, e.fence)
+				}
+			}
+		}
+	}
+}
+
+// settle lets one owner work without faults and requires the desired state.
+func (w *world) settle() {
+	p := w.processes[0]
+	p.paused = false
+	w.bag = nil
+	w.step(w.processes[1], Owned{})
+	top := max(p.version, w.processes[1].version)
+	w.step(p, desired(top))
+	w.step(p, Owned{Engines: []ident.BackendID{"honours", "ignores"}})
+	for range 90 {
+		w.now += time.Second
+		for range 5 { // ticks within the second, so that it isn't a pause
+			p.pauses.Tick(w.now - 800*time.Millisecond)
+		}
+		p.pauses = pause.New(pause.Config{})
+		w.step(p, Heard{})
+		for _, e := range w.engines {
+			w.step(p, Reported{Engine: e.id, Taken: w.now, Report: e.report()})
+		}
+		for len(p.pending) > 0 {
+			w.send(p)
+		}
+		for len(w.bag) > 0 {
+			m := w.bag[0]
+			w.bag = w.bag[1:]
+			m()
+		}
+	}
+	for _, e := range w.engines {
+		if e.version != string(rune('0'+top)) || !slices.Contains(e.adapters, "a"+e.version) || !slices.Contains(e.adapters, "b") {
+			w.Fatalf("%s stays at version %s with adapters %v", e.id, e.version, e.adapters)
+		}
+	}
+}
+
+// TestOrders guards against an engine that goes back to an older configuration, owners that believe in
+// adapters that a late order dropped, orders to engines that ignore fencing from a cut off or paused
+// owner, and engines that never reach the desired state, with two owners at once, late and lost
+// orders, pauses and restarts of engines.
+func TestOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions())
+		w.settle()
+	})
+}
--- a/core/orders/reconcile.go
+++ b/core/orders/reconcile.go
@@ -14,11 +14,14 @@
 	for _, id := range c.order {
 		e := c.engines[id]
 		c.expire(now, id, e)
+		if now-e.adapterAt >= c.cfg.Recheck {
+			e.adapters = nil
+		}
 		want, ok := e.next()
 		if !ok || e.sent != nil || now < e.notBefore || !c.may(now, e) {
 			continue
 		}
-		want.Fence = e.nextFence(c.version)
+		want.Fence = c.nextFence(e)
 		want.Issuer = string(c.cfg.Host)
 		e.last = want.Fence
 		if want.Adapter == "" {
@@ -70,15 +73,19 @@
 	return c.heardAny && now-c.heard <= c.cfg.Fresh && now >= c.pausedUntil
 }
 
-// nextFence returns the fencing number for the next order. The term is above the highest known one
-// unless the own term is the highest.
-func (e *engine) nextFence(v ident.Version) backendapi.Fence {
-	f := backendapi.Fence{Config: uint64(v), Term: e.term}
-	if e.term == 0 || f.Less(e.fence) || e.term < e.fence.Term {
-		e.term = e.fence.Term + 1
-		f.Term = e.term
+// nextFence returns the fencing number for the next order. The own term is kept while it is the highest
+// known one and every order that carried it has ended. A late order with the current number would
+// otherwise reload the model, which drops the adapters loaded since.
+func (c *Controller) nextFence(e *engine) backendapi.Fence {
+	if e.term == 0 || e.term < e.fence.Term {
+		e.term = c.termAbove(max(e.fence.Term, e.last.Term))
 	}
-	return f
+	return backendapi.Fence{Config: uint64(c.version), Term: e.term}
+}
+
+// termAbove returns a term above a given one that no other owner takes.
+func (c *Controller) termAbove(term uint64) uint64 {
+	return (term>>ownerBits+1)<<ownerBits | c.owner
 }
 
 // Confirm must be called right before the first byte of an order. It repeats the checks of the
