--- /dev/null
+++ b/core/answer/answer_test.go
@@ -0,0 +1,89 @@
+package answer
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// frame is a token, or the end if end is set, of one attempt.
+type frame struct {
+	attempt uint64
+	n       int
+	end     bool
+}
+
+// TestWholeAnswer guards against an answer that is taken for whole with a token missing, twice, out of
+// order or of a given up attempt, when frames of several attempts are lost, doubled and reordered.
+func TestWholeAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 6).Draw(t, "tokens")
+		var s Stream
+		var bag []frame
+		var got []int
+		attempt := uint64(0)
+		whole := false
+		start := func() {
+			attempt++
+			for n := s.Start(attempt) + 1; n <= total; n++ {
+				bag = append(bag, frame{attempt: attempt, n: n})
+			}
+			bag = append(bag, frame{attempt: attempt, n: total, end: true})
+		}
+		start()
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			if len(bag) == 0 || rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				start()
+			}
+			i := min(rapid.SampledFrom([]int{0, 0, 0, 1, 5}).Draw(t, "frame"), len(bag)-1)
+			f := bag[i]
+			if rapid.IntRange(0, 4).Draw(t, "stays") > 0 {
+				bag = append(bag[:i:i], bag[i+1:]...)
+			}
+			current, open := s.Attempt()
+			v := s.Token
+			if f.end {
+				v = s.End
+			}
+			switch verdict := v(f.attempt, f.n); verdict {
+			case Deliver:
+				got = append(got, f.n)
+				if whole || !open || f.attempt != current {
+					t.Fatalf("token of attempt %d delivered", f.attempt)
+				}
+			case Complete:
+				whole = true
+				if len(got) != total {
+					t.Fatalf("whole with %d of %d tokens", len(got), total)
+				}
+			case Gap:
+				start()
+			case WrongCount:
+				t.Fatal("the count is right")
+			}
+			for i, n := range got {
+				if n != i+1 {
+					t.Fatalf("delivered %v", got)
+				}
+			}
+		}
+		if s.Over() != whole || s.ResumeFrom() != len(got) {
+			t.Fatalf("over %v, resumes from %d of %v", s.Over(), s.ResumeFrom(), got)
+		}
+	})
+}
+
+// TestEndBelowDelivered guards against an end that is accepted though it disagrees with what the caller has.
+func TestEndBelowDelivered(t *testing.T) {
+	var s Stream
+	s.Start(1)
+	s.Token(1, 1)
+	s.Token(1, 2)
+	if v := s.End(1, 1); v != WrongCount || s.Over() {
+		t.Fatalf("end with count 1 after two tokens: %d", v)
+	}
+	s.Close()
+	if s.Start(2); s.Token(2, 3) != AfterEnd || s.Counters()[Deliver] != 2 {
+		t.Fatal("a closed stream delivers")
+	}
+}
--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,111 @@
+package drain
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"pgregory.net/rapid"
+)
+
+func mark(source Source, leaving bool, incarnation, list uint64) Mark {
+	return Mark{Server: "e", Source: source, Leaving: leaving, Stamp: Stamp{Incarnation: incarnation, ListVersion: list}}
+}
+
+// TestLeavingWins guards against a leaving server that gets work again because of an older or lagging
+// source, and against a returned server that stays idle.
+func TestLeavingWins(t *testing.T) {
+	for name, test := range map[string]struct {
+		marks []Mark
+		after time.Duration // before the last mark
+		want  bool
+	}{
+		"report":                          {[]Mark{mark(HostList, false, 0, 7), mark(Report, true, 0, 7)}, 0, true},
+		"gossip with an older list":       {[]Mark{mark(HostList, false, 0, 7), mark(Gossip, true, 0, 5)}, 0, true},
+		"live report after a refusal":     {[]Mark{mark(Refusal, true, 3, 7), mark(Report, false, 3, 7)}, time.Hour, true},
+		"live gossip":                     {[]Mark{mark(Refusal, true, 0, 7), mark(Gossip, false, 0, 9)}, time.Hour, true},
+		"same list":                       {[]Mark{mark(Refusal, true, 0, 7), mark(HostList, false, 0, 7)}, time.Hour, true},
+		"newer list that lags":            {[]Mark{mark(Refusal, true, 0, 7), mark(HostList, false, 0, 8)}, time.Second, true},
+		"newer list after the lag":        {[]Mark{mark(Refusal, true, 0, 7), mark(HostList, false, 0, 8)}, ListLag, false},
+		"list showed it leaving and live": {[]Mark{mark(Refusal, true, 0, 7), mark(HostList, true, 0, 8), mark(HostList, false, 0, 9)}, 0, false},
+		"newer incarnation":               {[]Mark{mark(Report, true, 3, 7), mark(Report, false, 4, 7)}, 0, false},
+		"old gossip after the return":     {[]Mark{mark(Report, true, 3, 7), mark(Report, false, 4, 7), mark(Gossip, true, 3, 7)}, 0, false},
+		"old gossip after a newer list":   {[]Mark{mark(Refusal, true, 0, 7), mark(HostList, true, 0, 8), mark(HostList, false, 0, 9), mark(Gossip, true, 0, 8)}, 0, false},
+		"second leave after the return":   {[]Mark{mark(Report, true, 3, 7), mark(Report, false, 4, 7), mark(Gossip, true, 4, 7)}, 0, true},
+	} {
+		b := NewBackends(Config{})
+		for i, m := range test.marks {
+			now := time.Duration(0)
+			if i == len(test.marks)-1 {
+				now = test.after
+			}
+			b.Observe(now, m)
+		}
+		qt.Check(t, b.Leaving("e"), qt.Equals, test.want, qt.Commentf(name))
+	}
+}
+
+// TestLeavingSpreads guards against a process that keeps sending to a leaving server: marks may come
+// in any order, doubled, and from processes whose lists lag.
+func TestLeavingSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBackends(Config{})
+		left := false
+		for range rapid.IntRange(1, 30).Draw(t, "marks") {
+			m := mark(Source(rapid.IntRange(0, 3).Draw(t, "source")), rapid.Bool().Draw(t, "leaving"), 1, uint64(rapid.IntRange(1, 9).Draw(t, "list")))
+			if m.Source == HostList && !m.Leaving {
+				m.Stamp.ListVersion = 1 // every list so far was made before the server left
+			}
+			b.Observe(0, m)
+			left = left || m.Leaving
+			if b.Leaving("e") != left {
+				t.Fatalf("leaving is %v after %+v", b.Leaving("e"), m)
+			}
+		}
+	})
+}
+
+// TestShutdown guards against a shutdown that cuts off a request, refuses before the keep time is over,
+// accepts after it, or never ends.
+func TestShutdown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewShutdown(0)
+		now, running := time.Duration(0), 0
+		var done []Action
+		begun := time.Duration(-1)
+		for range rapid.IntRange(0, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				err := s.Admit()
+				if refused := err != nil; refused != slices.Contains(done, Refuse) || (refused && err.Kind != outcome.NotRun) {
+					t.Fatalf("refused %v after actions %v", refused, done)
+				} else if !refused {
+					running++
+				}
+			case 1:
+				if running > 0 {
+					running--
+					s.Done()
+				}
+			case 2:
+				if a := s.Begin(now); len(a) > 0 {
+					begun = now
+					done = append(done, a...)
+				}
+			default:
+				now += time.Duration(rapid.IntRange(0, 8).Draw(t, "s")) * time.Second
+			}
+			actions := s.Tick(now)
+			done = append(done, actions...)
+			if slices.Contains(actions, Exit) && running > 0 {
+				t.Fatalf("exit with %d running", running)
+			}
+			late := begun >= 0 && now >= begun+KeepTime
+			if late != slices.Contains(done, Refuse) || (late && running == 0) != slices.Contains(done, Exit) {
+				t.Fatalf("%s after %s: %v with %d running", now, begun, done, running)
+			}
+		}
+	})
+}
