--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -10,7 +10,7 @@
 // reservedPenalty is the predicted time by which an engine reserved for short prompts has to be ahead
 // of all others before a long prompt goes there. Long prefill on a reserved engine makes every short
 // prompt wait for a step.
-const reservedPenalty = 500 * time.Millisecond
+const reservedPenalty = 2 * time.Second
 
 type planKind uint8
 
