Halve the growth of the concurrency limit on contested engines

Cause: during a partition two dispatchers raise their limits for one engine, each at full speed; only the growth of memory was halved. Change: while a report shows sessions of another dispatcher, every second success does not raise the limit.

--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -47,6 +47,7 @@
 	longs         int
 	limit         *limits.Concurrency
 	contested     time.Duration // growth is halved until then
+	skipped       bool          // the last success while contested did not raise the limit
 	prefixes      prefixCache
 
 	learnt       bool
@@ -193,6 +194,16 @@
 	return false
 }
 
+// skipGrowth reports whether a success must not raise the concurrency limit: while another dispatcher
+// works on the engine, every second one does not.
+func (e *engine) skipGrowth(now time.Duration) bool {
+	if now >= e.contested {
+		return false
+	}
+	e.skipped = !e.skipped
+	return e.skipped
+}
+
 // usable reports whether the engine may get something new.
 func (e *engine) usable(s *Scheduler) bool {
 	return e.owned && !e.leaving && e.reported && !e.suspected &&
--- a/core/sched/hold.go
+++ b/core/sched/hold.go
@@ -154,6 +154,9 @@
 	s.prefillDone(h)
 	if h.leased {
 		h.leased = false
+		if r == successResult && h.eng.skipGrowth(s.now) {
+			r = neutralResult
+		}
 		h.eng.limit.Release(s.now, h.lease, r)
 	}
 }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -215,3 +215,24 @@
 	r.Requested = time.Hour + time.Second
 	c.Assert(pick[ReleaseKV](s.Step(time.Hour+time.Second, r)), qt.DeepEquals, []ReleaseKV{{"e0", "unknown"}})
 }
+
+// Guards against a concurrency limit that grows at full speed at each of two dispatchers.
+func TestContestedEngineHalvesConcurrencyGrowth(t *testing.T) {
+	c := qt.New(t)
+	grown := func(contested bool) int {
+		cfg := testConfig(Predict)
+		cfg.MaxConcurrency = 16
+		s := ready(cfg, testEngines(1)...)
+		if contested {
+			x := backendapi.Session{Session: "d9.0000000000000001.5", Issuer: "d9", ReservedTokens: 10, RemainingMS: 60_000}
+			s.Step(0, report("e0", 2, ms, x))
+		}
+		for n := range uint64(60) {
+			x := pick[Send](s.Step(ms, submit(n+1, ident.Interactive, 10, 10, time.Minute)))[0]
+			s.Step(ms, EngineEnded{Session: x.Session, Count: 10})
+		}
+		return s.Status().Engines[0].Concurrency
+	}
+	c.Assert(grown(false) > grown(true), qt.IsTrue)
+	c.Assert(grown(true) > 4, qt.IsTrue)
+}
