--- a/core/member/digest.go
+++ b/core/member/digest.go
@@ -35,6 +35,7 @@
 	round                                       int
 	heard                                       map[ident.Zone]time.Duration
 	regions                                     map[ident.Zone]string
+	hashes                                      map[ident.Zone]uint64 // of unchanged availability zones
 }
 
 // heard notes that something from an availability zone was received that is age old.
@@ -93,6 +94,9 @@
 
 // hash summarises the members of an availability zone that are not dead. A suspect counts as alive.
 func (m *Machine) hash(zone ident.Zone) uint64 {
+	if sum, ok := m.sync.hashes[zone]; ok {
+		return sum
+	}
 	var sum uint64
 	var b []byte
 	for _, id := range m.zones[zone] {
@@ -107,9 +111,15 @@
 		}
 		sum += xxhash.Sum64(b)
 	}
+	if len(m.zones[zone]) > 0 {
+		m.sync.hashes[zone] = sum
+	}
 	return sum
 }
 
+// touch notes that a member of an availability zone has changed.
+func (m *Machine) touch(zone ident.Zone) { delete(m.sync.hashes, zone) }
+
 // tickDigest sends this availability zone's digest. The two delegates take turns, so that each other
 // availability zone gets one digest in each round.
 func (m *Machine) tickDigest() {
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -26,6 +26,8 @@
 	// tombstone is the time for which a dead member is kept, so that late statements that it is alive
 	// do not bring it back.
 	tombstone = 10 * time.Minute
+	// sweepInterval is the time between two removals of old tombstones and ended marks.
+	sweepInterval = 10 * time.Second
 )
 
 // Machine is the membership state machine of one process. It is not safe for concurrent use.
@@ -79,6 +81,7 @@
 	}
 	m.agg.init()
 	m.sync.heard = map[ident.Zone]time.Duration{}
+	m.sync.hashes = map[ident.Zone]uint64{}
 	// The first rounds start at random times, so that processes started together do not send together.
 	m.probe.next = now + m.jitter(cfg.ProbeInterval)
 	m.sync.nextSync = now + m.jitter(cfg.ProbeInterval)
@@ -159,7 +162,7 @@
 	if m.now < m.sync.nextSweep {
 		return
 	}
-	m.sync.nextSweep = m.now + time.Second
+	m.sync.nextSweep = m.now + sweepInterval
 	for _, id := range append([]ID(nil), m.ids...) {
 		if e := m.members[id]; e.State == Dead && m.now-e.deadSince > tombstone {
 			m.remove(e)
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -63,6 +63,8 @@
 		e.Leaving = true
 	}
 	if e.Member != old {
+		m.touch(old.Zone)
+		m.touch(e.Zone)
 		// A higher epoch alone is news for others that hold a suspicion, but no change for the caller.
 		m.news.add(newsKey{member: e.ID})
 		same := e.Member
@@ -87,6 +89,7 @@
 	}
 	if r.Incarnation == self.Incarnation && r.Leaving && !self.Leaving {
 		self.Leaving = true
+		m.touch(self.Zone)
 		m.news.add(newsKey{member: self.ID})
 		m.emit(LeavingLearned{Name: string(self.ID)})
 	}
@@ -129,6 +132,7 @@
 	if r.State == Suspect {
 		m.suspect(e)
 	}
+	m.touch(r.Zone)
 	m.members[r.ID] = e
 	m.ids = insertSorted(m.ids, r.ID)
 	m.zones[r.Zone] = insertSorted(m.zones[r.Zone], r.ID)
@@ -136,6 +140,7 @@
 }
 
 func (m *Machine) remove(e *entry) {
+	m.touch(e.Zone)
 	delete(m.members, e.ID)
 	m.ids = removeSorted(m.ids, e.ID)
 	m.zones[e.Zone] = removeSorted(m.zones[e.Zone], e.ID)
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -119,6 +119,7 @@
 	if name == string(m.cfg.Self) {
 		if !m.self.Leaving {
 			m.self.Leaving = true
+			m.touch(m.cfg.Zone)
 			m.news.add(newsKey{member: m.cfg.Self})
 			m.emit(LeavingLearned{Name: name})
 			m.tell(Piggyback{Members: []Member{m.self.Member}})
