--- a/lab/load/system.go
+++ b/lab/load/system.go
@@ -28,6 +28,7 @@
 	MemoryTokens      int      `toml:"memory_tokens"`
 	PrefillTokensPerS float64  `toml:"prefill_tokens_per_s"`
 	DecodeTokensPerS  float64  `toml:"decode_tokens_per_s"`
+	ChunkTokens       int      `toml:"chunk_tokens"`
 	ReportLagMS       int      `toml:"report_lag_ms"`
 	ServiceServers    int      `toml:"service_servers"`
 	ServiceChecksKeys bool     `toml:"service_checks_keys"`
@@ -75,7 +76,8 @@
 			Name: fmt.Sprintf("group-%d", i+1), Zone: zone(i), Engines: s.EnginesPerGroup,
 			Engine: engine.Config{
 				MemoryTokens: s.MemoryTokens, PrefillTokensPerS: s.PrefillTokensPerS, DecodeTokensPerS: s.DecodeTokensPerS,
-				ReportLag: time.Duration(s.ReportLagMS) * time.Millisecond,
+				ChunkTokens: s.ChunkTokens,
+				ReportLag:   time.Duration(s.ReportLagMS) * time.Millisecond,
 			},
 		})
 	}
