--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -224,22 +224,32 @@
 	}
 }
 
-// AdminGet reads a path of an administration API.
+// AdminGet reads the JSON of a path of an administration API.
 func AdminGet(ctx context.Context, address, path string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	text, err := AdminText(ctx, address, path)
 	if err != nil {
 		return err
 	}
+	return json.Unmarshal([]byte(text), out)
+}
+
+// AdminText reads a path of an administration API.
+func AdminText(ctx context.Context, address, path string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return "", err
+	}
 	req.Header.Set("Authorization", "Bearer "+AdminToken)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("GET %s: %s", path, resp.Status)
+		return "", fmt.Errorf("GET %s: %s", path, resp.Status)
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	text, err := io.ReadAll(resp.Body)
+	return string(text), err
 }
 
 // Close stops everything at once.
--- a/lab/scenario/language.go
+++ b/lab/scenario/language.go
@@ -41,6 +41,7 @@
 //	version N LIMIT [PART...]           the parts, or all roles, must hold the version within the limit
 //	leaving ID LIMIT                    all roles must know within the limit that a server is leaving
 //	idle LIMIT                          no engine may hold memory after the limit
+//	resumed PART N                      the gateway must have replaced N running attempts
 //	sleep D                             wait
 //
 // N is a number, D and LIMIT are durations such as 3s.
@@ -52,7 +53,7 @@
 		"same": (*state).same, "executions": (*state).executions, "calls-at": (*state).callsAt, "unchanged": (*state).unchanged,
 		"load": (*state).load, "load-end": (*state).loadEnd, "serving": (*state).serving,
 		"fault": (*state).fault, "host": (*state).host, "publish": (*state).publish, "version": (*state).version,
-		"leaving": (*state).leaving, "idle": (*state).idle,
+		"leaving": (*state).leaving, "idle": (*state).idle, "resumed": (*state).resumed,
 		"lose": (*state).lose, "pause": (*state).pause,
 		"terminate": func(s *state, a []string) { s.check(s.fleet.Stop(arg(s, a, 0))) },
 		"start":     func(s *state, a []string) { s.check(s.fleet.Start(arg(s, a, 0))) },
--- a/lab/scenario/parts.go
+++ b/lab/scenario/parts.go
@@ -151,6 +151,22 @@
 	time.Sleep(signalTime)
 }
 
+// resumed counts attempts that were lost while they ran. A refused attempt that went to another
+// dispatcher counts for nothing: nothing of it had run.
+func (s *state) resumed(args []string) {
+	want, got := s.number(arg(s, args, 1), 0), 0
+	text, err := cluster.AdminText(s.ctx, s.admin()[arg(s, args, 0)], "/metrics")
+	s.check(err)
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, "gateway_resumes_total{") && strings.Contains(line, `reason="backend_`) {
+			got += s.number(strings.TrimSpace(line[strings.LastIndex(line, " ")+1:]), 0)
+		}
+	}
+	if got != want {
+		s.ts.Fatalf("%s replaced %d attempts, not %d", args[0], got, want)
+	}
+}
+
 // serving finds the dispatcher and the engine with sessions. The stream must be the only one.
 func (s *state) serving(args []string) {
 	s.stream(arg(s, args, 0))
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -20,6 +20,9 @@
 	// a dead dispatcher within about 5 s (probe, indirect probes, suspicion); until then nobody owns
 	// its engines.
 	resumeFor = 20 * time.Second
+	// moveFor bounds the time in which a request that dispatchers refused as not theirs is offered again.
+	// While an engine group moves, the old owner refuses and the new one waits for its first report.
+	moveFor = time.Second
 	// resumeBase and resumeCap bound the waits between two tries to resume.
 	resumeBase = 50 * time.Millisecond
 	resumeCap  = time.Second
@@ -46,6 +49,8 @@
 	return &stream{g: g, gen: gen, r: r, out: newEvents(w), excluded: map[ident.HostID]bool{}}
 }
 
+const stepChoose = "choose"
+
 // errCallerLeft ends a request whose caller closed the connection.
 var errCallerLeft = errors.New("the caller closed the connection")
 
@@ -92,7 +97,7 @@
 	wait := retry.Jitter(s.g.rng(), resumeBase, resumeCap, s.tries)
 	if _, other := s.choose(); other {
 		wait = 0
-	} else if s.reached == 0 {
+	} else if s.reached == 0 && (!moving(cause) || now-s.lostAt >= moveFor) {
 		// Nothing ran and nobody else takes it: a refusal now is worth more than a wait.
 		return false
 	} else {
@@ -113,6 +118,12 @@
 	}
 }
 
+// moving tells that a dispatcher refused a request because it does not own an engine for it.
+func moving(e *outcome.Error) bool {
+	return e.Kind == outcome.NotRun && e.Step != stepChoose &&
+		(e.Reason == outcome.NoBackend || e.Reason == outcome.Draining || e.Reason == outcome.NotReady)
+}
+
 func (s *stream) choose() (*link.Peer, bool) {
 	return s.g.chosen.pick(s.gen.model, s.gen.tokens+s.gen.output, s.excluded)
 }
@@ -121,7 +132,7 @@
 func (s *stream) attempt() verdict {
 	peer, ok := s.choose()
 	if !ok {
-		e := outcome.Refuse("choose", outcome.NoBackend, "no dispatcher with engines of the model is reachable")
+		e := outcome.Refuse(stepChoose, outcome.NoBackend, "no dispatcher with engines of the model is reachable")
 		return verdict{err: retryLater(e), again: s.reached > 0}
 	}
 	number := s.g.attempts.Add(1)
