Refuse an engine's end line that does not name the last token

Cause: the dispatcher took its own count into the final frame, so an answer whose last tokens were lost between engine and dispatcher would have passed for whole. Change: the end line must name the last token passed on, else the session counts as broken and resumes; a test that a closed system leaves no goroutine.

--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
 
 	"github.com/rosemaryhill/rosemaryhill/core/config"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -163,3 +164,23 @@
 	}
 	c.Assert(limited > 5, qt.IsTrue, qt.Commentf("%d of 20 requests limited at 5 per second", limited))
 }
+
+// Guards against goroutines that outlive a closed system.
+func TestCloseLeavesNoGoroutines(t *testing.T) {
+	c := qt.New(t)
+	ignored := goleak.IgnoreCurrent()
+	plan, err := NewPlan(small())
+	c.Assert(err, qt.IsNil)
+	cl, err := Start(plan, nil)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c.Assert(plan.WaitReady(ctx), qt.IsNil)
+	client := caller.New(plan.GatewayURL("h1"), "t")
+	_, err = client.Generate(ctx, gateway.GenerateRequest{Model: "m", Prompt: "x", MaxOutputTokens: 3}, 0, nil)
+	c.Assert(err, qt.IsNil)
+	client.HTTP.CloseIdleConnections()
+	http.DefaultClient.CloseIdleConnections()
+	c.Assert(cl.Close(), qt.IsNil)
+	c.Assert(goleak.Find(ignored), qt.IsNil)
+}
--- a/node/dispatcher/attempt.go
+++ b/node/dispatcher/attempt.go
@@ -64,6 +64,14 @@
 	return tokenSent
 }
 
+// whole tells whether the end line of a session names the last token that was passed on. Without this
+// an answer whose last tokens were lost would pass for whole.
+func (a *attempt) whole(s sched.SessionID, count int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return s == a.session && count == a.last
+}
+
 // accepted tells the gateway that the attempt waits or was sent.
 func (a *attempt) accepted(engine ident.BackendID, position int) {
 	a.mu.Lock()
--- a/node/dispatcher/attempt_test.go
+++ b/node/dispatcher/attempt_test.go
@@ -41,3 +41,14 @@
 		c.Assert(failureKind(&outcome.Error{Kind: test.kind, Reason: test.reason}), qt.Equals, test.want)
 	}
 }
+
+// Guards against an answer that passes for whole although its last tokens were lost, or although its
+// session is not the current one.
+func TestWhole(t *testing.T) {
+	c := qt.New(t)
+	a := &attempt{session: "new", last: 7}
+	c.Assert(a.whole("new", 7), qt.IsTrue)
+	c.Assert(a.whole("new", 8), qt.IsFalse)
+	c.Assert(a.whole("new", 6), qt.IsFalse)
+	c.Assert(a.whole("old", 7), qt.IsFalse)
+}
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -124,6 +124,8 @@
 		switch {
 		case err != nil:
 			return s.failed(err)
+		case line.End && !s.send.Export && !s.a.whole(s.send.Session, line.Count):
+			return sched.EngineFailed{Session: s.send.Session, Kind: sched.Broken}, "end does not match the tokens"
 		case line.End:
 			return sched.EngineEnded{Session: s.send.Session, Count: line.Count, KV: line.KV}, ""
 		}
