--- a/lab/scenario/language.go
+++ b/lab/scenario/language.go
@@ -40,6 +40,7 @@
 //	publish FILE base=N                 publish a merge patch
 //	version N LIMIT [PART...]           the parts, or all roles, must hold the version within the limit
 //	leaving ID LIMIT                    all roles must know within the limit that a server is leaving
+//	loaded ENGINE VERSION LIMIT         the engine must have loaded the model version within the limit
 //	idle LIMIT                          no engine may hold memory after the limit
 //	resumed PART N                      the gateway must have replaced N running attempts
 //	sleep D                             wait
@@ -53,7 +54,7 @@
 		"same": (*state).same, "executions": (*state).executions, "calls-at": (*state).callsAt, "unchanged": (*state).unchanged,
 		"load": (*state).load, "load-end": (*state).loadEnd, "serving": (*state).serving,
 		"fault": (*state).fault, "host": (*state).host, "publish": (*state).publish, "version": (*state).version,
-		"leaving": (*state).leaving, "idle": (*state).idle, "resumed": (*state).resumed,
+		"leaving": (*state).leaving, "idle": (*state).idle, "loaded": (*state).loaded, "resumed": (*state).resumed,
 		"lose": (*state).lose, "pause": (*state).pause,
 		"terminate": func(s *state, a []string) { s.check(s.fleet.Stop(arg(s, a, 0))) },
 		"start":     func(s *state, a []string) { s.check(s.fleet.Start(arg(s, a, 0))) },
--- a/lab/scenario/parts.go
+++ b/lab/scenario/parts.go
@@ -124,6 +124,20 @@
 	}
 }
 
+func (s *state) loaded(args []string) {
+	address, want := s.standin(arg(s, args, 0)), arg(s, args, 1)
+	s.eventually(s.duration(arg(s, args, 2)), func() error {
+		var r backendapi.Report
+		if err := s.http("GET", address, "/v1/report", nil, &r); err != nil {
+			return err
+		}
+		if r.Version != want {
+			return fmt.Errorf("%s has loaded %s, not %s", args[0], r.Version, want)
+		}
+		return nil
+	})
+}
+
 // idle looks at the engines that answer; one that was killed holds nothing.
 func (s *state) idle(args []string) {
 	limit := s.duration(arg(s, args, 0))
