--- a/lab/scenario/parts.go
+++ b/lab/scenario/parts.go
@@ -124,6 +124,20 @@
 	}
 }
 
+func (s *state) loaded(args []string) {
+	address, want := s.standin(arg(s, args, 0)), arg(s, args, 1)
+	s.eventually(s.duration(arg(s, args, 2)), func() error {
+		var r backendapi.Report
+		if err := s.http("GET", address, "/v1/report", nil, &r); err != nil {
+			return err
+		}
+		if r.Version != want {
+			return fmt.Errorf("%s has loaded %s, not %s", args[0], r.Version, want)
+		}
+		return nil
+	})
+}
+
 // idle looks at the engines that answer; one that was killed holds nothing.
 func (s *state) idle(args []string) {
 	limit := s.duration(arg(s, args, 0))
@@ -151,6 +165,22 @@
 	time.Sleep(signalTime)
 }
 
+// resumed counts attempts that were lost while they ran. A refused attempt that went to another
+// dispatcher counts for nothing: nothing of it had run.
+func (s *state) resumed(args []string) {
+	want, got := s.number(arg(s, args, 1), 0), 0
+	text, err := cluster.AdminText(s.ctx, s.admin()[arg(s, args, 0)], "/metrics")
+	s.check(err)
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, "gateway_resumes_total{") && strings.Contains(line, `reason="backend_`) {
+			got += s.number(strings.TrimSpace(line[strings.LastIndex(line, " ")+1:]), 0)
+		}
+	}
+	if got != want {
+		s.ts.Fatalf("%s replaced %d attempts, not %d", args[0], got, want)
+	}
+}
+
 // serving finds the dispatcher and the engine with sessions. The stream must be the only one.
 func (s *state) serving(args []string) {
 	s.stream(arg(s, args, 0))
