--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -96,6 +96,11 @@
 			for b.Loop() {
 				Owned("host1", groups, cands)
 			}
+			most := 0
+			for _, d := range cands {
+				most = max(most, len(Owned(d.Host, groups, cands)))
+			}
+			b.ReportMetric(float64(most)/groupsPerDispatcher, "largest/mean")
 		})
 	}
 }
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -135,3 +137,40 @@
 		table.Finish(now, d.Sequence, Response{})
 	}
 }
+
+// BenchmarkTable measures one ticket beside n held records, and the heap for each record.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{1_000, 16_000, 64_000} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			c := qt.New(b)
+			before := heapBytes()
+			table := newTable(c, Config{})
+			for range n {
+				finishOne(table, 0)
+			}
+			held := heapBytes() - before
+			for b.Loop() {
+				texts, _ := table.Issue(0, 1)
+				r := table.Begin(0, texts[0], Call{}, time.Second)
+				table.FirstByte(0, r.Sequence)
+				table.Finish(0, r.Sequence, Response{})
+				delete(table.records, r.Sequence) // keeps n records
+			}
+			b.ReportMetric(float64(held)/float64(n), "B/record")
+		})
+	}
+}
+
+func finishOne(table *Table, now time.Duration) {
+	texts, _ := table.Issue(now, 1)
+	r := table.Begin(now, texts[0], Call{Team: "sorters", Service: "ledger", Path: "POST /lots"}, now+time.Second)
+	table.FirstByte(now, r.Sequence)
+	table.Finish(now, r.Sequence, Response{})
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/node/enginehttp/enginehttp_test.go
+++ b/node/enginehttp/enginehttp_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -92,3 +94,27 @@
 	_, err := client.Report(context.Background())
 	c.Assert(outcome.From(err, "", "").Reason, qt.Equals, outcome.Deadline)
 }
+
+// BenchmarkReport measures one read of an engine's report, the answering side in the same process
+// included, and the bytes of the report.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{10, 50, 200} {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			c := qt.New(b)
+			r := backendapi.Report{Report: 81_233, MemoryTokens: 2_000_000, Model: "ticket-large", Version: "7", State: "live"}
+			for i := range n {
+				r.Sessions = append(r.Sessions, backendapi.Session{Session: fmt.Sprintf("be-host-0001-1f3a5c7e9b2d4f60-%07d", i),
+					Issuer: "be-host-0001", Incarnation: "1f3a5c7e9b2d4f60", ReservedTokens: 4_100, RemainingMS: 27_133})
+			}
+			body, err := json.Marshal(r)
+			c.Assert(err, qt.IsNil)
+			client := newClient(c, func(w http.ResponseWriter, _ *http.Request) { w.Write(body) })
+			for b.Loop() {
+				if _, err := client.Report(context.Background()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(body)), "B/report")
+		})
+	}
+}
--- /dev/null
+++ b/node/gateway/bench_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/limits"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/transport/link"
+)
+
+// BenchmarkStream measures one token event, flushed by itself, over an HTTP connection. The CPU time
+// covers the reading caller too, which runs in the same process.
+func BenchmarkStream(b *testing.B) {
+	for _, streams := range []int{1, 64, 540} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			each := b.N/streams + 100 // enough to outweigh the start of a stream
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				e := newEvents(w)
+				for n := range each {
+					if e.token(n+1, " kernel", true) != nil {
+						return
+					}
+				}
+			}))
+			defer s.Close()
+			var read sync.WaitGroup
+			var mu sync.Mutex
+			total := int64(0)
+			start := cpuTime()
+			for range streams {
+				read.Go(func() {
+					r, err := http.Get(s.URL)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					defer r.Body.Close()
+					n, _ := io.Copy(io.Discard, r.Body)
+					mu.Lock()
+					defer mu.Unlock()
+					total += n
+				})
+			}
+			read.Wait()
+			tokens := float64(each * streams)
+			b.ReportMetric(float64(cpuTime()-start)/tokens, "cpu-ns/token")
+			b.ReportMetric(float64(total)/tokens, "B/token")
+		})
+	}
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkOutstanding measures the count of attempts for each dispatcher, which every pick makes.
+func BenchmarkOutstanding(b *testing.B) {
+	for _, n := range []int{50, 540, 4_096} {
+		b.Run(fmt.Sprintf("attempts=%d", n), func(b *testing.B) {
+			rs, peer := newRoutes(), &link.Peer{}
+			for i := range n {
+				rs.add(uint64(i), peer)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				rs.outstanding()
+			}
+		})
+	}
+}
+
+// BenchmarkExchange measures the exchange of team demand that each gateway makes once a second.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{7, 60, 340} {
+		b.Run(fmt.Sprintf("gateways=%d", n), func(b *testing.B) {
+			l, ids, total := demandOf(n)
+			now := time.Duration(0)
+			for b.Loop() {
+				now += time.Second
+				exchange(l, now, ids[1:], total)
+			}
+		})
+	}
+}
+
+// BenchmarkConfigure measures what a change of the view costs the team limits under their lock.
+func BenchmarkConfigure(b *testing.B) {
+	for _, n := range []int{10, 1_000, 18_000} {
+		b.Run(fmt.Sprintf("teams=%d", n), func(b *testing.B) {
+			l, ids, _ := demandOf(340)
+			rates := map[ident.Team]limits.Rate{}
+			for i := range n {
+				rates[ident.Team(fmt.Sprintf("team-%05d", i))] = limits.Rate{RequestsPerS: 1}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				l.SetGateways(ids)
+				l.Configure(0, rates)
+			}
+		})
+	}
+}
+
+func demandOf(gateways int) (*limits.Teams, []ident.HostID, []member.TeamDemand) {
+	l := limits.NewTeams(limits.TeamsConfig{Gateway: "host-0000"})
+	var ids []ident.HostID
+	var total []member.TeamDemand
+	for i := range gateways {
+		ids = append(ids, ident.HostID(fmt.Sprintf("host-%04d", i)))
+	}
+	for i := range limits.HeavyTeams {
+		total = append(total, member.TeamDemand{Team: ident.Team(fmt.Sprintf("team-%05d", i)), Demand: 1000})
+	}
+	l.SetGateways(ids)
+	return l, ids, total
+}
--- /dev/null
+++ b/node/platform/bench_test.go
@@ -0,0 +1,79 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+)
+
+// BenchmarkMassRestart counts the reads of the configuration service when all processes start with the
+// default spread of 2 s and find no peer that holds a configuration. A process stops reading at its
+// first watch, as one that is no watcher does. "refused" answers 429 for the whole 6 s.
+func BenchmarkMassRestart(b *testing.B) {
+	for _, refused := range []bool{false, true} {
+		for _, n := range []int{20, 200, 680} {
+			b.Run(fmt.Sprintf("refused=%v/processes=%d", refused, n), func(b *testing.B) {
+				for b.Loop() {
+					peak, total := massRestart(n, refused)
+					b.ReportMetric(float64(peak), "peak-reads/s")
+					b.ReportMetric(float64(total)/float64(n), "reads/process")
+				}
+			})
+		}
+	}
+}
+
+// massRestart returns the most reads within a second, in steps of 100 ms, and all of them.
+func massRestart(processes int, refused bool) (peak, total int) {
+	const step, steps = 100 * time.Millisecond, 60
+	var mu sync.Mutex
+	var reads [steps + 1]int
+	start := time.Now()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		reads[min(int(time.Since(start)/step), steps)]++
+		mu.Unlock()
+		if refused {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		json.NewEncoder(w).Encode(platformapi.Entries{Head: 1, Entries: []platformapi.Entry{{Number: 1, Body: json.RawMessage("{}")}}})
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), steps*step)
+	defer cancel()
+	var all sync.WaitGroup
+	for range processes {
+		all.Go(func() {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			client := New(Config{ConfigAddress: srv.URL, ReadsPerS: 2})
+			defer client.Close()
+			sleep(ctx, rand.N(2*time.Second))
+			answers := 0
+			client.Follow(ctx, 0, func(u Update) {
+				if answers++; u.Err == nil && answers == 2 {
+					cancel() // the second answer is that of the watch
+				}
+			})
+		})
+	}
+	all.Wait()
+	for i := range reads[:steps] {
+		sum := 0
+		for _, n := range reads[i:min(i+10, steps)] {
+			sum += n
+		}
+		peak = max(peak, sum)
+		total += reads[i]
+	}
+	return peak, total
+}
--- /dev/null
+++ b/transport/gossip/bench_test.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+)
+
+var fleets = []struct{ hosts, zones, regions int }{{6, 3, 1}, {60, 16, 5}, {340, 16, 5}}
+
+// BenchmarkFleet measures one second of membership of a running fleet: the CPU time for each process,
+// with the codec, and the bytes for each host.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("hosts=%d", n.hosts), func(b *testing.B) {
+			f := newFleet(qt.New(b), n.hosts, n.zones, n.regions)
+			f.run(60 * time.Second)
+			f.resetCounts()
+			start, took := f.now, time.Now()
+			for b.Loop() {
+				f.run(time.Second)
+			}
+			seconds, sum := (f.now - start).Seconds(), 0
+			for _, s := range f.sent {
+				sum += s
+			}
+			b.ReportMetric(float64(time.Since(took).Nanoseconds())/seconds/float64(2*n.hosts), "ns/process-s")
+			b.ReportMetric(float64(sum)/seconds/float64(n.hosts), "B/host-s")
+		})
+	}
+}
+
+// BenchmarkRead measures what a process reads of membership: the loads of all availability zones ten
+// times a second, the heavy teams once a second and the members after each change.
+func BenchmarkRead(b *testing.B) {
+	for _, n := range fleets {
+		f := newFleet(qt.New(b), n.hosts, n.zones, n.regions)
+		f.run(60 * time.Second)
+		m := f.machines[0]
+		b.Run(fmt.Sprintf("loads/hosts=%d", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				for z := range n.zones {
+					m.Load(ident.Zone(fmt.Sprintf("be-zone-%02d", z)))
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("teams/hosts=%d", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				m.Teams()
+			}
+		})
+		b.Run(fmt.Sprintf("members/hosts=%d", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				m.Members()
+			}
+		})
+	}
+}
+
+// BenchmarkSpread measures the virtual time from the version that two watchers of each availability zone
+// hold until membership has told all processes. A process tells others half a second after it heard.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("hosts=%d", n.hosts), func(b *testing.B) {
+			f := newFleet(qt.New(b), n.hosts, n.zones, n.regions)
+			f.run(60 * time.Second)
+			var worst time.Duration
+			for version := ident.Version(48_214); b.Loop(); version++ {
+				worst = max(worst, f.spread(n.zones, version))
+			}
+			b.ReportMetric(worst.Seconds(), "worst-s")
+		})
+	}
+}
+
+func (f *fleet) spread(zones int, version ident.Version) time.Duration {
+	const publish = 500 * time.Millisecond // fetch and publication at a process
+	start, holds := f.now, map[int]time.Duration{}
+	for i := range 2 * zones {
+		holds[i] = start
+	}
+	for len(holds) < len(f.machines) || f.now == start {
+		for i, m := range f.machines {
+			if at, ok := holds[i]; ok && f.now == at {
+				l := local(i)
+				l.Config = member.ConfigMark{Version: version, Digest: uint64(version)}
+				f.step(i, member.Update{Local: l})
+			} else if c, _, _, _ := m.Newest(); !ok && c.Version >= version {
+				holds[i] = f.now + publish
+			}
+		}
+		f.run(100 * time.Millisecond)
+	}
+	return f.now - start
+}
