--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 const help = `
 Examples:
   rosemaryhill check --settings /etc/rosemaryhill.toml
+  rosemaryhill check --settings /etc/gateway.toml --role gateway
   rosemaryhill gateway --settings /etc/rosemaryhill.toml
   rosemaryhill dispatcher --settings /etc/rosemaryhill.toml
 
@@ -38,7 +39,7 @@
 
 // command is the parsed command line.
 type command struct {
-	settings                   string
+	settings, role             string
 	gateway, dispatcher, check *flaggy.Subcommand
 }
 
@@ -61,13 +62,14 @@
 
 func parse(args []string) (*command, error) {
 	c := &command{
+		role:       roleBoth,
 		gateway:    flaggy.NewSubcommand("gateway"),
 		dispatcher: flaggy.NewSubcommand("dispatcher"),
 		check:      flaggy.NewSubcommand("check"),
 	}
 	c.gateway.Description = "run the gateway, which callers talk to"
 	c.dispatcher.Description = "run the dispatcher, which places requests on engines"
-	c.check.Description = "validate the settings for both roles without starting"
+	c.check.Description = "validate the settings without starting"
 	p := flaggy.NewParser("rosemaryhill")
 	p.Description = "serving layer in front of language model engines and plain services"
 	p.Version = "0.1.0"
@@ -77,6 +79,7 @@
 		sub.AdditionalHelpAppend = help
 		p.AttachSubcommand(sub, 1)
 	}
+	c.check.String(&c.role, "r", "role", "role to check the settings for: gateway, dispatcher or both")
 	if err := p.ParseArgs(args); err != nil {
 		return nil, err
 	}
@@ -89,12 +92,24 @@
 	return c, nil
 }
 
+const roleBoth = "both"
+
 func (c *command) runCheck(stdout, stderr io.Writer) int {
-	if _, err := settings.Load(c.settings, settings.RoleGateway, settings.RoleDispatcher); err != nil {
+	var roles []settings.Role
+	switch c.role {
+	case roleBoth:
+		roles = []settings.Role{settings.RoleGateway, settings.RoleDispatcher}
+	case string(settings.RoleGateway), string(settings.RoleDispatcher):
+		roles = []settings.Role{settings.Role(c.role)}
+	default:
+		fmt.Fprintf(stderr, "--role %q; valid: gateway, dispatcher, both\n", c.role)
+		return ExitUsage
+	}
+	if _, err := settings.Load(c.settings, roles...); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
-	fmt.Fprintf(stdout, "%s: valid for gateway and dispatcher\n", c.settings)
+	fmt.Fprintf(stdout, "%s: valid for %s\n", c.settings, c.role)
 	return ExitOK
 }
 
