Tell membership the region of the process

Without it all availability zones count as one region, so that each delegate sends its load to all of them every 2 s.

--- a/node/view/view.go
+++ b/node/view/view.go
@@ -120,6 +120,7 @@
 	return member.Config{
 		Self:        member.MakeID(v.Host(), string(v.cfg.Role)),
 		Zone:        v.Zone(),
+		Region:      v.cfg.Settings.Region,
 		Incarnation: v.incarnation,
 		StartedMS:   uint64(v.started.UnixMilli()),
 	}
