--- a/cmd/rosectl/load.go
+++ b/cmd/rosectl/load.go
@@ -35,7 +35,7 @@
 }
 
 func (o *loadOptions) flags(sc *flaggy.Subcommand) {
-	sc.String(&o.file, "e", "experiment", "shipped profile, kernhof or linen-lantern, or experiment file (TOML)")
+	sc.String(&o.file, "e", "experiment", "shipped profile (kernhof, kernhof-faults, linen-lantern) or experiment file (TOML)")
 	sc.String(&o.jsonFile, "j", "json", "file for the result as JSON")
 	sc.String(&o.plotFile, "p", "plot", "file for the plot (SVG)")
 	sc.UInt64(&o.seed, "", "seed", "replaces the file's seed; 0 keeps it")
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -191,7 +191,7 @@
 // Guards against profiles that no longer read, and against a result that can't be written.
 func TestProfilesAndOutputs(t *testing.T) {
 	c := qt.New(t)
-	for _, name := range []string{"kernhof", "linen-lantern"} {
+	for _, name := range []string{"kernhof", "kernhof-faults", "linen-lantern"} {
 		exp, err := Read(name)
 		c.Assert(err, qt.IsNil)
 		c.Assert(exp.check(), qt.IsNil)
