--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
 
 	"github.com/rosemaryhill/rosemaryhill/core/config"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -163,3 +164,38 @@
 	}
 	c.Assert(limited > 5, qt.IsTrue, qt.Commentf("%d of 20 requests limited at 5 per second", limited))
 }
+
+// Guards against systems that start at the same time and pick each other's ports before they are bound.
+func TestPlansOfOneTimeShareNoAddress(t *testing.T) {
+	c := qt.New(t)
+	seen := map[string]bool{}
+	for range 20 {
+		ports := newPortPicker()
+		for range 30 {
+			addr := ports.next()
+			c.Assert(seen[addr], qt.IsFalse, qt.Commentf("%s was picked before", addr))
+			seen[addr] = true
+		}
+		c.Assert(ports.err, qt.IsNil)
+	}
+}
+
+// Guards against goroutines that outlive a closed system.
+func TestCloseLeavesNoGoroutines(t *testing.T) {
+	c := qt.New(t)
+	ignored := goleak.IgnoreCurrent()
+	plan, err := NewPlan(small())
+	c.Assert(err, qt.IsNil)
+	cl, err := Start(plan, nil)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c.Assert(plan.WaitReady(ctx), qt.IsNil)
+	client := caller.New(plan.GatewayURL("h1"), "t")
+	_, err = client.Generate(ctx, gateway.GenerateRequest{Model: "m", Prompt: "x", MaxOutputTokens: 3}, 0, nil)
+	c.Assert(err, qt.IsNil)
+	client.HTTP.CloseIdleConnections()
+	http.DefaultClient.CloseIdleConnections()
+	c.Assert(cl.Close(), qt.IsNil)
+	c.Assert(goleak.Find(ignored), qt.IsNil)
+}
