Tell the gateway of a sent attempt before the engine answers

Cause: an engine that takes longer than accept_queue_ms to answer a long prompt made the gateway submit the attempt elsewhere, although its dispatcher was alive and watched the engine. Change: Accepted goes out with the send.

--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -44,6 +44,8 @@
 		return
 	}
 	a.use(act.Session)
+	// Before the engine answers: the gateway must not take a slow engine for a lost dispatcher.
+	a.accepted(act.Engine, 0)
 	ctx := trace.ContextWithSpan(l.d.ctx, a.span)
 	ctx, cancel := context.WithTimeout(ctx, act.Deadline-l.d.view.Now()+sessionGrace)
 	s := &session{d: l.d, a: a, send: act, client: client, ctx: ctx, cancel: cancel}
@@ -111,7 +113,6 @@
 	}
 	defer st.Close()
 	s.d.put(engineEvent{sched.EngineAccepted{Session: s.send.Session}})
-	s.a.accepted(s.send.Engine, 0)
 	return s.read(st)
 }
 
