Let a starting gateway become ready once it is linked to the dispatchers

Cause: a gateway was ready as soon as it held the configuration and the host list, before its links stood. Change: readiness also waits for a link to each dispatcher that owns engines, for at most 3 s; once reached it stays, since a gateway without links still serves plain services.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -22,8 +22,14 @@
 	g      *Gateway
 	owners atomic.Pointer[map[ident.Model][]target]
 	linked map[ident.HostID]string // used by refresh only
+	heldAt atomic.Int64            // first call of ready, in nanoseconds of the view's clock
+	up     atomic.Bool             // the first links stood, or linkGrace is over
 }
 
+// linkGrace bounds how long a starting gateway waits for its links. A dispatcher that is down must not
+// keep it from serving with the others.
+const linkGrace = 3 * time.Second
+
 // target is a dispatcher with the engines of one model that it owns.
 type target struct {
 	host     ident.HostID
@@ -37,6 +43,39 @@
 	return &chooser{g: g, linked: map[ident.HostID]string{}}
 }
 
+// ready tells whether the links to all dispatchers that own engines stood once. Without this wait the
+// requests of the first moments were refused with "no_backend". It stays true afterwards: a gateway that
+// loses its links still serves plain services.
+func (c *chooser) ready() (ok bool, reason string) {
+	if c.up.Load() {
+		return true, ""
+	}
+	now := int64(c.g.view.Now())
+	c.heldAt.CompareAndSwap(0, now)
+	missing, ok := c.missingLink()
+	if ok || now-c.heldAt.Load() >= int64(linkGrace) {
+		c.up.Store(true)
+		return true, ""
+	}
+	return false, "no link yet to " + missing
+}
+
+// missingLink names a dispatcher that owns engines and has no link; ok is true if there is none.
+func (c *chooser) missingLink() (name string, ok bool) {
+	owners := c.owners.Load()
+	if owners == nil {
+		return "any dispatcher", false
+	}
+	for _, targets := range *owners {
+		for _, t := range targets {
+			if _, up := c.g.client.Peer(t.host); !up {
+				return "the dispatcher of " + string(t.host), false
+			}
+		}
+	}
+	return "", true
+}
+
 // refresh keeps a link to each dispatcher of the region and recomputes who owns what.
 func (c *chooser) refresh() {
 	c.refreshLinks()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -108,6 +108,7 @@
 		return nil, Error.New("link client: %w", err)
 	}
 	g.chosen = newChooser(g)
+	g.view.RequireReady(g.chosen.ready)
 	if g.listener, err = net.Listen("tcp", cfg.Settings.Gateway.HTTPAddress); err != nil {
 		return nil, errs.Combine(Error.New("listen on %s: %w", cfg.Settings.Gateway.HTTPAddress, err), g.client.Close(g.ctx))
 	}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -60,6 +60,7 @@
 	rosterMu sync.Mutex // orders rebuilds of the roster
 	loads    atomic.Pointer[map[zoneModel]member.ModelLoad]
 	leaving  atomic.Bool // this process
+	require  atomic.Pointer[func() (bool, string)]
 
 	mu       sync.Mutex
 	fold     *config.Fold
@@ -163,9 +164,16 @@
 	case v.hosts.Load() == nil:
 		return false, "no host list yet: neither the platform nor a peer has answered with one"
 	}
+	if check := v.require.Load(); check != nil {
+		return (*check)()
+	}
 	return true, ""
 }
 
+// RequireReady adds a condition of the role to Ready. It is asked once the configuration and the host
+// list are held.
+func (v *View) RequireReady(check func() (bool, string)) { v.require.Store(&check) }
+
 // Subscribe returns a channel that gets a value after each change of configuration, hosts, membership
 // or marks. Changes that follow one another closely come as one.
 func (v *View) Subscribe() chan struct{} {
