Stop a part before the pause command of a scenario returns

Cause: the pause was signalled by a goroutine that could start after the next command on a busy machine. Change: the stop signal is sent before the command returns; the part continues after the given time.

--- a/lab/scenario/parts.go
+++ b/lab/scenario/parts.go
@@ -160,8 +160,8 @@
 // pause returns once the part no longer runs, so that the next command meets a paused part.
 func (s *state) pause(args []string) {
 	name, d := arg(s, args, 0), s.duration(arg(s, args, 1))
-	go func() { _ = s.fleet.Pause(name, d) }() // a failed pause shows in what the script expects next
-	const signalTime = 100 * time.Millisecond
+	s.check(s.fleet.Pause(name, d))
+	const signalTime = 100 * time.Millisecond // until all threads of the part have stopped
 	time.Sleep(signalTime)
 }
 
--- a/lab/scenario/processes_test.go
+++ b/lab/scenario/processes_test.go
@@ -172,8 +172,8 @@
 	if err := f.signal(name, syscall.SIGSTOP); err != nil {
 		return err
 	}
-	time.Sleep(d)
-	return f.signal(name, syscall.SIGCONT)
+	time.AfterFunc(d, func() { _ = f.signal(name, syscall.SIGCONT) }) // a part that has ended needs none
+	return nil
 }
 
 // Exited implements Fleet.
