Drop every report that is older than the last one

Cause: after an engine came back to its owner, one report older than the last known one was taken in. Change: the time of a report alone decides, also for an engine that is owned again.

--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -25,9 +25,8 @@
 	leaving     bool // listed as leaving, or said by the engine
 	saidLeaving bool // by a report or a refusal
 	leavingAt   time.Duration
-	mayBatch    bool // batch prompts may use it
-	reported    bool // a report was taken since it is owned
-	ownedSince  time.Duration
+	mayBatch    bool          // batch prompts may use it
+	reported    bool          // a report was taken since it is owned
 	lastTaken   time.Duration // earliest time at which the last report can have been taken
 	suspectAt   time.Duration // last loss; nothing is sent before a report that is newer
 	suspected   bool
@@ -67,7 +66,7 @@
 			e = s.newEngine(c)
 		}
 		if !e.owned {
-			e.owned, e.reported, e.ownedSince = true, false, s.now
+			e.owned, e.reported = true, false
 		}
 		e.group, e.model, e.leaving = c.Group, c.Model, c.Leaving || e.saidLeaving
 		if !e.reported {
@@ -87,7 +86,7 @@
 
 func (s *Scheduler) newEngine(c Engine) *engine {
 	e := &engine{
-		id: c.ID, memory: c.MemoryTokens, lastTaken: -1, tokenTime: s.cfg.DecodeTokenTime,
+		id: c.ID, memory: c.MemoryTokens, lastTaken: -never / 2, tokenTime: s.cfg.DecodeTokenTime,
 		limit: limits.NewConcurrency(limits.ConcurrencyConfig{
 			Initial: max(1, s.cfg.MaxConcurrency/4), Max: s.cfg.MaxConcurrency,
 		}),
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -73,14 +73,12 @@
 		return
 	}
 	taken := ev.Requested - time.Duration(ev.Report.AgeMS)*time.Millisecond
-	if taken <= e.lastTaken && e.reported {
+	if taken <= e.lastTaken {
 		s.counters.StaleReports++
 		return
 	}
-	e.lastTaken = max(taken, e.lastTaken)
-	if taken >= e.ownedSince || !e.reported {
-		e.reported = true
-	}
+	e.lastTaken = taken
+	e.reported = true
 	if e.suspected && taken > e.suspectAt {
 		e.suspected = false
 	}
