Count a pause before the first period of the ticker

The script pauses the gateway about 0.1 s after its start; a detector that has not seen a tick takes the first one after the pause for its start and reports no gap. This explains the failure; it was found by reading, not by a trace. Change: the view ticks once when it starts.

--- a/node/view/view.go
+++ b/node/view/view.go
@@ -111,6 +111,7 @@
 	}
 	v.joinSeeds()
 	v.rebuildRoster()
+	v.checkPause() // a pause before the first period of the ticker counts too
 	v.duties.Go(func() { v.followConfig(ctx) })
 	v.duties.Go(func() { v.followHosts(ctx) })
 	v.duties.Go(func() { v.tick(ctx) })
