--- a/node/view/view.go
+++ b/node/view/view.go
@@ -111,6 +111,7 @@
 	}
 	v.joinSeeds()
 	v.rebuildRoster()
+	v.checkPause() // a pause before the first period of the ticker counts too
 	v.duties.Go(func() { v.followConfig(ctx) })
 	v.duties.Go(func() { v.followHosts(ctx) })
 	v.duties.Go(func() { v.tick(ctx) })
@@ -288,9 +289,13 @@
 
 func (v *View) checkPause() {
 	v.mu.Lock()
+	recent := v.pauses.JustPaused(v.lastTick)
 	v.lastTick = v.Now()
 	gap, paused := v.pauses.Tick(v.lastTick)
-	if paused {
+	switch {
+	case paused && recent:
+		v.lastGap += gap // a message may have waited through both
+	case paused:
 		v.lastGap = gap
 	}
 	v.mu.Unlock()
