--- a/node/view/view.go
+++ b/node/view/view.go
@@ -60,6 +60,7 @@
 	rosterMu sync.Mutex // orders rebuilds of the roster
 	loads    atomic.Pointer[map[zoneModel]member.ModelLoad]
 	leaving  atomic.Bool // this process
+	require  atomic.Pointer[func() (bool, string)]
 
 	mu       sync.Mutex
 	fold     *config.Fold
@@ -110,6 +111,7 @@
 	}
 	v.joinSeeds()
 	v.rebuildRoster()
+	v.checkPause() // a pause before the first period of the ticker counts too
 	v.duties.Go(func() { v.followConfig(ctx) })
 	v.duties.Go(func() { v.followHosts(ctx) })
 	v.duties.Go(func() { v.tick(ctx) })
@@ -120,6 +122,7 @@
 	return member.Config{
 		Self:        member.MakeID(v.Host(), string(v.cfg.Role)),
 		Zone:        v.Zone(),
+		Region:      v.cfg.Settings.Region,
 		Incarnation: v.incarnation,
 		StartedMS:   uint64(v.started.UnixMilli()),
 	}
@@ -162,9 +165,16 @@
 	case v.hosts.Load() == nil:
 		return false, "no host list yet: neither the platform nor a peer has answered with one"
 	}
+	if check := v.require.Load(); check != nil {
+		return (*check)()
+	}
 	return true, ""
 }
 
+// RequireReady adds a condition of the role to Ready. It is asked once the configuration and the host
+// list are held.
+func (v *View) RequireReady(check func() (bool, string)) { v.require.Store(&check) }
+
 // Subscribe returns a channel that gets a value after each change of configuration, hosts, membership
 // or marks. Changes that follow one another closely come as one.
 func (v *View) Subscribe() chan struct{} {
@@ -279,9 +289,13 @@
 
 func (v *View) checkPause() {
 	v.mu.Lock()
+	recent := v.pauses.JustPaused(v.lastTick)
 	v.lastTick = v.Now()
 	gap, paused := v.pauses.Tick(v.lastTick)
-	if paused {
+	switch {
+	case paused && recent:
+		v.lastGap += gap // a message may have waited through both
+	case paused:
 		v.lastGap = gap
 	}
 	v.mu.Unlock()
