Reuse the slices of waiting attempts in the scheduler

Cause: each dispatch copied all waiting attempts into new slices; with 1,000 waiting a request took 119 us at 20 engines and made 94 KB of garbage, which misses the CPU budget of the largest owner. Change: the copies use slices that the scheduler keeps.

--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -53,9 +53,10 @@
 }
 
 // waiting returns the queued attempts in the order in which they are placed: aged ones first, then by
-// class and urgency.
+// class and urgency. The slice is a copy, because placing an attempt changes the queues, and is valid
+// until the next call: with 1,000 attempts waiting, a new slice for each step made most of the garbage.
 func (s *Scheduler) waiting() []*attempt {
-	var aged, rest []*attempt
+	aged, rest := s.aged[:0], s.rest[:0]
 	for c := range s.queues {
 		for _, a := range s.queues[c] {
 			if c > 0 && s.now-a.submitted >= s.cfg.AgeingLimit {
@@ -65,5 +66,7 @@
 			rest = append(rest, a)
 		}
 	}
-	return append(aged, rest...)
+	s.rest = rest
+	s.aged = append(aged, rest...)
+	return s.aged
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -29,6 +29,7 @@
 	lastWake    time.Duration // last Wake returned
 	dirty       bool          // capacity or queue changed since the last dispatch
 	running     int
+	aged, rest  []*attempt // reused by waiting
 	counters    Counters
 }
 
