--- a/node/platform/bench_test.go
+++ b/node/platform/bench_test.go
@@ -55,7 +55,7 @@
 		all.Go(func() {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
-			client := New(Config{ConfigAddress: srv.URL, ReadsPerS: 2})
+			client := New(Config{ConfigAddress: srv.URL, ReadsPerS: 1.9, Burst: 1}) // the defaults of a process
 			defer client.Close()
 			sleep(ctx, rand.N(2*time.Second))
 			answers := 0
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -89,8 +89,10 @@
 	// HostsMS is the time between two reads of the host list. Default 2,000. A longer time saves reads
 	// and delays the discovery of new hosts; leaving hosts are also learned from gossip and reports.
 	HostsMS int64 `toml:"hosts_ms"`
-	// ReadsPerS bounds this process's reads from the platform. Default 2. The platform allows about
-	// 2,000 reads/s across all readers, so 340 hosts with two processes each may use 2.9 each.
+	// ReadsPerS bounds this process's reads from the platform. Default 1.9. The platform allows about
+	// 2,000 reads/s across all readers; 340 hosts with two processes each may send one read at once
+	// and 1.9 in the first second after that, 1,972 together. A higher rate makes a mass restart
+	// exceed the limit.
 	ReadsPerS float64 `toml:"reads_per_s"`
 	// StartSpreadMS is the upper end of the random delay before the first read at a start. Default
 	// 2,000. It spreads the reads of a mass restart and delays each start by half of it on average.
@@ -153,7 +155,7 @@
 			MaxPromptBytesHeld: 1 << 30,
 			ShutdownMS:         3_600_000,
 		},
-		Platform: Platform{HostsMS: 2_000, ReadsPerS: 2, StartSpreadMS: 2_000},
+		Platform: Platform{HostsMS: 2_000, ReadsPerS: 1.9, StartSpreadMS: 2_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{Exporter: "none", SampleRatio: 0.01},
 	}
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -77,3 +77,11 @@
 	_, err := Parse("a.toml", good, RoleGateway, RoleDispatcher)
 	c.Assert(err, qt.ErrorMatches, `(?s)a.toml: dispatcher.admin_address is missing.*dispatcher.link_address is missing.*`)
 }
+
+// Guards against defaults with which a restart of all processes at full size exceeds the 2,000 reads/s
+// of the configuration service: each process may send one read at once and then its rate.
+func TestDefaultReadsFitBudget(t *testing.T) {
+	c := qt.New(t)
+	const processes, budgetPerS = 2 * 340, 2_000
+	c.Assert(processes*(1+Default().Platform.ReadsPerS) <= budgetPerS, qt.IsTrue)
+}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -95,6 +95,9 @@
 		incarnation: ident.NewIncarnation(),
 		platform: platform.New(platform.Config{
 			ConfigAddress: p.ConfigURL, HostsAddress: p.HostsURL, ReadsPerS: p.ReadsPerS,
+			// A burst above one would break the budget of the service at a mass restart: 680
+			// processes with a burst of 5 may send 4,760 reads in the first second.
+			Burst: 1,
 		}),
 		control:    client,
 		fold:       config.NewFold(),
