Read an unchanged host list as 304, and engine reports once a second

Cause: a watcher transferred the whole host list every two seconds, 280 KB/s at full size; engine reports twice a second took most of the CPU budget at the largest owner. Change: reads of the host list carry the ETag of the list that is held; the stand-in answers 304. The default of report_ms rises from 500 to 1,000; cache events stay at every 2 s.

--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -151,7 +151,7 @@
 }
 
 // cacheEventEvery is the number of reports for each read of cache events, which are hints only.
-const cacheEventEvery = 4
+const cacheEventEvery = 2
 
 // readReports reads an engine's report, and less often its cache events, until the context ends.
 func (d *Dispatcher) readReports(ctx context.Context, e *engine) {
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -57,6 +59,10 @@
 	cfg     Config
 	tr      *http.Transport
 	limiter *rate.Limiter
+
+	mu    sync.Mutex
+	hosts platformapi.Hosts // last host list, shared by callers
+	etag  string            // of hosts; empty if the platform sends none
 }
 
 // New returns a client.
@@ -120,39 +126,75 @@
 	return last.Kind == platformapi.KindSnapshot && last.Part < last.Parts
 }
 
-// Hosts reads the host list.
+// Hosts reads the host list. An unchanged list is not transferred again if the platform sends an ETag:
+// at full size it has 559 KB, and a watcher reads it every two seconds. Callers must not change the
+// list that is returned.
 func (c *Client) Hosts(ctx context.Context) (platformapi.Hosts, error) {
-	var r platformapi.Hosts
-	err := c.get(ctx, "hosts", c.cfg.HostsAddress, "/hosts", c.cfg.RequestTimeout, &r)
-	return r, err
+	c.mu.Lock()
+	held, etag := c.hosts, c.etag
+	c.mu.Unlock()
+	r := read{step: "hosts", address: c.cfg.HostsAddress, path: "/hosts", timeout: c.cfg.RequestTimeout, etag: etag}
+	var got platformapi.Hosts
+	tag, err := c.fetch(ctx, r, &got)
+	switch {
+	case errors.Is(err, errNotModified):
+		return held, nil
+	case err != nil:
+		return platformapi.Hosts{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts, c.etag = got, tag
+	return got, nil
+}
+
+// read is one call of the platform.
+type read struct {
+	step, address, path string
+	timeout             time.Duration
+	etag                string // of what is held; empty asks for the whole answer
 }
 
-// get sends one read. Nothing of a caller's request is in it, so all failures are NotRun: overload
-// for 429, else not_ready.
+// errNotModified tells that what is held is what the platform has.
+var errNotModified = errors.New("not modified")
+
 func (c *Client) get(ctx context.Context, step, address, path string, timeout time.Duration, out any) error {
-	base := httpcall.BaseURL(address)
-	hc := &httpcall.Call{Step: step, Peer: peerOf(base)}
+	_, err := c.fetch(ctx, read{step: step, address: address, path: path, timeout: timeout}, out)
+	return err
+}
+
+// fetch sends one read and returns the ETag of its answer. Nothing of a caller's request is in it, so
+// all failures are NotRun: overload for 429, else not_ready.
+func (c *Client) fetch(ctx context.Context, r read, out any) (etag string, err error) {
+	base := httpcall.BaseURL(r.address)
+	hc := &httpcall.Call{Step: r.step, Peer: peerOf(base)}
 	if err := c.limiter.Wait(ctx); err != nil {
-		return notRun(hc.Failed(ctx, err))
+		return "", notRun(hc.Failed(ctx, err))
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+r.path, nil)
 	if err != nil {
-		return outcome.Refuse(step, outcome.BadRequest, err.Error())
+		return "", outcome.Refuse(r.step, outcome.BadRequest, err.Error())
+	}
+	if r.etag != "" {
+		req.Header.Set("If-None-Match", r.etag)
 	}
 	resp, err := c.tr.RoundTrip(req)
 	if err != nil {
-		return notRun(hc.Failed(ctx, err))
+		return "", notRun(hc.Failed(ctx, err))
+	}
+	if r.etag != "" && resp.StatusCode == http.StatusNotModified {
+		return r.etag, errors.Join(errNotModified, resp.Body.Close())
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		return notRun(hc.Refused(resp))
+		return "", notRun(hc.Refused(resp))
 	}
 	if err := hc.DecodeJSON(ctx, resp, c.cfg.MaxAnswerBytes, out); err != nil {
-		return notRun(outcome.From(err, step, hc.Peer))
+		return "", notRun(outcome.From(err, r.step, hc.Peer))
 	}
-	return nil
+	return resp.Header.Get("ETag"), nil
 }
 
 func notRun(e *outcome.Error) *outcome.Error {
--- a/node/platform/platform_test.go
+++ b/node/platform/platform_test.go
@@ -97,3 +97,29 @@
 	})
 	c.Assert(reads.Load() > 3 && reads.Load() <= 11, qt.IsTrue, qt.Commentf("reads %d", reads.Load()))
 }
+
+// Guards against a watcher that transfers the whole host list at each read, and against one that takes a
+// changed list for the old one.
+func TestUnchangedHostListIsNotTransferred(t *testing.T) {
+	c := qt.New(t)
+	version, whole := 1, 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		etag := strconv.Quote(strconv.Itoa(version))
+		w.Header().Set("ETag", etag)
+		if r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		whole++
+		json.NewEncoder(w).Encode(platformapi.Hosts{Version: uint64(version)})
+	}))
+	defer srv.Close()
+	client := New(Config{HostsAddress: srv.URL, ReadsPerS: 1000, Burst: 100})
+	for _, want := range []int{1, 1, 2, 2} {
+		version = want
+		got, err := client.Hosts(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.Version, qt.Equals, uint64(want))
+	}
+	c.Assert(whole, qt.Equals, 2)
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -67,8 +67,9 @@
 	GossipAddress string `toml:"gossip_address"`
 	// AdminAddress is the IP address and port of the administration API. Required for the role.
 	AdminAddress string `toml:"admin_address"`
-	// ReportMS is the time between two reads of an engine's report. Default 500. A longer time saves
-	// engine calls and delays the discovery of leaving engines and lost sessions.
+	// ReportMS is the time between two reads of an engine's report. Default 1,000. A longer time saves
+	// engine calls and delays the discovery of leaving engines and lost sessions; at the largest owner of
+	// the full size, 500 takes 2.2 to 2.7 % of a core out of 3.8 % for all control.
 	ReportMS int64 `toml:"report_ms"`
 	// EventRing bounds the scheduler's queue of events. Default 8,192. A full ring refuses new
 	// requests with "overload"; a larger one lets them wait longer instead.
@@ -150,7 +151,7 @@
 			AcceptQueueMS:      2_000,
 		},
 		Dispatcher: Dispatcher{
-			ReportMS:           500,
+			ReportMS:           1_000,
 			EventRing:          8_192,
 			MaxPromptBytesHeld: 1 << 30,
 			ShutdownMS:         3_600_000,
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -11,6 +11,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -108,13 +109,21 @@
 	return s.versions[i].list
 }
 
-func (s *Server) serveGet(w http.ResponseWriter, _ *http.Request) {
+// serveGet answers 304 to a reader that names the list it holds.
+func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
 	f, _ := s.Faults.Get()
 	if f.Outage {
 		control.Unavailable(w, "host list is down")
 		return
 	}
-	control.WriteJSON(w, http.StatusOK, s.shown(f.Frozen))
+	list := s.shown(f.Frozen)
+	etag := strconv.Quote(strconv.FormatUint(list.Version, 10))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	control.WriteJSON(w, http.StatusOK, list)
 }
 
 func (s *Server) servePut(w http.ResponseWriter, r *http.Request) {
