Let a stalled engine neither refuse requests for others nor stay slow for ever

A trace of the refusals showed one engine, idle and with the earliest predicted first token, whose time per token had been learnt as 384 ms while it hung. The scheduler chose the engine by first token alone, found that it would miss the deadline and refused the request; as the engine got no more work, its estimate never recovered. Ruled out: stale reports, concurrency limits and memory (all free in the trace). Change: the choice is made among the engines that can finish in time; a token that takes 1 s or more is not learnt as speed; estimates of an engine without work move back towards their first values with each report.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -178,7 +178,21 @@
 	case LeastOutstanding:
 		return best(fit, func(e *engine) float64 { return float64(e.limit.InFlight(s.now)) })
 	}
-	return s.choosePredicted(fit, a)
+	return s.choosePredicted(s.inTime(fit, a), a)
+}
+
+// inTime returns the engines that can finish the attempt by its deadline, or all if none can.
+func (s *Scheduler) inTime(fit []*engine, a *attempt) []*engine {
+	var out []*engine
+	for _, e := range fit {
+		if s.now+e.service(s, a) <= a.Deadline {
+			out = append(out, e)
+		}
+	}
+	if len(out) == 0 {
+		return fit
+	}
+	return out
 }
 
 func without(list []*engine, x *engine) []*engine {
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -11,6 +11,8 @@
 	rateSampleTokens = 4096
 	// learnWeight is the weight of a new sample in the learnt rates.
 	learnWeight = 0.1
+	// stallTime is the time for a token from which an engine stalled: that is no speed to learn from.
+	stallTime = time.Second
 	// prefixTokens is what a prefix hit saves: the part of the prompt that PrefixKey covers.
 	prefixTokens = 1024
 )
@@ -91,10 +93,26 @@
 
 // learnToken learns the time per output token from n tokens that took d.
 func (e *engine) learnToken(d time.Duration, n int) {
-	sample := min(d/time.Duration(n), time.Second)
+	sample := d / time.Duration(n)
+	if sample >= stallTime {
+		return
+	}
 	e.tokenTime += time.Duration(learnWeight / 2 * float64(sample-e.tokenTime))
 }
 
+// forget moves the estimates of an engine without work towards their first values. Slow estimates keep
+// work away, and without work nothing else would correct them.
+func (e *engine) forget(s *Scheduler) {
+	if e.limit.InFlight(s.now) > 0 {
+		return
+	}
+	e.tokenTime += time.Duration(learnWeight * float64(s.cfg.DecodeTokenTime-e.tokenTime))
+	e.base -= time.Duration(learnWeight * float64(e.base))
+	if e.reportedRate > 0 {
+		e.learntRate += learnWeight * (e.reportedRate - e.learntRate)
+	}
+}
+
 // service returns the predicted time from sending to the last token on this engine.
 func (e *engine) service(s *Scheduler, a *attempt) time.Duration {
 	left := max(1, a.MaxOutputTokens-a.count)
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -92,6 +92,7 @@
 		e.saidLeaving = false // the next EnginesChanged decides
 	}
 	e.reportedRate = ev.Report.PrefillTokensPerS
+	e.forget(s)
 	listed := s.readSessions(e, taken, &ev.Report)
 	s.releaseAbsent(e, taken, listed, ev.Report.KVHandles)
 	s.readKV(e, ev.Report.KVHandles)
