--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -40,8 +40,10 @@
 	// Grace is the time after a deadline at which a session of any issuer is cancelled.
 	Grace time.Duration
 	// FirstTokenSlack is added to the predicted time to first token before an engine counts as hanging.
+	// A request with little time left gets less.
 	FirstTokenSlack time.Duration
-	// TokenTimeout is the longest silence after the first token.
+	// TokenTimeout is the longest silence after the first token. A request with little time left gets
+	// less.
 	TokenTimeout time.Duration
 	// CancelRetry is the time between two cancels of one session.
 	CancelRetry time.Duration
--- a/core/sched/hold.go
+++ b/core/sched/hold.go
@@ -76,14 +76,28 @@
 	return never
 }
 
+// minSilence keeps the jitter of a busy engine from counting as a hang.
+const minSilence = time.Second
+
 // hangAt is the time at which silence means that the engine hangs. Prefill that was sent after this
 // session and passes it by priority delays its first token and extends the time.
 func (h *hold) hangAt(s *Scheduler) time.Duration {
 	if h.first {
-		return h.lastAt + s.cfg.TokenTimeout
+		return h.lastAt + h.silence(s.cfg.TokenTimeout, h.lastAt)
 	}
 	passed := h.eng.passing[h.priority] - h.passedBy
-	return h.sentAt + h.predicted + s.cfg.FirstTokenSlack + seconds(float64(passed)/h.eng.rate(s))
+	expected := h.sentAt + h.predicted
+	return expected + h.silence(s.cfg.FirstTokenSlack, expected) + seconds(float64(passed)/h.eng.rate(s))
+}
+
+// silence is the time without a token, from the given time on, after which the engine hangs: the limit,
+// but at most a third of the time that the attempt then has left. A request with 5 s to live must not
+// lose all of it to an engine that hangs.
+func (h *hold) silence(limit, from time.Duration) time.Duration {
+	if h.att == nil {
+		return limit
+	}
+	return min(limit, max((h.att.Deadline-from)/3, minSilence))
 }
 
 func (h *hold) fire(s *Scheduler) {
--- a/core/sched/slow_test.go
+++ b/core/sched/slow_test.go
@@ -58,3 +58,21 @@
 	}
 	c.Assert(s.engines["e0"].tokenTime < 2*s.cfg.DecodeTokenTime, qt.IsTrue, qt.Commentf("%v", s.engines["e0"].tokenTime))
 }
+
+// Guards against a short request that spends its whole time on an engine that hangs before the first
+// token, although another engine could still answer in time.
+func TestHangLeavesTimeForAnotherEngine(t *testing.T) {
+	c := qt.New(t)
+	s := ready(testConfig(Predict), testEngines(2)...)
+	first := pick[Send](s.Step(0, submit(1, ident.Interactive, 1000, 16, 5*time.Second)))[0]
+	s.Step(ms, EngineAccepted{first.Session})
+	s.Step(time.Second, Tick{})
+	second := pick[Send](s.Step(2*time.Second, Tick{}))
+	c.Assert(second, qt.HasLen, 1)
+	c.Assert(second[0].Engine, qt.Equals, ident.BackendID("e1"))
+	s.Step(2100*ms, FirstToken{second[0].Session, 1})
+	s.Step(3000*ms, report("e0", 2, 3000*ms))
+	third := pick[Send](s.Step(3200*ms, Tick{}))
+	c.Assert(third, qt.HasLen, 1)
+	c.Assert(third[0].ResumeFrom, qt.Equals, 1)
+}
