Report a forwarded posting that reaches its deadline as such

The time left travels in whole milliseconds, so the executor's deadline of a call passed up to 1 ms before that of the forwarding gateway; the executor then answered with an error, which the other took for an executor that cannot be reached. Ruled out: membership (no suspicion in the log) and lost connections. Change: at the deadline the executor replies with the end of the call; only a closing process withholds its reply.

--- a/node/gateway/control.go
+++ b/node/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
@@ -28,8 +29,9 @@
 		deadline: g.view.Now() - g.view.PauseSlack() + time.Duration(req.RemainingMS)*time.Millisecond,
 	}
 	answer, err := g.tickets.execute(obs.FromTraceParent(ctx, req.TraceParent), call)
-	if ctx.Err() != nil {
-		// This process closes or the caller gave up: a reply of this attempt says nothing about the call.
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// This process closes: a reply says nothing about the call. At the deadline a reply is due, or the
+		// forwarding gateway takes this executor for unreachable when its own clock is a moment behind.
 		return nil, ctx.Err()
 	}
 	if err != nil {
--- a/node/gateway/posting.go
+++ b/node/gateway/posting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"sync"
 	"time"
 
@@ -153,12 +154,20 @@
 	case <-p.over:
 		return nil
 	case <-ctx.Done():
-		return outcome.Fail("posting", "", outcome.Cancelled, ctx.Err())
+		return outcome.Fail("posting", "", waitReason(ctx.Err()), ctx.Err())
 	case <-t.C:
 		return outcome.Fail("posting", "", outcome.Deadline, nil)
 	}
 }
 
+// waitReason names why the wait for a running call ended before the call.
+func waitReason(err error) outcome.Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return outcome.Deadline
+	}
+	return outcome.Cancelled
+}
+
 // run sends the call of a claimed ticket once and records how it ended.
 func (d *ticketDesk) run(ctx context.Context, call *serviceCall, seq uint64, p *pending) {
 	answer, cause := d.send(ctx, call, seq)
