Use the usual terms in the gateway, the dispatcher and the scenarios

Cause: a read-through found names that need explaining: a desk that runs postings, owed frames, parts that end without farewell. Change: executor, pending ends, killed; no behaviour changes.

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -135,7 +135,7 @@
 	return p, ok
 }
 
-// Kill stops a role, engine or service without any farewell.
+// Kill stops a role, engine or service without a graceful shutdown.
 func (c *Cluster) Kill(name string) error {
 	if p, ok := c.take(name); ok {
 		p.Kill()
--- a/lab/scenario/fleet.go
+++ b/lab/scenario/fleet.go
@@ -15,7 +15,7 @@
 // Fleet runs the parts of a plan. Parts are named "platform", "hostlist", "<host>/gateway",
 // "<host>/dispatcher" and by the id of an engine or service.
 type Fleet interface {
-	// Kill ends a part without any farewell.
+	// Kill ends a part without a graceful shutdown.
 	Kill(name string) error
 	// Stop starts the graceful shutdown of a part and returns at once.
 	Stop(name string) error
--- a/lab/scenario/language.go
+++ b/lab/scenario/language.go
@@ -34,7 +34,7 @@
 //	serving NAME                        set $DISPATCHER and $ENGINE to what carries the stream
 //	fault PART JSON                     set the fault switches of a stand-in
 //	host ID STATE                       change a line of the host list
-//	lose|terminate|start PART           end a part without farewell, or gracefully, or start it again
+//	lose|terminate|start PART           kill a part, end it gracefully, or start it again
 //	pause PART D                        stop a part from running for a time, in the background
 //	exited PART LIMIT                   the terminated part must have ended in order within the limit
 //	publish FILE base=N                 publish a merge patch
@@ -89,7 +89,7 @@
 	tickets map[string]string
 	marks   map[string]int
 	loads   map[string]*load
-	lost    map[string]bool // parts that the script ended without farewell
+	lost    map[string]bool // parts that the script killed
 }
 
 // Setup prepares a script; use it as testscript.Params.Setup.
--- a/node/dispatcher/intake.go
+++ b/node/dispatcher/intake.go
@@ -157,7 +157,7 @@
 // refuse ends an attempt that never reached the loop.
 func (in *intake) refuse(p *link.Peer, number uint64, r outcome.Reason) {
 	in.d.refused.Add(1, string(r))
-	in.d.put(owed{p, &wire.End{
+	in.d.put(pendingEnd{p, &wire.End{
 		Attempt:      number,
 		Outcome:      uint8(outcome.NotRun),
 		Reason:       string(r),
--- a/node/dispatcher/loop.go
+++ b/node/dispatcher/loop.go
@@ -12,7 +12,7 @@
 	"github.com/rosemaryhill/rosemaryhill/transport/wire"
 )
 
-// result is an input of the loop other than a new attempt: engineEvent, cancelled, linkLost, owed or
+// result is an input of the loop other than a new attempt: engineEvent, cancelled, linkLost, pendingEnd or
 // a function to run on the loop.
 type result any
 
@@ -25,8 +25,8 @@
 	linkLost struct{ peer *link.Peer }
 	// noRoom tells that a token could not be queued on the attempt's link.
 	noRoom struct{ a *attempt }
-	// owed is a final frame that must still be queued on a link.
-	owed struct {
+	// pendingEnd is a final frame that must still be queued on a link.
+	pendingEnd struct {
 		peer  *link.Peer
 		frame *wire.End
 	}
@@ -35,21 +35,21 @@
 )
 
 const (
-	// housekeeping is the period of load reports to membership and of the retry of owed frames.
+	// housekeeping is the period of load reports to membership and of the retry of unsent final frames.
 	housekeeping = 100 * time.Millisecond
-	// maxOwed bounds the final frames that wait for room on their links.
-	maxOwed = 4096
+	// maxPendingEnds bounds the final frames that wait for room on their links.
+	maxPendingEnds = 4096
 )
 
 // loop is the goroutine that owns the scheduler.
 type loop struct {
-	d        *Dispatcher
-	sched    *sched.Scheduler // nil until the configuration is known
-	attempts map[sched.AttemptID]*attempt
-	sessions map[sched.SessionID]*session
-	engines  *engineSet
-	owed     []owed
-	wake     *time.Timer
+	d           *Dispatcher
+	sched       *sched.Scheduler // nil until the configuration is known
+	attempts    map[sched.AttemptID]*attempt
+	sessions    map[sched.SessionID]*session
+	engines     *engineSet
+	pendingEnds []pendingEnd
+	wake        *time.Timer
 }
 
 func newLoop(d *Dispatcher) *loop {
@@ -103,7 +103,7 @@
 		}
 	case noRoom:
 		l.overrun(r.a)
-	case owed:
+	case pendingEnd:
 		l.deliver(r)
 	case query:
 		r.run(l)
@@ -206,7 +206,7 @@
 	if l.attempts[a.id] != a {
 		l.d.intake.release(len(a.prompt))
 	}
-	l.deliver(owed{a.peer, frame})
+	l.deliver(pendingEnd{a.peer, frame})
 }
 
 // drop forgets an attempt that has ended.
@@ -222,22 +222,22 @@
 
 // deliver queues a final frame, or keeps it until the link has room. Without this a gateway would wait
 // for the deadline of an attempt that has ended.
-func (l *loop) deliver(o owed) {
+func (l *loop) deliver(o pendingEnd) {
 	err := o.peer.Send(o.frame)
 	if err == nil || !link.ErrFull.Has(err) {
 		return // sent, or the link is down and the gateway resubmits by itself
 	}
-	if len(l.owed) >= maxOwed {
-		l.d.log.WithFields(fields{"step": "deliver", "peer": o.peer.String()}).Warn("too many owed frames, link closed")
+	if len(l.pendingEnds) >= maxPendingEnds {
+		l.d.log.WithFields(fields{"step": "deliver", "peer": o.peer.String()}).Warn("too many unsent final frames, link closed")
 		o.peer.Close()
 		return
 	}
-	l.owed = append(l.owed, o)
+	l.pendingEnds = append(l.pendingEnds, o)
 }
 
 func (l *loop) keepHouse() {
-	waiting := l.owed
-	l.owed = nil
+	waiting := l.pendingEnds
+	l.pendingEnds = nil
 	for _, o := range waiting {
 		l.deliver(o)
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -54,7 +54,7 @@
 	limitsMu sync.Mutex
 	limits   *limits.Teams
 
-	tickets *ticketDesk
+	tickets *executor
 
 	drainMu  sync.Mutex
 	shutdown *drain.Shutdown
@@ -91,11 +91,11 @@
 		resumes:    cfg.Obs.Counter("gateway_resumes", "reason", "Attempts that replaced a lost one."),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	desk, err := newTicketDesk(g)
+	tickets, err := newExecutor(g)
 	if err != nil {
 		return nil, err
 	}
-	g.tickets = desk
+	g.tickets = tickets
 	g.calls = newServices(g)
 	g.client, err = link.NewClient(link.Config{
 		Host:          g.view.Host(),
@@ -125,7 +125,7 @@
 	return g, nil
 }
 
-func newTicketDesk(g *Gateway) (*ticketDesk, error) {
+func newExecutor(g *Gateway) (*executor, error) {
 	key := make([]byte, 32)
 	if _, err := rand.Read(key); err != nil {
 		return nil, Error.New("ticket key: %w", err)
@@ -139,7 +139,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &ticketDesk{g: g, table: table, pending: map[uint64]*pending{}}, nil
+	return &executor{g: g, table: table, pending: map[uint64]*pending{}}, nil
 }
 
 func (g *Gateway) gauges() {
--- a/node/gateway/posting.go
+++ b/node/gateway/posting.go
@@ -16,8 +16,8 @@
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
 )
 
-// ticketDesk holds the tickets of this incarnation and runs their calls.
-type ticketDesk struct {
+// executor holds the tickets of this incarnation and runs their postings.
+type executor struct {
 	g *Gateway
 
 	mu      sync.Mutex
@@ -34,23 +34,23 @@
 	err    *outcome.Error
 }
 
-func (d *ticketDesk) issue(n int) ([]string, *outcome.Error) {
+func (d *executor) issue(n int) ([]string, *outcome.Error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table.Issue(d.g.view.Now(), n)
 }
 
 // Len returns the number of ticket records.
-func (d *ticketDesk) Len() int {
+func (d *executor) Len() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table.Len()
 }
 
-func (d *ticketDesk) wait() { d.running.Wait() }
+func (d *executor) wait() { d.running.Wait() }
 
 // Running returns the number of tickets whose call is being sent.
-func (d *ticketDesk) Running() int {
+func (d *executor) Running() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.pending)
@@ -70,7 +70,7 @@
 			"a non-idempotent call needs the header "+TicketHeader+"; get one at "+
 				baseURL(g.cfg.Settings.Gateway.HTTPAddress)+"/v1/addresses?tickets=1")
 	}
-	target, t, err := ticket.Route(call.ticket, ticket.Self{Host: g.view.Host(), Incarnation: g.view.Incarnation()}, g.executor)
+	target, t, err := ticket.Route(call.ticket, ticket.Self{Host: g.view.Host(), Incarnation: g.view.Incarnation()}, g.lookupExecutor)
 	switch target {
 	case ticket.Here:
 		return g.tickets.execute(ctx, call)
@@ -81,8 +81,8 @@
 	}
 }
 
-// executor tells what membership knows about the gateway of a host.
-func (g *Gateway) executor(host ident.HostID) ticket.Executor {
+// lookupExecutor tells what membership knows about the gateway of a host.
+func (g *Gateway) lookupExecutor(host ident.HostID) ticket.Executor {
 	p, ok := g.view.Find(host, settings.RoleGateway)
 	if !ok {
 		return ticket.Executor{}
@@ -95,7 +95,7 @@
 }
 
 // execute runs or looks up the call of an own ticket.
-func (d *ticketDesk) execute(ctx context.Context, call *serviceCall) (*serviceAnswer, *outcome.Error) {
+func (d *executor) execute(ctx context.Context, call *serviceCall) (*serviceAnswer, *outcome.Error) {
 	if err := d.g.admit(); err != nil {
 		return nil, d.refuse(call, err)
 	}
@@ -124,14 +124,14 @@
 	}
 }
 
-func (d *ticketDesk) refuse(call *serviceCall, cause *outcome.Error) *outcome.Error {
+func (d *executor) refuse(call *serviceCall, cause *outcome.Error) *outcome.Error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table.Refuse(d.g.view.Now(), call.ticket, call.binding(), cause)
 }
 
 // begin asks the table about a call. The pending call is nil unless the call is to run or runs.
-func (d *ticketDesk) begin(call *serviceCall) (ticket.Decision, *pending) {
+func (d *executor) begin(call *serviceCall) (ticket.Decision, *pending) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	decision := d.table.Begin(d.g.view.Now(), call.ticket, call.binding(), call.deadline)
@@ -147,7 +147,7 @@
 
 // await waits for the end of a running call, up to the caller's own deadline. A caller that leaves
 // does not stop the call.
-func (d *ticketDesk) await(ctx context.Context, call *serviceCall, p *pending) *outcome.Error {
+func (d *executor) await(ctx context.Context, call *serviceCall, p *pending) *outcome.Error {
 	t := time.NewTimer(call.deadline - d.g.view.Now())
 	defer t.Stop()
 	select {
@@ -169,7 +169,7 @@
 }
 
 // run sends the call of a claimed ticket once and records how it ended.
-func (d *ticketDesk) run(ctx context.Context, call *serviceCall, seq uint64, p *pending) {
+func (d *executor) run(ctx context.Context, call *serviceCall, seq uint64, p *pending) {
 	answer, cause := d.send(ctx, call, seq)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -190,7 +190,7 @@
 	delete(d.pending, seq)
 }
 
-func (d *ticketDesk) send(ctx context.Context, call *serviceCall, seq uint64) (*serviceAnswer, *outcome.Error) {
+func (d *executor) send(ctx context.Context, call *serviceCall, seq uint64) (*serviceAnswer, *outcome.Error) {
 	p, refusal := d.g.calls.acquire(call.service, call.deadline, nil)
 	if refusal != nil {
 		return nil, refusal
@@ -210,7 +210,7 @@
 }
 
 // firstByte is asked right before the first byte of the call is written.
-func (d *ticketDesk) firstByte(seq uint64) error {
+func (d *executor) firstByte(seq uint64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.table.FirstByte(d.g.view.Now(), seq); err != nil {
@@ -260,7 +260,7 @@
 			return
 		case <-tick.C:
 		}
-		x := g.executor(t.Host)
+		x := g.lookupExecutor(t.Host)
 		if !x.Member || !x.Reachable || x.Incarnation != t.Incarnation {
 			cancel()
 			return
