Keep a forwarded posting whose executor's incarnation is not known yet

A trace showed the call cancelled after 200 ms while the executor was a reachable member with incarnation zero: at the start of a system a host is known from the host list before membership tells its incarnation, and the check of a forwarded call took zero for another incarnation. Change: the rule stands in core/ticket beside the one for routing; an unknown incarnation says nothing.

--- a/core/ticket/route.go
+++ b/core/ticket/route.go
@@ -12,6 +12,12 @@
 	Incarnation ident.Incarnation // newest known; zero when unknown
 }
 
+// MayAnswer tells whether the executor of t may still answer a call that was forwarded to it. An
+// incarnation that is not known yet says nothing against it.
+func (x Executor) MayAnswer(t Ticket) bool {
+	return x.Member && x.Reachable && (x.Incarnation == 0 || x.Incarnation == t.Incarnation)
+}
+
 // Target tells a gateway where a call with a ticket goes.
 type Target uint8
 
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -174,3 +174,23 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// Guards against a forwarded call that is given up at the start of a system, when membership knows the
+// executor's host from the host list only and its incarnation not yet.
+func TestUnknownIncarnationMayAnswer(t *testing.T) {
+	mine := Ticket{Host: "a", Incarnation: 7}
+	for _, test := range []struct {
+		x    Executor
+		want bool
+	}{
+		{Executor{Member: true, Reachable: true}, true},
+		{Executor{Member: true, Reachable: true, Incarnation: 7}, true},
+		{Executor{Member: true, Reachable: true, Incarnation: 8}, false},
+		{Executor{Member: true, Incarnation: 7}, false},
+		{Executor{Reachable: true, Incarnation: 7}, false},
+	} {
+		if got := test.x.MayAnswer(mine); got != test.want {
+			t.Errorf("%+v: %v", test.x, got)
+		}
+	}
+}
--- a/node/gateway/posting.go
+++ b/node/gateway/posting.go
@@ -260,8 +260,7 @@
 			return
 		case <-tick.C:
 		}
-		x := g.lookupExecutor(t.Host)
-		if !x.Member || !x.Reachable || x.Incarnation != t.Incarnation {
+		if !g.lookupExecutor(t.Host).MayAnswer(t) {
 			cancel()
 			return
 		}
