--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -130,6 +130,10 @@
 
 // attempt submits the request to one dispatcher and passes its answer on.
 func (s *stream) attempt() verdict {
+	// After a pause the links are often down too; the passed deadline is the cause to report.
+	if s.gen.deadline-s.g.view.Now() < time.Millisecond {
+		return verdict{err: s.pastDeadline()}
+	}
 	peer, ok := s.choose()
 	if !ok {
 		e := outcome.Refuse(stepChoose, outcome.NoBackend, "no dispatcher with engines of the model is reachable")
