Let one piece of code serve where a read-through found twins

Cause: the wait for a time or a context stood three times in node, the error with step and peer twice in transport, the arrival time of a message after a pause three times, the time left of a stream three times, and the readers of numbers and whole numbers in the configuration differed in a type only. Change: node/internal/ctxtime, transport/internal/peererr, View.Received, stream.remaining and a generic range check; link.Error and control.Error are now one type under two names. No behaviour changes.

--- a/core/config/object.go
+++ b/core/config/object.go
@@ -46,21 +46,17 @@
 }
 
 // number reads a number between lo and hi.
-func (o *object) number(key string, required bool, lo, hi float64) (v float64) {
-	valid := fmt.Sprintf("a number from %g to %g", lo, hi)
-	raw, ok := o.take(key)
-	switch {
-	case !ok && required:
-		o.fault(key, valid)
-	case ok && (isNull(raw) || json.Unmarshal(raw, &v) != nil || v < lo || v > hi):
-		o.fault(key, valid)
-	}
-	return v
+func (o *object) number(key string, required bool, lo, hi float64) float64 {
+	return within(o, key, required, fmt.Sprintf("a number from %g to %g", lo, hi), lo, hi)
 }
 
 // whole reads a whole number between lo and hi.
-func (o *object) whole(key string, required bool, lo, hi int) (v int) {
-	valid := fmt.Sprintf("a whole number from %d to %d", lo, hi)
+func (o *object) whole(key string, required bool, lo, hi int) int {
+	return within(o, key, required, fmt.Sprintf("a whole number from %d to %d", lo, hi), lo, hi)
+}
+
+// within reads a value of T between lo and hi; valid describes what is accepted.
+func within[T int | float64](o *object, key string, required bool, valid string, lo, hi T) (v T) {
 	raw, ok := o.take(key)
 	switch {
 	case !ok && required:
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -114,10 +114,6 @@
 	return body, nil
 }
 
-// received returns when a request arrived at the latest that is read now. A request that waited in the
-// kernel while the process was paused arrived before the pause was over.
-func (g *Gateway) received() time.Duration { return g.view.Now() - g.view.PauseSlack() }
-
 // timeout reads the remaining budget of a request.
 func timeout(r *http.Request, def time.Duration) (time.Duration, *outcome.Error) {
 	text := r.Header.Get(TimeoutHeader)
--- a/node/gateway/lookup.go
+++ b/node/gateway/lookup.go
@@ -9,6 +9,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/limits"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/servicehttp"
 )
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	received := g.received()
+	received := g.view.Received()
 	body, err := readBody(w, r, MaxServiceBody)
 	if err != nil {
 		return nil, false, err
@@ -141,7 +142,7 @@
 		if !again || ctx.Err() != nil {
 			return nil, asReached(err, reached)
 		}
-		sleep(ctx, wait)
+		ctxtime.Sleep(ctx, wait)
 	}
 }
 
@@ -183,12 +184,3 @@
 func answerOf(r *servicehttp.Response) *serviceAnswer {
 	return &serviceAnswer{status: r.Status, contentType: r.Header.Get("Content-Type"), body: r.Body}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -65,7 +65,7 @@
 // run starts attempts until one of them brings the end of the answer, and tells the caller how the
 // request ended.
 func (s *stream) run() *outcome.Error {
-	s.deadline = time.NewTimer(s.gen.deadline - s.g.view.Now())
+	s.deadline = time.NewTimer(s.remaining())
 	defer s.deadline.Stop()
 	for {
 		v := s.attempt()
@@ -131,7 +131,7 @@
 // attempt submits the request to one dispatcher and passes its answer on.
 func (s *stream) attempt() verdict {
 	// After a pause the links are often down too; the passed deadline is the cause to report.
-	if s.gen.deadline-s.g.view.Now() < time.Millisecond {
+	if s.remaining() < time.Millisecond {
 		return verdict{err: s.pastDeadline()}
 	}
 	peer, ok := s.choose()
@@ -159,7 +159,7 @@
 // submit queues the request on the link. The remaining time is taken right before, because the
 // process may have been paused since the last look at the deadline.
 func (s *stream) submit(peer *link.Peer, number uint64, resumeFrom int) *outcome.Error {
-	remaining := s.gen.deadline - s.g.view.Now()
+	remaining := s.remaining()
 	if remaining < time.Millisecond {
 		return s.pastDeadline()
 	}
@@ -247,6 +247,9 @@
 	return e
 }
 
+// remaining returns the time left until the caller's deadline.
+func (s *stream) remaining() time.Duration { return s.gen.deadline - s.g.view.Now() }
+
 func (s *stream) pastDeadline() *outcome.Error {
 	e := outcome.Refuse("deadline", outcome.Deadline, "the caller's deadline has passed")
 	return retryLater(e)
--- a/node/platform/bench_test.go
+++ b/node/platform/bench_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
 // BenchmarkMassRestart counts the reads of the configuration service when all processes start with the
@@ -57,7 +58,7 @@
 			defer cancel()
 			client := New(Config{ConfigAddress: srv.URL, ReadsPerS: 1.9, Burst: 1}) // the defaults of a process
 			defer client.Close()
-			sleep(ctx, rand.N(2*time.Second))
+			ctxtime.Sleep(ctx, rand.N(2*time.Second))
 			answers := 0
 			client.Follow(ctx, 0, func(u Update) {
 				if answers++; u.Err == nil && answers == 2 {
--- a/node/platform/follow.go
+++ b/node/platform/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
 // Update is one result of following the configuration: entries, none when a watch ended quietly, or
@@ -72,7 +73,7 @@
 			continue
 		}
 		b.reset()
-		sleep(ctx, interval+rand.N(interval/10+1))
+		ctxtime.Sleep(ctx, interval+rand.N(interval/10+1))
 	}
 }
 
@@ -95,14 +96,5 @@
 		d = max(d, min(e.RetryAfter, b.max)+rand.N(b.min))
 	}
 	b.bound = min(2*b.bound, b.max)
-	sleep(ctx, d)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	ctxtime.Sleep(ctx, d)
 }
--- a/node/view/follow.go
+++ b/node/view/follow.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/owner"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/platform"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
 )
@@ -55,7 +56,7 @@
 // peers when gossip tells of a newer version.
 func (v *View) followConfig(ctx context.Context) {
 	if !v.configFromPeers(ctx) {
-		sleep(ctx, v.spread())
+		ctxtime.Sleep(ctx, v.spread())
 	}
 	for ctx.Err() == nil {
 		if v.watcher() || v.snapshot.Load() == nil {
--- a/node/view/hosts.go
+++ b/node/view/hosts.go
@@ -7,6 +7,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/drain"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
 )
 
@@ -14,7 +15,7 @@
 // when gossip tells of a newer list.
 func (v *View) followHosts(ctx context.Context) {
 	if !v.hostsFromPeers(ctx) {
-		sleep(ctx, v.spread())
+		ctxtime.Sleep(ctx, v.spread())
 	}
 	period := time.Duration(v.cfg.Settings.Platform.HostsMS) * time.Millisecond
 	for ctx.Err() == nil {
@@ -30,10 +31,10 @@
 			v.hostsFromPlatform(ctx)
 		}
 		if v.hosts.Load() == nil {
-			sleep(ctx, unreadyRetry)
+			ctxtime.Sleep(ctx, unreadyRetry)
 			continue
 		}
-		sleep(ctx, period)
+		ctxtime.Sleep(ctx, period)
 	}
 }
 
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -234,9 +234,12 @@
 	return v.pauses.JustPaused(v.Now())
 }
 
-// PauseSlack returns how long a message that is read now may have waited for a paused process. The
-// deadline of such a message is shortened by it, since the sender's clock ran on.
-func (v *View) PauseSlack() time.Duration {
+// Received returns when a message that is read now arrived at the latest: it may have waited in the kernel
+// while the process was paused, and the sender's clock ran on. The deadline of the message counts from it.
+func (v *View) Received() time.Duration { return v.Now() - v.pauseSlack() }
+
+// pauseSlack returns how long a message that is read now may have waited for a paused process.
+func (v *View) pauseSlack() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.Now()
@@ -312,12 +315,3 @@
 func (v *View) spread() time.Duration {
 	return time.Duration(rand.Int64N(v.cfg.Settings.Platform.StartSpreadMS+1)) * time.Millisecond
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/transport/link/errors.go
+++ b/transport/link/errors.go
@@ -1,9 +1,9 @@
 package link
 
 import (
-	"fmt"
-
 	"github.com/zeebo/errs"
+
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/peererr"
 )
 
 // Error classes. Each error of this package has exactly one; test with Has.
@@ -31,23 +31,8 @@
 )
 
 // Error carries the step and the peer of a failure. Reach it with errors.As.
-type Error struct {
-	Step string // such as "dial", "hello", "read", "send"
-	Peer string // host/role, or the address before Hello
-	Err  error  // may be nil
-}
-
-// Error implements error.
-func (e *Error) Error() string {
-	if e.Err == nil {
-		return fmt.Sprintf("step=%s peer=%s", e.Step, e.Peer)
-	}
-	return fmt.Sprintf("step=%s peer=%s: %v", e.Step, e.Peer, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
+type Error = peererr.Error
 
 func fail(class *errs.Class, step, peer string, cause error) error {
-	return class.Wrap(&Error{Step: step, Peer: peer, Err: cause})
+	return peererr.Wrap(class, step, peer, cause)
 }
