--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -39,7 +39,7 @@
 	}{
 		{[]string{"check", "--settings", file, "--role", "gateway"}, ExitOK, "valid for gateway"},
 		{[]string{"check", "--settings", file}, ExitSettings, "dispatcher.link_address is missing"},
-		{[]string{"check", "--settings", file, "--role", "ledger"}, ExitUsage, "valid: gateway, dispatcher, both"},
+		{[]string{"check", "--settings", file, "--role", "ledger"}, ExitUsage, "valid: gateway, dispatcher, entry, both"},
 		{[]string{"check", "--settings", file + ".none"}, ExitSettings, "no such file"},
 		{[]string{"dispatcher", "--settings", file}, ExitSettings, "dispatcher.link_address is missing"},
 		{[]string{"gateway"}, ExitUsage, "--settings FILE"},
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,132 @@
+// Package catalog holds what an entry host knows from the platform: the routing configuration in force
+// and the backend servers that may take work. The Table is pure: changes and time come in, and queries
+// answer from what arrived.
+package catalog
+
+import (
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// RouteKind says what may be repeated on a route.
+type RouteKind uint8
+
+// Route kinds.
+const (
+	Idempotent    RouteKind = iota // may run more than once
+	NonIdempotent                  // runs at most once
+	Streaming                      // a stream of events; idempotent only when Resumable
+)
+
+// Route sends the requests of a host and path prefix to a service.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        RouteKind
+	Timeout     time.Duration // longest time to the final answer
+	Objective   time.Duration // latency objective: to the answer, or to the first event of a stream
+	MaxPause    time.Duration // latency objective of the pauses between two events; streams only
+	MaxAttempts int           // servers that one request may be sent to
+	Priority    int           // 0 is the most urgent
+	Public      bool          // needs no API key
+	Resumable   bool          // a stream may continue at another server after its last event
+	Split       []Share       // services with their weights, at least one
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Share is the weight of a service on a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of interchangeable backend servers.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int      // connections that one server accepts from all callers together
+	Runtime    *Runtime // set for model engines only
+}
+
+// Runtime holds the speed figures of the engines of a service, as published with the configuration.
+type Runtime struct {
+	Slots            int     // requests in one batch
+	MemoryTokens     int     // KV cache memory
+	StepsPerPass     int     // token steps of a pass that has writers
+	StepMS           float64 // ms of a token step
+	SequenceMS       float64 // added to a step for each writing request
+	ContextMSPerK    float64 // added to a step for each 1,000 tokens of context of the writing requests
+	ReadTokensPerMS  float64 // prefill speed without attention cost
+	PairMSPerMillion float64 // attention cost of prefill, for a million pairs of tokens
+	ChunkTokens      int     // prompt tokens read in one step at most
+	HelperStepMS     float64 // added to a step when a prompt's memory is spread over engines
+	ReportLag        time.Duration
+	UsualPrompt      int // mean tokens of a prompt
+	UsualAnswer      int // mean tokens of an answer
+}
+
+// Team is a customer with its API keys.
+type Team struct {
+	Name     string
+	Keys     []string
+	Priority int // comes before the route's priority; -1 when not set
+}
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is one version of the routing configuration.
+type Config struct {
+	Version  ident.Version
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   CallerLimits
+}
+
+// ServerState is the state that a backend server publishes of itself.
+type ServerState uint8
+
+// Server states.
+const (
+	Ready ServerState = iota
+	Draining
+)
+
+// Server is one start of a backend server.
+type Server struct {
+	ID       ident.BackendID
+	Service  string
+	Address  string // ip:port
+	Zone     ident.Zone
+	Slots    int
+	State    ServerState
+	Warmup   time.Duration // how much longer the server is slow after its start
+	Revision uint64        // of the store, at the entry's last change
+}
+
+// Change is one change of the published state. Exactly one of Config, Server and Removed is set.
+type Change struct {
+	Revision uint64
+	Config   *Config
+	Server   *Server
+	Removed  ident.BackendID
+}
+
+// Snapshot is the whole published state at a revision.
+type Snapshot struct {
+	Revision uint64
+	Config   *Config // nil when none is published
+	Servers  []Server
+}
--- /dev/null
+++ b/core/catalog/table.go
@@ -0,0 +1,207 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// LapseHold is how long a ready server stays usable after its entry went missing during or right after an
+// outage of the source. Servers that live are back about 2 s after the end of an outage; a server that
+// really left serves for at least as long.
+const LapseHold = 1900 * time.Millisecond
+
+// outageTail is the time after an outage in which a removal still counts as caused by it.
+const outageTail = 500 * time.Millisecond
+
+// Table is the state of one process. It is not safe for concurrent use.
+//
+// Invariants: the configuration version and the revision never fall; a draining server never becomes ready
+// again under the same entry unless the store says so with a higher revision.
+type Table struct {
+	config   *Config
+	routes   routeIndex
+	keys     map[string]*Team
+	services map[string]*Service
+	servers  map[ident.BackendID]*serverEntry
+	byName   map[string][]Server // usable servers by service, sorted by id
+	revision uint64
+
+	outage   bool
+	outageAt time.Duration // end of the last outage
+	hadOne   bool
+}
+
+type serverEntry struct {
+	Server
+	lapsing bool
+	until   time.Duration // when a lapsing entry is dropped
+}
+
+// NewTable returns a table that knows nothing.
+func NewTable() *Table {
+	return &Table{servers: map[ident.BackendID]*serverEntry{}, byName: map[string][]Server{}}
+}
+
+// Revision returns the highest revision that was applied.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Config returns the configuration in force, nil before the first one. It must not be changed.
+func (t *Table) Config() *Config { return t.config }
+
+// Apply applies changes in the order of their revisions and skips the ones that it has seen. It reports
+// whether an older configuration was refused.
+func (t *Table) Apply(now time.Duration, changes []Change) (refused bool) {
+	for _, c := range changes {
+		if c.Revision <= t.revision {
+			continue
+		}
+		t.revision = c.Revision
+		switch {
+		case c.Config != nil:
+			refused = !t.setConfig(c.Config) || refused
+		case c.Server != nil:
+			t.put(*c.Server)
+		case c.Removed != "":
+			t.remove(now, c.Removed)
+		}
+	}
+	t.index()
+	return refused
+}
+
+// Advance notes that nothing else changed up to a revision.
+func (t *Table) Advance(revision uint64) { t.revision = max(t.revision, revision) }
+
+// Replace applies a whole snapshot. Servers that it does not name are removed, unless it is older than
+// what the table holds.
+func (t *Table) Replace(now time.Duration, s Snapshot) (refused bool) {
+	if s.Config != nil {
+		refused = !t.setConfig(s.Config)
+	}
+	if s.Revision < t.revision {
+		return refused
+	}
+	t.revision = s.Revision
+	named := make(map[ident.BackendID]bool, len(s.Servers))
+	for _, srv := range s.Servers {
+		named[srv.ID] = true
+		t.put(srv)
+	}
+	for id := range t.servers {
+		if !named[id] {
+			t.remove(now, id)
+		}
+	}
+	t.index()
+	return refused
+}
+
+// Snapshot returns the state for a peer that starts or is cut off.
+func (t *Table) Snapshot() Snapshot {
+	s := Snapshot{Revision: t.revision, Config: t.config}
+	for _, e := range t.servers {
+		s.Servers = append(s.Servers, e.Server)
+	}
+	slices.SortFunc(s.Servers, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return s
+}
+
+// SourceLost notes that the source of changes does not answer.
+func (t *Table) SourceLost() { t.outage = true }
+
+// SourceBack notes that the source answers again.
+func (t *Table) SourceBack(now time.Duration) {
+	if t.outage {
+		t.outage = false
+		t.hadOne = true
+		t.outageAt = now
+	}
+}
+
+// Tick drops servers whose hold after an outage has ended, and reports whether there were any.
+func (t *Table) Tick(now time.Duration) (dropped bool) {
+	for id, e := range t.servers {
+		if e.lapsing && now >= e.until {
+			delete(t.servers, id)
+			dropped = true
+		}
+	}
+	if dropped {
+		t.index()
+	}
+	return dropped
+}
+
+func (t *Table) setConfig(c *Config) bool {
+	if t.config != nil && c.Version <= t.config.Version {
+		return c.Version == t.config.Version
+	}
+	t.config = c
+	t.routes = newRouteIndex(c.Routes)
+	t.keys = make(map[string]*Team)
+	for i := range c.Teams {
+		for _, key := range c.Teams[i].Keys {
+			t.keys[key] = &c.Teams[i]
+		}
+	}
+	t.services = make(map[string]*Service, len(c.Services))
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return true
+}
+
+// put stores an entry. An entry with a lower revision than the held one is older news.
+func (t *Table) put(s Server) {
+	if e := t.servers[s.ID]; e != nil && s.Revision < e.Revision {
+		return
+	}
+	t.servers[s.ID] = &serverEntry{Server: s}
+}
+
+// remove drops an entry at once, or holds it for a while when an outage may be the cause.
+func (t *Table) remove(now time.Duration, id ident.BackendID) {
+	e := t.servers[id]
+	if e == nil || e.lapsing {
+		return
+	}
+	lapsed := t.outage || (t.hadOne && now-t.outageAt < outageTail)
+	if e.State == Ready && lapsed {
+		e.lapsing = true
+		e.until = now + LapseHold
+		return
+	}
+	delete(t.servers, id)
+}
+
+// index rebuilds the lists of usable servers.
+func (t *Table) index() {
+	byName := make(map[string][]Server, len(t.byName))
+	for _, e := range t.servers {
+		if e.State == Ready {
+			byName[e.Service] = append(byName[e.Service], e.Server)
+		}
+	}
+	for _, list := range byName {
+		slices.SortFunc(list, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+	t.byName = byName
+}
+
+// Usable returns the servers of a service that take new work, sorted by id. The slice must not be changed.
+func (t *Table) Usable(service string) []Server { return t.byName[service] }
+
+// Service returns a service of the configuration, nil when there is none.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// TeamOf returns the team that holds an API key, nil when there is none.
+func (t *Table) TeamOf(key string) *Team { return t.keys[key] }
+
+// Keyed reports whether the configuration names teams, so that routes need a key unless they are public.
+func (t *Table) Keyed() bool { return t.config != nil && len(t.config.Teams) > 0 }
+
+// Route returns the route with the longest prefix that begins the path, nil when there is none.
+func (t *Table) Route(host, path string) *Route { return t.routes.find(host, path) }
--- /dev/null
+++ b/core/placement/model.go
@@ -0,0 +1,80 @@
+// Package placement chooses the engines that serve a request, by the worth that each choice is expected
+// to lose over all streams: late first events and pauses that are too long, of the newcomer and of the
+// streams that run beside it. Engines work in passes, and a long prompt read in a pass delays the next
+// event of every stream on that engine.
+//
+// The Table is pure. Each entry host owns the load of its own requests and hears that of its peers.
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+)
+
+// ReadMS returns the ms that an engine needs to read a prompt, without the steps of other requests.
+func ReadMS(r *catalog.Runtime, tokens int) float64 {
+	n := float64(tokens)
+	pairs := n * n / 2 / 1e6
+	return n/r.ReadTokensPerMS + pairs*r.PairMSPerMillion
+}
+
+// stepsMS returns the ms of the token steps of one pass with a number of writers and their context.
+func stepsMS(r *catalog.Runtime, writers, context int) float64 {
+	step := r.StepMS + float64(writers)*r.SequenceMS + float64(context)/1000*r.ContextMSPerK
+	return float64(max(1, r.StepsPerPass)) * step
+}
+
+// maxReadMS bounds the reading of one pass: each step reads at most a chunk.
+func maxReadMS(r *catalog.Runtime) float64 {
+	return float64(max(1, r.StepsPerPass)*r.ChunkTokens) / r.ReadTokensPerMS
+}
+
+// ramp rises from 0 at low to 1 at high.
+func ramp(x, low, high float64) float64 {
+	return math.Min(1, math.Max(0, (x-low)/(high-low)))
+}
+
+// Shares of an objective between which a prediction turns from safe to missed. Predictions are off by
+// about a pass, so the loss begins before the objective itself.
+const (
+	firstSafe, firstMissed = 0.60, 1.05
+	pauseSafe, pauseMissed = 0.70, 1.00
+)
+
+// lateShare is the part of its worth that a request loses when it misses an objective.
+const lateShare = 0.75
+
+// overdueSlope prices each further objective of delay, so that a late choice still prefers the sooner one.
+const overdueSlope = 0.05
+
+// firstLoss returns the share of its worth that a request is expected to lose by its first event.
+func firstLoss(firstMS float64, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	x := firstMS / ms(objective)
+	return lateShare*ramp(x, firstSafe, firstMissed) + overdueSlope*math.Max(0, x-1)
+}
+
+// pauseLoss returns the share of its worth that a stream is expected to lose by a pass of that length.
+func pauseLoss(passMS float64, maxPause time.Duration) float64 {
+	if maxPause <= 0 {
+		return 0
+	}
+	return lateShare * ramp(passMS/ms(maxPause), pauseSafe, pauseMissed)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMS(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// worthTokens is the size, prompt and answer, of a request of worth 1.
+const worthTokens = 6000
+
+// Worth estimates what a request is worth to its caller from its size. Long requests are worth more, but
+// less than in proportion.
+func Worth(promptTokens, outputTokens int) float64 {
+	return math.Pow(float64(promptTokens+outputTokens)/worthTokens, 0.8)
+}
--- /dev/null
+++ b/core/placement/plain.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// PlainLoad is what a plain server said of its load with an answer.
+type PlainLoad struct{ Running, Waiting, Slots int }
+
+// Evidence tells what is known of a server's health.
+type Evidence struct {
+	Excluded     bool
+	FailureShare float64       // of its answers
+	AnswerTime   time.Duration // smoothed, zero when unknown
+}
+
+// Plain places requests on plain servers. It is not safe for concurrent use.
+type Plain struct {
+	inFlight map[ident.BackendID]int
+	reported map[ident.BackendID]reportedLoad
+}
+
+type reportedLoad struct {
+	PlainLoad
+	at time.Duration
+}
+
+// NewPlain returns a placement without load.
+func NewPlain() *Plain {
+	return &Plain{inFlight: map[ident.BackendID]int{}, reported: map[ident.BackendID]reportedLoad{}}
+}
+
+const (
+	// reportLife is the time in which a reported load counts; it is a few answer times.
+	reportLife = 400 * time.Millisecond
+	// failurePenalty is the weight of a server's failures, in requests in flight.
+	failurePenalty = 12
+	// slowPenalty is the weight of an answer time twice that of the fastest server, in requests in flight.
+	slowPenalty = 2
+)
+
+// Choose returns the server with the least expected delay. The draw, from 0 to just under 1, breaks ties
+// so that hosts do not all choose the same server. ok is false when none may be used.
+func (p *Plain) Choose(now time.Duration, servers []catalog.Server, evidence func(ident.BackendID) Evidence, draw float64) (best catalog.Server, ok bool) {
+	fastest := math.Inf(1)
+	for _, s := range servers {
+		if t := evidence(s.ID).AnswerTime; t > 0 {
+			fastest = math.Min(fastest, float64(t))
+		}
+	}
+	lowest := math.Inf(1)
+	n := len(servers)
+	for i := range n {
+		s := servers[(i+int(draw*float64(n)))%n]
+		e := evidence(s.ID)
+		if e.Excluded {
+			continue
+		}
+		score := p.load(now, s.ID) + failurePenalty*e.FailureShare
+		if e.AnswerTime > 0 {
+			score += slowPenalty * math.Max(0, float64(e.AnswerTime)/fastest-1)
+		}
+		if score < lowest {
+			best, lowest, ok = s, score, true
+		}
+	}
+	return best, ok
+}
+
+func (p *Plain) load(now time.Duration, id ident.BackendID) float64 {
+	n := float64(p.inFlight[id])
+	if r, known := p.reported[id]; known && now-r.at < reportLife {
+		n = math.Max(n, float64(r.Running+r.Waiting))
+	}
+	return n
+}
+
+// Begin and End count a request in flight.
+func (p *Plain) Begin(id ident.BackendID) { p.inFlight[id]++ }
+
+// End ends what Begin began.
+func (p *Plain) End(id ident.BackendID) {
+	if p.inFlight[id]--; p.inFlight[id] <= 0 {
+		delete(p.inFlight, id)
+	}
+}
+
+// Report notes the load that a server reports.
+func (p *Plain) Report(now time.Duration, id ident.BackendID, l PlainLoad) {
+	p.reported[id] = reportedLoad{l, now}
+}
+
+// Keep drops reports of servers that are not listed any more.
+func (p *Plain) Keep(listed func(ident.BackendID) bool) {
+	for id := range p.reported {
+		if !listed(id) {
+			delete(p.reported, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/table.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// Owner names the host that a load belongs to.
+type Owner string
+
+// self owns the requests of this host.
+const self Owner = ""
+
+// Table holds the engines of all services and their load. It is not safe for concurrent use.
+type Table struct {
+	engines map[ident.BackendID]*engine
+	byKey   map[Key]*engine
+	groups  map[string]*group
+	dirty   map[Key]*engine // own load changed since the last update
+	reads   []Read          // own reads since the last update
+}
+
+// group is the engines of one service.
+type group struct {
+	runtime *catalog.Runtime
+	engines []*engine // sorted by id, so that all hosts rank them alike
+}
+
+type engine struct {
+	id        ident.BackendID
+	key       Key
+	address   string
+	runtime   *catalog.Runtime
+	slots     int
+	rank      int
+	busyUntil time.Duration // when the reading that is known of ends
+	loads     map[Owner]*Load
+	total     Load
+	slowness  float64 // observed pass times over predicted ones, smoothed
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		engines: map[ident.BackendID]*engine{},
+		byKey:   map[Key]*engine{},
+		groups:  map[string]*group{},
+		dirty:   map[Key]*engine{},
+	}
+}
+
+// SetEngines replaces the engines of a service that take new work. Loads of engines that stay are kept.
+func (t *Table) SetEngines(service string, r *catalog.Runtime, servers []catalog.Server) {
+	g := &group{runtime: r}
+	for _, s := range servers {
+		e := t.engines[s.ID]
+		if e == nil {
+			e = &engine{id: s.ID, key: KeyOf(s.ID), loads: map[Owner]*Load{}, slowness: 1}
+			t.engines[s.ID] = e
+			t.byKey[e.key] = e
+		}
+		e.address = s.Address
+		e.runtime = r
+		e.slots = max(1, min(s.Slots, r.Slots))
+		g.engines = append(g.engines, e)
+	}
+	slices.SortFunc(g.engines, func(a, b *engine) int { return strings.Compare(string(a.id), string(b.id)) })
+	for i, e := range g.engines {
+		e.rank = i
+	}
+	t.groups[service] = g
+	t.forgetIdle()
+}
+
+// forgetIdle drops engines that no group lists and that carry no load.
+func (t *Table) forgetIdle() {
+	listed := map[*engine]bool{}
+	for _, g := range t.groups {
+		for _, e := range g.engines {
+			listed[e] = true
+		}
+	}
+	for id, e := range t.engines {
+		if !listed[e] && e.total.streams() == 0 {
+			delete(t.engines, id)
+			delete(t.byKey, e.key)
+		}
+	}
+}
+
+// backlogMS returns the reading that is still to be done.
+func (e *engine) backlogMS(now time.Duration) float64 { return max(0, ms(e.busyUntil-now)) }
+
+func (e *engine) addRead(now time.Duration, readMS float64) {
+	e.busyUntil = max(e.busyUntil, now) + fromMS(readMS*e.slowness)
+}
+
+// change adds a stream to an owner's load, or takes it away.
+func (e *engine) change(o Owner, maxPause time.Duration, worth float64, tokens, sign int) {
+	l := e.loads[o]
+	if l == nil {
+		l = &Load{}
+		e.loads[o] = l
+	}
+	l.add(maxPause, worth, tokens, sign)
+	e.total.add(maxPause, worth, tokens, sign)
+}
+
+// replace sets the load of a peer.
+func (e *engine) replace(o Owner, l Load) {
+	if len(l.Classes) == 0 && l.Tokens == 0 {
+		delete(e.loads, o)
+	} else {
+		c := l.clone()
+		e.loads[o] = &c
+	}
+	e.sum()
+}
+
+func (e *engine) sum() {
+	e.total = Load{}
+	for _, l := range e.loads {
+		e.total.Tokens += l.Tokens
+		for _, c := range l.Classes {
+			e.total.merge(c)
+		}
+	}
+}
+
+func (l *Load) merge(c Class) {
+	for i := range l.Classes {
+		if l.Classes[i].MaxPause == c.MaxPause {
+			l.Classes[i].Streams += c.Streams
+			l.Classes[i].Worth += c.Worth
+			return
+		}
+	}
+	l.Classes = append(l.Classes, c)
+	slices.SortFunc(l.Classes, func(a, b Class) int { return int(a.MaxPause - b.MaxPause) })
+}
+
+// Heard merges a peer's update.
+func (t *Table) Heard(now time.Duration, from Owner, u Update) {
+	for _, r := range u.Reads {
+		if e := t.byKey[r.Engine]; e != nil && r.MS > 0 {
+			e.addRead(now, r.MS)
+		}
+	}
+	for _, l := range u.Loads {
+		if e := t.byKey[l.Engine]; e != nil {
+			e.replace(from, l.Load)
+		}
+	}
+}
+
+// Forget drops the load of a peer that is gone or silent.
+func (t *Table) Forget(o Owner) {
+	for _, e := range t.engines {
+		if e.loads[o] != nil {
+			delete(e.loads, o)
+			e.sum()
+		}
+	}
+}
+
+// TakeUpdate returns what changed since the last call. With all set it returns the whole own load, which
+// repairs what lost messages left behind.
+func (t *Table) TakeUpdate(all bool) Update {
+	u := Update{Reads: t.reads}
+	t.reads = nil
+	if all {
+		for _, e := range t.engines {
+			if l := e.loads[self]; l != nil {
+				u.Loads = append(u.Loads, EngineLoad{Engine: e.key, Load: l.clone()})
+			}
+		}
+	} else {
+		for key, e := range t.dirty {
+			var l Load
+			if own := e.loads[self]; own != nil {
+				l = own.clone()
+			}
+			u.Loads = append(u.Loads, EngineLoad{Engine: key, Load: l})
+		}
+	}
+	clear(t.dirty)
+	return u
+}
+
+// slownessGain is the weight of one observation; some ten events show a slow engine.
+const slownessGain = 0.15
+
+// Bounds of the slowness. A single long pause must not empty an engine, and a fast one gains little.
+const (
+	minSlowness = 0.9
+	maxSlowness = 12
+)
+
+// Observe compares a pause between two events with the pass that was predicted for it.
+func (t *Table) Observe(id ident.BackendID, predicted, seen time.Duration) {
+	e := t.engines[id]
+	if e == nil || predicted <= 0 {
+		return
+	}
+	ratio := min(maxSlowness, max(minSlowness, float64(seen)/float64(predicted)))
+	e.slowness += slownessGain * (ratio - e.slowness)
+}
+
+// PassTime predicts the next pass of an engine, and how much of it is the engine's own pace.
+func (t *Table) PassTime(now time.Duration, id ident.BackendID) time.Duration {
+	e := t.engines[id]
+	if e == nil {
+		return 0
+	}
+	return fromMS(e.passMS(now, 0, 0, 0) / e.slowness)
+}
--- /dev/null
+++ b/node/entry/peers.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/transport/control"
+	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
+)
+
+const (
+	// peerTimeout bounds a call to another entry host, which answers within a few ms.
+	peerTimeout = 400 * time.Millisecond
+	// reportInterval is the longest time between two load reports; a host that sends none is silent.
+	reportInterval = 250 * time.Millisecond
+	// reportSpacing is the shortest time between two load reports of one host.
+	reportSpacing = 5 * time.Millisecond
+	// fullReports is the number of report intervals after which the whole load is sent again.
+	fullReports = 3
+	// silence is the time without a report after which a peer is not handed out to callers and its load does
+	// not count: four reports.
+	silence = 1100 * time.Millisecond
+	// forgetPeer is the time after which a silent peer no longer shares the retry budget, twice its window.
+	forgetPeer = 20 * time.Second
+)
+
+// gossipHandler keeps the methods of gossip.Handler out of Host's own.
+type gossipHandler Host
+
+// OnChange implements gossip.Handler.
+func (g *gossipHandler) OnChange(a member.Action) {
+	if m, ok := a.(member.MemberChanged); ok {
+		g.log.WithFields(fields{"member": m.Member.ID, "state": m.Member.State, "leaving": m.Member.Leaving}).Info("member changed")
+	}
+}
+
+// OnLoad implements gossip.LoadHandler.
+func (g *gossipHandler) OnLoad(from member.Addr, r gossip.LoadReport) {
+	h := (*Host)(g)
+	now := h.now()
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peers[from]
+	if p == nil {
+		p = &peer{}
+		s.peers[from] = p
+	}
+	owner := placement.Owner(from)
+	if p.incarnation != r.Incarnation {
+		s.engines.Forget(owner)
+	}
+	*p = peer{
+		heard: now, incarnation: r.Incarnation, ready: r.Ready, leaving: r.Leaving, connected: r.Connected,
+		config: r.Config, revision: r.Revision,
+	}
+	s.engines.Heard(now, owner, r.Update)
+}
+
+// changed asks for a load report soon.
+func (h *Host) changed() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tick sends load reports and runs the timers of the state.
+func (h *Host) tick() {
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
+	for n := 0; ; n++ {
+		full := false
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.wake:
+			time.Sleep(reportSpacing)
+		case <-timer.C:
+			full = n%fullReports == 0
+			timer.Reset(reportInterval)
+		}
+		h.maintain()
+		h.report(full)
+	}
+}
+
+// maintain drops what has expired.
+func (h *Host) maintain() {
+	now := h.now()
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.catalog.Tick(now) {
+		s.published()
+	}
+	for addr, p := range s.peers {
+		if now-p.heard > silence {
+			s.engines.Forget(placement.Owner(addr))
+		}
+		if now-p.heard > forgetPeer {
+			delete(s.peers, addr)
+		}
+	}
+}
+
+// report sends the load to all members.
+func (h *Host) report(full bool) {
+	to := h.members()
+	s := h.state
+	s.mu.Lock()
+	r := gossip.LoadReport{
+		Incarnation: h.incarnation, Ready: h.readyLocked(), Leaving: h.stopping.Load(), Connected: s.connected,
+		Revision: s.catalog.Revision(), Update: s.engines.TakeUpdate(full),
+	}
+	if c := s.catalog.Config(); c != nil {
+		r.Config = c.Version
+	}
+	s.mu.Unlock()
+	h.gossip.SendLoad(to, r)
+}
+
+// members returns the gossip addresses of the other entry hosts that are not known to be dead.
+func (h *Host) members() []member.Addr {
+	var out []member.Addr
+	own := h.gossip.Addr()
+	h.gossip.View(func(m *member.Machine) {
+		for _, x := range m.Members() {
+			if x.State != member.Dead && x.Addr != own {
+				out = append(out, x.Addr)
+			}
+		}
+	})
+	return out
+}
+
+// addresses returns the addresses for callers: this host and all that report to be ready.
+func (h *Host) addresses() []string {
+	now := h.now()
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	if h.readyLocked() {
+		out = append(out, h.set.HTTPAddress)
+	}
+	for addr, p := range s.peers {
+		if p.ready && !p.leaving && now-p.heard < silence {
+			out = append(out, withPort(string(addr), h.set.HTTPAddress))
+		}
+	}
+	return out
+}
+
+// withPort returns the host of one address with the port of another.
+func withPort(address, like string) string {
+	host, _, _ := net.SplitHostPort(address)
+	_, port, _ := net.SplitHostPort(like)
+	return net.JoinHostPort(host, port)
+}
+
+// readyLocked reports whether new connections are welcome. The state must be locked.
+func (h *Host) readyLocked() bool {
+	return !h.stopping.Load() && h.state.catalog.Config() != nil
+}
+
+func (h *Host) ready() bool {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.readyLocked()
+}
+
+// peerHandler answers the control calls of other entry hosts.
+type peerHandler struct {
+	control.Unsupported
+	host *Host
+}
+
+// State implements control.Handler.
+func (p peerHandler) State(_ context.Context, req *control.StateRequest) (*control.StateReply, error) {
+	s := p.host.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.catalog.Config()
+	if c == nil || (c.Version <= req.Config && s.catalog.Revision() <= req.Revision) {
+		return &control.StateReply{}, nil
+	}
+	snapshot := s.catalog.Snapshot()
+	return &control.StateReply{State: &snapshot}, nil
+}
+
+// askPeers takes over the state of the peer that knows most, where it knows more than this host. It is
+// for hosts that the store does not answer.
+func (h *Host) askPeers(ctx context.Context) {
+	addr, req, ok := h.newestPeer()
+	if !ok {
+		return
+	}
+	reply, err := h.peerClient.State(ctx, addr, &req)
+	if err != nil {
+		h.log.WithFields(fields{"peer": addr, "error": err.Error()}).Warn("peer state not read")
+		return
+	}
+	if reply.State == nil {
+		return
+	}
+	s := h.state
+	s.mu.Lock()
+	s.catalog.Replace(h.now(), *reply.State)
+	s.published()
+	s.mu.Unlock()
+	h.log.WithFields(fields{"peer": addr, "revision": reply.State.Revision}).Info("state taken from peer")
+}
+
+// newestPeer returns the control address of the peer with the newest view, if it is newer than the own.
+func (h *Host) newestPeer() (address string, req control.StateRequest, ok bool) {
+	now := h.now()
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req.Revision = s.catalog.Revision()
+	if c := s.catalog.Config(); c != nil {
+		req.Config = c.Version
+	}
+	best := req.Revision
+	for addr, p := range s.peers {
+		if now-p.heard < silence && (p.revision > best || (best == req.Revision && p.config > req.Config)) {
+			best, address, ok = p.revision, withPort(string(addr), h.set.ControlAddress), true
+		}
+	}
+	return address, req, ok
+}
--- /dev/null
+++ b/node/entry/request.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpend"
+)
+
+const (
+	// notReadyRetry is told to callers while no configuration is known; a read of the store takes some ms.
+	notReadyRetry = 300 * time.Millisecond
+	// noBackendRetry is told to callers when no server could be reached; servers come back within seconds.
+	noBackendRetry = 400 * time.Millisecond
+	// answerMargin is kept from the route's timeout, so that the final answer arrives within it.
+	answerMargin = 25 * time.Millisecond
+	// defaultTimeout holds where neither the route nor the caller names one.
+	defaultTimeout = 30 * time.Second
+	// defaultMaxBody and defaultBodyTime hold where the configuration names no limits.
+	defaultMaxBody  = 4 << 20
+	defaultBodyTime = 10 * time.Second
+)
+
+// request is a caller's request on its way through this host.
+type request struct {
+	http     *http.Request
+	call     Call
+	route    *catalog.Route
+	service  string
+	team     string
+	body     []byte
+	arrived  time.Duration
+	deadline time.Duration // by the steady clock
+	attempts int           // servers that it was sent to
+	ran      bool          // a server may have begun it
+}
+
+func (q *request) left(now time.Duration) time.Duration { return q.deadline - now }
+
+// ServeHTTP implements http.Handler for callers.
+func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now()}
+	if e := h.admit(q); e != nil {
+		h.refuse(w, q, e)
+		return
+	}
+	if e := h.readBody(w, q); e != nil {
+		h.refuse(w, q, e)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(q.left(h.now())-answerMargin))
+	defer cancel()
+	var e *outcome.Error
+	if q.route.Kind == catalog.Streaming {
+		e = h.serveStream(ctx, w, q)
+	} else {
+		e = h.servePlain(ctx, w, q)
+	}
+	if e != nil {
+		h.refuse(w, q, e)
+		return
+	}
+	h.ended(q, outcome.Answered.String(), "", nil)
+}
+
+// admit finds the route, the team and the deadline of a request.
+func (h *Host) admit(q *request) *outcome.Error {
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.catalog.Config()
+	if c == nil {
+		e := outcome.Refuse("admit", outcome.NotReady, "no configuration is known yet")
+		e.RetryAfter = notReadyRetry
+		return e
+	}
+	q.route = s.catalog.Route(q.http.Host, q.http.URL.Path)
+	if q.route == nil {
+		return outcome.Refuse("route", outcome.UnknownModel, "no route for this host and path")
+	}
+	if !q.route.Public && s.catalog.Keyed() {
+		team := s.catalog.TeamOf(q.call.Key)
+		if team == nil {
+			return outcome.Refuse("authenticate", outcome.UnknownTeam, "unknown API key")
+		}
+		q.team = team.Name
+	}
+	q.service = q.route.Pick(s.rng.Float64())
+	limit := defaultTimeout
+	if q.route.Timeout > 0 {
+		limit = q.route.Timeout
+	}
+	if q.call.Left > 0 {
+		limit = min(limit, q.call.Left)
+	}
+	q.deadline = q.arrived + limit
+	s.budget(q.service).Request(q.arrived)
+	return nil
+}
+
+func (h *Host) readBody(w http.ResponseWriter, q *request) *outcome.Error {
+	limit, within := int64(defaultMaxBody), defaultBodyTime
+	h.state.mu.Lock()
+	if c := h.state.catalog.Config(); c != nil && c.Limits.MaxBodyBytes > 0 {
+		limit = c.Limits.MaxBodyBytes
+	}
+	h.state.mu.Unlock()
+	var e *outcome.Error
+	q.body, e = httpend.ReadBody(w, q.http, limit, min(within, q.left(h.now())))
+	return e
+}
+
+// refuse writes the final answer of a request that got none.
+func (h *Host) refuse(w http.ResponseWriter, q *request, e *outcome.Error) {
+	h.ended(q, e.Kind.String(), string(e.Reason), e)
+	if q.http.Context().Err() != nil {
+		return // the caller has left
+	}
+	httpend.Write(w, e, fractionalSeconds)
+}
+
+func fractionalSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
+// ended writes the line of a request's end and counts it.
+func (h *Host) ended(q *request, kind, reason string, cause *outcome.Error) {
+	took := h.now() - q.arrived
+	h.metrics.end(q, kind, reason, took)
+	f := fields{
+		"request": q.call.ID, "service": q.service, "team": q.team, "outcome": kind, "attempts": q.attempts,
+		"took_ms": took.Milliseconds(), "prompt_tokens": q.call.PromptTokens,
+	}
+	if cause == nil {
+		h.log.WithFields(f).Debug("request answered")
+		return
+	}
+	f["reason"], f["step"], f["peer"], f["error"] = reason, cause.Step, cause.Peer, cause.Error()
+	h.log.WithFields(f).Info("request failed")
+}
+
+func splitList(line string) []string {
+	parts := strings.Split(line, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -14,6 +11,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpend"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
@@ -80,38 +78,15 @@
 // fail writes the final answer of a request that got none.
 func (g *Gateway) fail(w http.ResponseWriter, e *outcome.Error) *outcome.Error {
 	w.Header().Set(OutcomeHeader, e.Kind.String())
-	w.Header().Set("Content-Type", "application/json")
-	status := outcome.Status(e.Kind, e.Reason)
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		if e.RetryAfter <= 0 {
-			e.RetryAfter = time.Second
-		}
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
-	body := e.Body()
-	if e.Err != nil && body.Detail == "" {
-		body.Detail = e.Err.Error()
-	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // a lost connection needs no handling: nothing follows
+	httpend.Write(w, e, wholeSeconds)
 	return e
 }
 
+func wholeSeconds(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) }
+
 // readBody reads a bounded body.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *outcome.Error) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	// A deadline left in place would later end the connection of a caller that waits for its answer.
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, outcome.Refuse("read_body", outcome.TooLarge, "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
-	case err != nil:
-		return nil, outcome.Refuse("read_body", outcome.BadRequest, err.Error())
-	}
-	return body, nil
+	return httpend.ReadBody(w, r, limit, bodyTimeout)
 }
 
 // timeout reads the remaining budget of a request.
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -57,11 +57,13 @@
 			c.checkGateway(&s.Gateway)
 		case RoleDispatcher:
 			c.checkDispatcher(&s.Dispatcher)
+		case RoleEntry:
+			c.checkEntry(&s.Entry)
 		}
 	}
-	c.checkPlatform(&s.Platform)
-	if len(s.Admin.Token) < minTokenLen {
-		c.addSecret("admin.token", s.Admin.Token, fmt.Sprintf("at least %d characters", minTokenLen))
+	if !slices.Equal(roles, []Role{RoleEntry}) {
+		c.checkPlatform(&s.Platform)
+		c.checkAdmin(&s.Admin)
 	}
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.checkTrace(&s.Trace)
@@ -90,6 +92,37 @@
 	c.between("dispatcher.shutdown_ms", d.ShutdownMS, 1, 86_400_000)
 }
 
+func (c *checker) checkAdmin(a *Admin) {
+	if len(a.Token) < minTokenLen {
+		c.addSecret("admin.token", a.Token, fmt.Sprintf("at least %d characters", minTokenLen))
+	}
+}
+
+func (c *checker) checkEntry(e *Entry) {
+	c.address("entry.http_address", e.HTTPAddress)
+	c.address("entry.ready_address", e.ReadyAddress)
+	c.address("entry.directory_address", e.DirectoryAddress)
+	c.address("entry.control_address", e.ControlAddress)
+	c.address("entry.store_address", e.StoreAddress)
+	for _, a := range e.Peers {
+		c.address("entry.peers", a)
+	}
+	c.between("entry.gossip_port", int64(e.GossipPort), 1, 65_535)
+	c.between("entry.admin_port", int64(e.AdminPort), 0, 65_535)
+	c.between("entry.address_ttl_ms", e.AddressTTLMS, 100, 600_000)
+	c.between("entry.shutdown_ms", e.ShutdownMS, 1_000, 3_600_000)
+	c.between("entry.retry_window_ms", e.RetryWindowMS, 100, 600_000)
+	c.between("entry.stall_ms", e.StallMS, 1, 600_000)
+	c.between("entry.max_hold_ms", e.MaxHoldMS, 100, 3_600_000)
+	c.between("entry.memory_mb", e.MemoryMB, 0, 1<<20)
+	if !(e.RetryRatio >= 0 && e.RetryRatio <= 10) {
+		c.add("entry.retry_ratio", e.RetryRatio, "0 to 10")
+	}
+	if !(e.RetrySlack >= 0 && e.RetrySlack <= 1e6) {
+		c.add("entry.retry_slack", e.RetrySlack, "0 to 1000000")
+	}
+}
+
 func (c *checker) checkPlatform(p *Platform) {
 	c.url("platform.config_url", p.ConfigURL)
 	c.url("platform.hosts_url", p.HostsURL)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -21,6 +21,7 @@
 
 	Gateway    Gateway    `toml:"gateway"`
 	Dispatcher Dispatcher `toml:"dispatcher"`
+	Entry      Entry      `toml:"entry"`
 	Platform   Platform   `toml:"platform"`
 	Admin      Admin      `toml:"admin"`
 	Log        Log        `toml:"log"`
@@ -81,6 +82,46 @@
 	ShutdownMS int64 `toml:"shutdown_ms"`
 }
 
+// Entry holds the settings of the entry role, which serves callers and places their requests in one
+// process. All entry hosts use the same ports.
+type Entry struct {
+	// HTTPAddress is the IP address and port for callers. Required for the role.
+	HTTPAddress string `toml:"http_address"`
+	// ReadyAddress is the IP address and port of the readiness check. Required for the role.
+	ReadyAddress string `toml:"ready_address"`
+	// DirectoryAddress is the IP address and port at which callers ask for addresses. Required for the
+	// role.
+	DirectoryAddress string `toml:"directory_address"`
+	// ControlAddress is the IP address and TCP port for calls of other entry hosts. Required for the role.
+	ControlAddress string `toml:"control_address"`
+	// GossipPort is the UDP port for membership and load. Required for the role.
+	GossipPort int `toml:"gossip_port"`
+	// AdminPort is the TCP port of the metrics. Zero serves none.
+	AdminPort int `toml:"admin_port"`
+	// StoreAddress is the IP address and port of the platform's store. Required for the role.
+	StoreAddress string `toml:"store_address"`
+	// Peers lists control addresses of entry hosts to join through. A host without peers serves alone.
+	Peers []string `toml:"peers"`
+	// AddressTTLMS is how long callers may keep an address answer. Default 1,000. Callers may use it three
+	// times as long, so a longer time lengthens each shutdown.
+	AddressTTLMS int64 `toml:"address_ttl_ms"`
+	// ShutdownMS is the time from SIGTERM to SIGKILL. Default 8,000. Requests that still run shortly
+	// before its end are broken off by the process itself.
+	ShutdownMS int64 `toml:"shutdown_ms"`
+	// RetryRatio, RetryWindowMS and RetrySlack bound the repeats of all entry hosts together: in every
+	// window, a service gets at most ratio × requests + slack arrivals beyond the first of each request.
+	// Defaults 0.2, 10,000 and 100.
+	RetryRatio    float64 `toml:"retry_ratio"`
+	RetryWindowMS int64   `toml:"retry_window_ms"`
+	RetrySlack    float64 `toml:"retry_slack"`
+	// StallMS is the time after which an engine cuts off work that depends on a lost one. Default 1,500.
+	StallMS int64 `toml:"stall_ms"`
+	// MaxHoldMS bounds a memory reservation on an engine. Default 20,000.
+	MaxHoldMS int64 `toml:"max_hold_ms"`
+	// MemoryMB is the memory limit of the process. Zero sets none.
+	MemoryMB int64 `toml:"memory_mb"`
+}
+
 // Platform holds the URLs of what the platform provides. Hosts in URLs are IP numbers.
 type Platform struct {
 	// ConfigURL is the configuration service, such as "http://10.0.0.5:7000". Required.
@@ -138,6 +179,7 @@
 const (
 	RoleGateway    Role = "gateway"
 	RoleDispatcher Role = "dispatcher"
+	RoleEntry      Role = "entry"
 )
 
 // Default returns the settings that hold where a file names no value.
@@ -156,6 +198,15 @@
 			MaxPromptBytesHeld: 1 << 30,
 			ShutdownMS:         3_600_000,
 		},
+		Entry: Entry{
+			AddressTTLMS:  1_000,
+			ShutdownMS:    8_000,
+			RetryRatio:    0.2,
+			RetryWindowMS: 10_000,
+			RetrySlack:    100,
+			StallMS:       1_500,
+			MaxHoldMS:     20_000,
+		},
 		Platform: Platform{HostsMS: 2_000, ReadsPerS: 1.9, StartSpreadMS: 2_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{Exporter: "none", SampleRatio: 0.01},
--- a/node/view/control.go
+++ b/node/view/control.go
@@ -9,7 +9,10 @@
 
 // Handler answers the control calls that both roles share. A gateway embeds it and adds
 // ForwardTicket.
-type Handler struct{ View *View }
+type Handler struct {
+	control.Unsupported
+	View *View
+}
 
 // ForwardTicket implements control.Handler for a process that issues no tickets.
 func (h Handler) ForwardTicket(context.Context, *control.ForwardTicketRequest) (*control.ForwardTicketReply, error) {
--- a/transport/control/client.go
+++ b/transport/control/client.go
@@ -64,6 +64,11 @@
 	return call[HostsReply](ctx, c, addr, "Hosts", req)
 }
 
+// State calls the process at addr.
+func (c *Client) State(ctx context.Context, addr string, req *StateRequest) (*StateReply, error) {
+	return call[StateReply](ctx, c, addr, "State", req)
+}
+
 // Status calls the process at addr.
 func (c *Client) Status(ctx context.Context, addr string, req *StatusRequest) (*StatusReply, error) {
 	return call[StatusReply](ctx, c, addr, "Status", req)
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -20,6 +20,8 @@
 	ConfigSince(ctx context.Context, req *ConfigSinceRequest) (*ConfigSinceReply, error)
 	// Hosts returns the host list with its version.
 	Hosts(ctx context.Context, req *HostsRequest) (*HostsReply, error)
+	// State returns what an entry host knows from the platform.
+	State(ctx context.Context, req *StateRequest) (*StateReply, error)
 	// Status returns what the process knows about itself.
 	Status(ctx context.Context, req *StatusRequest) (*StatusReply, error)
 }
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -20,6 +20,7 @@
 
 // fakeHandler answers with fixed values. ForwardTicket runs forward if set.
 type fakeHandler struct {
+	Unsupported
 	forward func(context.Context, *ForwardTicketRequest) (*ForwardTicketReply, error)
 	runs    atomic.Int64
 }
--- a/transport/control/fields.go
+++ b/transport/control/fields.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"math"
 
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
 	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Limits of fields.
@@ -17,6 +19,7 @@
 	maxEntries = 4096
 	maxHosts   = 8192 // twice the design size of 340 nodes and 3,700 servers
 	maxModels  = 256
+	maxState   = 6 << 20 // bytes of an encoded state: a configuration of up to 1 MB and 4,096 servers
 )
 
 func encodeBody(w *pack.Writer, v any) {
@@ -41,6 +44,12 @@
 		encodeConfig(w, v)
 	case *HostsReply:
 		encodeHosts(w, v)
+	case *StateRequest:
+		w.Array(2)
+		w.Uint(v.Revision)
+		w.Uint(uint64(v.Config))
+	case *StateReply:
+		encodeState(w, v)
 	case *StatusReply:
 		encodeStatus(w, v)
 	default: // HostsRequest, StatusRequest, and the body that net/rpc gives for an error
@@ -70,6 +79,12 @@
 		decodeConfig(r, v)
 	case *HostsReply:
 		decodeHosts(r, v)
+	case *StateRequest:
+		r.Fields(2)
+		v.Revision = r.Uint(math.MaxUint64)
+		v.Config = ident.Version(r.Uint(math.MaxUint64))
+	case *StateReply:
+		decodeState(r, v)
 	case *StatusReply:
 		decodeStatus(r, v)
 	default:
@@ -145,6 +160,31 @@
 	}
 }
 
+// encodeState writes the state as one nested msgpack value, or no bytes when there is none. An encoding
+// error leaves the reply without a state, which the caller treats as a peer that knows nothing more.
+func encodeState(w *pack.Writer, v *StateReply) {
+	w.Array(1)
+	var body []byte
+	if v.State != nil {
+		body, _ = msgpack.Marshal(v.State)
+	}
+	w.Bytes(body)
+}
+
+func decodeState(r *pack.Reader, v *StateReply) {
+	r.Fields(1)
+	body := r.Bytes(maxState)
+	if len(body) == 0 {
+		return
+	}
+	var s catalog.Snapshot
+	if err := msgpack.Unmarshal(body, &s); err != nil {
+		r.Fail("state: %v", err)
+		return
+	}
+	v.State = &s
+}
+
 func encodeStatus(w *pack.Writer, v *StatusReply) {
 	w.Array(10)
 	putStrings(w, string(v.Host), v.Role, v.NotReady)
--- a/transport/control/messages.go
+++ b/transport/control/messages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
 )
@@ -55,6 +56,19 @@
 	Hosts platformapi.Hosts
 }
 
+// StateRequest asks an entry host for what it knows from the platform.
+type StateRequest struct {
+	// Revision is what the caller holds. A host that holds no more answers without a state.
+	Revision uint64
+	// Config is the configuration version that the caller holds.
+	Config ident.Version
+}
+
+// StateReply holds the state, nil when the host knows no more than the caller.
+type StateReply struct {
+	State *catalog.Snapshot
+}
+
 // StatusRequest asks for the status.
 type StatusRequest struct{}
 
--- a/transport/control/service.go
+++ b/transport/control/service.go
@@ -107,6 +107,11 @@
 	return handle(s, s.cfg.CallTimeout, req, reply, s.h.Hosts)
 }
 
+// State is Control.State.
+func (s *service) State(req *StateRequest, reply *StateReply) error {
+	return handle(s, s.cfg.CallTimeout, req, reply, s.h.State)
+}
+
 // Status is Control.Status.
 func (s *service) Status(req *StatusRequest, reply *StatusReply) error {
 	return handle(s, s.cfg.CallTimeout, req, reply, s.h.Status)
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -142,6 +143,10 @@
 	}
 	s.dgramsIn.Add(1)
 	s.bytesIn.Add(uint64(len(b)))
+	if len(b) > 0 && b[0] == payloadMark {
+		s.receiveLoad(member.Addr(c.RemoteAddr().String()), b[1:])
+		return gnet.None
+	}
 	msg, err := s.decoder.decode(b)
 	if err != nil {
 		s.undecodable.Add(1)
@@ -151,6 +156,19 @@
 	return gnet.None
 }
 
+func (s *Service) receiveLoad(from member.Addr, b []byte) {
+	h, ok := s.handler.(LoadHandler)
+	if !ok {
+		return
+	}
+	r, err := decodeLoad(b)
+	if err != nil {
+		s.undecodable.Add(1)
+		return
+	}
+	h.OnLoad(from, r)
+}
+
 // Addr returns the address that the service listens on.
 func (s *Service) Addr() member.Addr { return member.Addr(s.addr) }
 
@@ -212,9 +230,13 @@
 		s.sendFailures.Add(1)
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp", string(a.To))
+	s.write(a.To, b)
+}
+
+func (s *Service) write(addr member.Addr, b []byte) {
+	to, err := netip.ParseAddrPort(string(addr))
 	if err == nil {
-		_, err = s.sock.WriteTo(b, to)
+		_, err = s.sock.WriteTo(b, net.UDPAddrFromAddrPort(to))
 	}
 	if err != nil {
 		s.sendFailures.Add(1)
--- /dev/null
+++ b/transport/gossip/load.go
@@ -0,0 +1,141 @@
+package gossip
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
+)
+
+// LoadReport is what an entry host tells all others directly: that it lives, how far its view of the
+// platform is, and what it has placed on engines. One may be lost; each counts for itself.
+type LoadReport struct {
+	Incarnation ident.Incarnation
+	Ready       bool // takes new connections
+	Leaving     bool
+	Connected   bool          // hears the platform's store itself
+	Config      ident.Version // in force
+	Revision    uint64        // of the store, as far as the host knows
+	Update      placement.Update
+}
+
+// LoadHandler is implemented by handlers that take load reports.
+type LoadHandler interface {
+	// OnLoad runs on the event loop and must not block.
+	OnLoad(from member.Addr, r LoadReport)
+}
+
+// payloadMark begins a datagram that carries a load report. Membership datagrams begin with a msgpack
+// array of another size.
+const payloadMark = 0x01
+
+// loadsPerReport keeps a report of loads with several classes within a datagram.
+const loadsPerReport = 24
+
+// reportFields is the number of fields of a load report.
+const reportFields = 8
+
+// SendLoad sends a report to the addresses, in several datagrams when it is long.
+func (s *Service) SendLoad(to []member.Addr, r LoadReport) {
+	w := pack.NewWriter()
+	for first := true; first || len(r.Update.Loads) > 0 || len(r.Update.Reads) > 0; first = false {
+		part := r
+		part.Update.Loads, r.Update.Loads = cut(r.Update.Loads, loadsPerReport)
+		part.Update.Reads, r.Update.Reads = cut(r.Update.Reads, loadsPerReport)
+		w.Buf = append(w.Buf[:0], payloadMark)
+		encodeLoad(w, part)
+		if len(w.Buf) > MaxDatagram {
+			s.sendFailures.Add(1)
+			continue
+		}
+		for _, addr := range to {
+			s.write(addr, w.Buf)
+		}
+	}
+}
+
+func cut[T any](list []T, n int) (head, rest []T) {
+	n = min(n, len(list))
+	return list[:n], list[n:]
+}
+
+func encodeLoad(w *pack.Writer, r LoadReport) {
+	w.Array(reportFields)
+	w.Fixed(uint64(r.Incarnation))
+	w.Bool(r.Ready)
+	w.Bool(r.Leaving)
+	w.Bool(r.Connected)
+	w.Uint(uint64(r.Config))
+	w.Uint(r.Revision)
+	w.Array(len(r.Update.Reads))
+	for _, x := range r.Update.Reads {
+		w.Array(2)
+		w.Uint(uint64(x.Engine))
+		w.Float(float32(x.MS))
+	}
+	w.Array(len(r.Update.Loads))
+	for _, x := range r.Update.Loads {
+		w.Array(3)
+		w.Uint(uint64(x.Engine))
+		w.Uint(uint64(max(0, x.Load.Tokens)))
+		w.Array(len(x.Load.Classes))
+		for _, c := range x.Load.Classes {
+			w.Array(3)
+			w.Uint(uint64(c.MaxPause.Milliseconds()))
+			w.Uint(uint64(c.Streams))
+			w.Float(float32(c.Worth))
+		}
+	}
+}
+
+// Bounds of the numbers in a report, against damaged datagrams.
+const (
+	maxLoadTokens  = 1 << 40
+	maxLoadStreams = 1 << 20
+	maxPauseMS     = 1 << 31
+)
+
+func decodeLoad(b []byte) (LoadReport, error) {
+	r := pack.NewReader()
+	r.Reset(b)
+	var v LoadReport
+	r.Fields(reportFields)
+	v.Incarnation = ident.Incarnation(r.Uint(math.MaxUint64))
+	v.Ready = r.Bool()
+	v.Leaving = r.Bool()
+	v.Connected = r.Bool()
+	v.Config = ident.Version(r.Uint(math.MaxUint64))
+	v.Revision = r.Uint(math.MaxUint64)
+	for range r.Array(maxList) {
+		r.Fields(2)
+		x := placement.Read{Engine: placement.Key(r.Uint(math.MaxUint32)), MS: finite(r.Float())}
+		v.Update.Reads = append(v.Update.Reads, x)
+	}
+	for range r.Array(maxList) {
+		r.Fields(3)
+		x := placement.EngineLoad{Engine: placement.Key(r.Uint(math.MaxUint32))}
+		x.Load.Tokens = int(r.Uint(maxLoadTokens))
+		for range r.Array(maxList) {
+			r.Fields(3)
+			x.Load.Classes = append(x.Load.Classes, placement.Class{
+				MaxPause: time.Duration(r.Uint(maxPauseMS)) * time.Millisecond,
+				Streams:  int(r.Uint(maxLoadStreams)),
+				Worth:    finite(r.Float()),
+			})
+		}
+		v.Update.Loads = append(v.Update.Loads, x)
+	}
+	return v, r.Close()
+}
+
+// finite keeps a damaged number from spoiling sums.
+func finite(f float32) float64 {
+	v := float64(f)
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 || v > 1e9 {
+		return 0
+	}
+	return v
+}
