Place by the passes that reading causes, spread long prompts, and price reading under overload

(1) The reading of a pass was capped by the chunk at 590 ms without its attention cost, so long streams were placed beside 1.5 s of reading and paused. (2) The reading of cancelled prompts stayed booked for seconds. (3) Short requests filled 14 engines beyond their slots while 6 were free. (4) Memory was over-committed, and prompts above one engine's memory were refused. (7) With an unbounded backlog every long prompt was late.

Ruled out: collisions between hosts (the shared view was right within some ms); rejections by full engines (the "not run" arrivals were callers that left while queued).

Timeouts of a request no longer count as the loss of a server.

--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,54 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// Guards against a lost server that gets work again at once, one that never gets any again, and one
+// incident of many requests that counts as many.
+func TestExclusion(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker(Config{FirstExclusion: time.Second, MaxExclusion: 4 * time.Second})
+	for range 10 {
+		tr.Lost(0, "a")
+	}
+	c.Assert(tr.Excluded(999*time.Millisecond, "a"), qt.IsTrue)
+	c.Assert(tr.Excluded(time.Second, "a"), qt.IsFalse)
+	c.Assert(tr.Excluded(0, "b"), qt.IsFalse)
+
+	at := time.Second
+	for _, want := range []time.Duration{2 * time.Second, 4 * time.Second, 4 * time.Second} {
+		tr.Lost(at, "a")
+		c.Assert(tr.Excluded(at+want-1, "a"), qt.IsTrue)
+		c.Assert(tr.Excluded(at+want, "a"), qt.IsFalse)
+		at += want
+	}
+	tr.Answered("a", 50*time.Millisecond)
+	tr.Lost(at, "a")
+	c.Assert(tr.Excluded(at+time.Second, "a"), qt.IsFalse)
+}
+
+// Guards against a server that fails part of its requests with a good health check and still counts as
+// good as the others.
+func TestFailureShare(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker(Config{})
+	for i := range 60 {
+		if i%2 == 0 {
+			tr.Failed("grey")
+		} else {
+			tr.Answered("grey", 50*time.Millisecond)
+		}
+		tr.Answered("good", 50*time.Millisecond)
+	}
+	c.Assert(tr.FailureShare("grey") > 0.3, qt.IsTrue)
+	c.Assert(tr.FailureShare("good"), qt.Equals, 0.0)
+	c.Assert(tr.AnswerTime("good"), qt.Equals, 50*time.Millisecond)
+	tr.Keep(func(id ident.BackendID) bool { return id == "good" })
+	c.Assert(tr.FailureShare("grey"), qt.Equals, 0.0)
+}
--- /dev/null
+++ b/core/placement/admit.go
@@ -0,0 +1,64 @@
+package placement
+
+import "time"
+
+const (
+	// calmBacklogMS is the mean reading backlog of an engine up to which every request is admitted. Below it,
+	// prompts of all sizes still meet their objectives.
+	calmBacklogMS = 350
+	// fullBacklogMS is the mean backlog at which the reading time of engines has its full price.
+	fullBacklogMS = 1600
+	// readPrice is the full price of a second of an engine's reading, in worth: what the usual mix of prompts
+	// earns with it. Under overload, a prompt that earns less only delays those that earn more.
+	readPrice = 5.0
+	// minRetry and maxRetry bound the time that a refused caller is told to wait.
+	minRetry = 400 * time.Millisecond
+	maxRetry = 3 * time.Second
+)
+
+// Verdict is the answer to whether a request is worth its reading at the moment.
+type Verdict struct {
+	Admit      bool
+	RetryAfter time.Duration // when the backlog will have drained, if refused
+}
+
+// Admit decides whether a placement is worth the reading time that it takes from others. It answers
+// overload by long prompts: with an unbounded backlog every prompt is late, whereas a short backlog serves
+// as many and in time.
+func (t *Table) Admit(now time.Duration, service string, c Choice) Verdict {
+	g := t.groups[service]
+	if g == nil {
+		return Verdict{}
+	}
+	req := c.request
+	readMS := ReadMS(g.runtime, req.PromptTokens)
+	backlog := g.meanBacklogMS(now)
+	// On average half of the request's own reading stands before what comes while it is read.
+	own := readMS / float64(2*max(1, len(g.engines)))
+	price := readPrice * ramp(backlog+own, calmBacklogMS, fullBacklogMS)
+	worth := Worth(req.PromptTokens, req.OutputTokens)
+	gain := worth * (1 - firstLoss(ms(c.First), req.Objective))
+	if c.First < req.Left && gain >= price*readMS/1000 {
+		return Verdict{Admit: true}
+	}
+	wait := 2 * fromMS(backlog+own-calmBacklogMS) // more work comes while the backlog drains
+	return Verdict{RetryAfter: min(maxRetry, max(minRetry, wait))}
+}
+
+// meanBacklogMS returns the mean reading backlog of the engines that read long prompts.
+func (g *group) meanBacklogMS(now time.Duration) float64 {
+	total, n := 0.0, 0
+	for _, e := range g.engines {
+		if e.role != shortWriter || len(g.engines) == 1 {
+			total += e.backlogMS(now)
+			n++
+		}
+	}
+	if n == 0 {
+		for _, e := range g.engines {
+			total += e.backlogMS(now)
+			n++
+		}
+	}
+	return total / float64(max(1, n))
+}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
@@ -23,13 +22,21 @@
 
 // Choice is a placement.
 type Choice struct {
-	Engine  ident.BackendID   // receives the request and writes the answer
-	Helpers []ident.BackendID // read a part of the prompt
-	First   time.Duration     // predicted time to the first event
-	Loss    float64           // expected loss of worth, the newcomer's and others'
+	Engine       ident.BackendID   // receives the request and writes the answer
+	Helpers      []ident.BackendID // read a part of the prompt
+	Reservations []Reservation     // memory that helpers must set aside before the request is sent
+	First        time.Duration     // predicted time to the first event
+	Loss         float64           // expected loss of worth, the newcomer's and others'
 
 	request Request
 	readMS  float64 // of each part
+	tokens  int     // memory on the engine itself
+}
+
+// Reservation is memory on a helper for a part of the prompt.
+type Reservation struct {
+	Engine ident.BackendID
+	Tokens int
 }
 
 // MaxHelpers is the number of helpers that an engine accepts for one request.
@@ -44,19 +51,16 @@
 	partLoss = 0.004
 	// minPartMS keeps prompts whole where splitting saves less than a typical pass.
 	minPartMS = 25
-	// fullLoss is the loss by a placement that waits for a slot or for memory on the engine.
-	fullLoss = 1.0
+	// spreadShare is the share of an engine's memory from which a prompt's memory is spread over its helpers,
+	// so that several long prompts fit. Reservations cost orders, so smaller prompts go without.
+	spreadShare = 0.8
+	// crowdLoss prices the last free slots of an engine: views of other hosts' placements are some ms old,
+	// so that the last slot may be gone already.
+	crowdLoss = 0.25
 	// overbooked is the number of requests beyond its slots that an engine is given at most.
 	overbooked = 8
 	// memoryMargin leaves room for answers that are longer than the memory accounting of peers shows.
 	memoryMargin = 0.97
-	// shortShare makes a request a short one: its reading takes at most this share of its pause objective.
-	shortShare = 0.4
-	// packed is the share of an engine's slots that short requests fill before they spread to another
-	// engine, which keeps the remaining engines free for long prompts.
-	packed = 0.6
-	// spreadLoss prices a short request outside the engines that are set apart for short ones.
-	spreadLoss = 0.25
 )
 
 // candidate is an engine with what a placement there costs.
@@ -78,12 +82,12 @@
 		return Choice{}, false
 	}
 	read := ReadMS(g.runtime, req.PromptTokens)
-	short := g.shortEngines()
+	g.assignRoles()
 	for _, parts := range partCounts {
 		if parts > len(usable) || (parts > 1 && read/float64(parts) < minPartMS) {
 			break
 		}
-		c, fits := g.chooseParts(now, usable, req, read, parts, short)
+		c, fits := g.chooseParts(now, usable, req, read, parts)
 		if fits && (!ok || c.Loss < best.Loss) {
 			best, ok = c, true
 		}
@@ -101,47 +105,33 @@
 	return out
 }
 
-// shortEngines returns how many engines, by rank, the short requests need now.
-func (g *group) shortEngines() int {
-	tight := 0
-	for _, e := range g.engines {
-		for _, c := range e.total.Classes {
-			if isShort(g.runtime, c) {
-				tight += c.Streams
-			}
-		}
-	}
-	slots := packed * float64(g.runtime.Slots)
-	return 1 + int(math.Ceil(float64(tight+1)/slots))
-}
-
-// isShort tells by its mean worth whether a class holds short requests.
-func isShort(r *catalog.Runtime, c Class) bool {
-	if c.Streams == 0 {
-		return false
-	}
-	tokens := worthTokens * math.Pow(c.Worth/float64(c.Streams), 1/0.8)
-	return ReadMS(r, int(tokens)) <= shortShare*ms(c.MaxPause)
-}
-
 // chooseParts places a prompt on the given number of engines.
-func (g *group) chooseParts(now time.Duration, usable []*engine, req Request, read float64, parts, short int) (Choice, bool) {
+func (g *group) chooseParts(now time.Duration, usable []*engine, req Request, read float64, parts int) (Choice, bool) {
 	part := read / float64(parts)
-	cands := make([]candidate, len(usable))
-	for i, e := range usable {
-		cands[i] = e.candidate(now, part)
+	total := req.PromptTokens + req.OutputTokens
+	onEngine, onHelper := total, 0
+	if parts > 1 && float64(total) > spreadShare*float64(g.runtime.MemoryTokens) {
+		onHelper = (req.PromptTokens + parts - 1) / parts
+		onEngine = onHelper + req.OutputTokens
+	}
+	cands := make([]candidate, 0, len(usable))
+	for _, e := range usable {
+		if e.free() >= onHelper {
+			cands = append(cands, e.candidate(now, part))
+		}
+	}
+	if len(cands) < parts {
+		return Choice{}, false
 	}
 	worth := Worth(req.PromptTokens, req.OutputTokens)
 	weigh := func(c candidate) float64 { return c.loss + worth*firstLoss(c.firstMS, req.Objective) + c.firstMS*1e-4 }
 	slices.SortStableFunc(cands, func(a, b candidate) int { return cmp.Compare(weigh(a), weigh(b)) })
-	isShortRequest := read <= shortShare*ms(req.MaxPause)
+	wanted := writerRole(read, req.MaxPause)
 	first, firstLossHere, found := 0, math.Inf(1), false
 	// The engine that writes the answer may be any of the best ones; the others read parts.
 	for i := 0; i < len(cands) && (parts == 1 || i < parts); i++ {
-		loss := cands[i].e.writeLoss(now, req, part, worth)
-		if isShortRequest && cands[i].e.rank >= short {
-			loss += spreadLoss * worth
-		}
+		loss := cands[i].e.writeLoss(now, req, onEngine, part, worth)
+		loss += worth * misplaced(wanted, cands[i].e.role)
 		if parts == 1 {
 			loss += weigh(cands[i])
 		}
@@ -152,14 +142,18 @@
 	if !found {
 		return Choice{}, false
 	}
-	c := Choice{Engine: cands[first].e.id, request: req, readMS: part, Loss: firstLossHere + partLoss*float64(parts-1)}
+	c := Choice{Engine: cands[first].e.id, request: req, readMS: part, tokens: onEngine, Loss: firstLossHere + partLoss*float64(parts-1)}
 	firstMS := cands[first].firstMS
 	if parts > 1 {
 		for i := range parts {
 			c.Loss += cands[i].loss
 			firstMS = math.Max(firstMS, cands[i].firstMS)
-			if i != first {
-				c.Helpers = append(c.Helpers, cands[i].e.id)
+			if i == first {
+				continue
+			}
+			c.Helpers = append(c.Helpers, cands[i].e.id)
+			if onHelper > 0 {
+				c.Reservations = append(c.Reservations, Reservation{cands[i].e.id, onHelper})
 			}
 		}
 		c.Loss += worth * firstLoss(firstMS, req.Objective)
@@ -175,6 +169,7 @@
 	for _, class := range e.total.Classes {
 		c.loss += class.Worth * pauseLoss(pass, class.MaxPause)
 	}
+	c.loss += futureLoss(e.role, pass) - futureLoss(e.role, e.passMS(now, 0, 0, 0))
 	steps := stepsMS(e.runtime, e.total.streams()+1, e.total.Tokens)
 	c.firstMS = e.backlogMS(now) + e.slowness*(part+steps)
 	if e.total.streams() > 0 {
@@ -183,28 +178,34 @@
 	return c
 }
 
-// passMS predicts the next pass with more reading, writers and context.
+// passMS predicts the next pass with more reading, writers and context. A pass reads the whole backlog: its
+// chunks hold some 100,000 tokens.
 func (e *engine) passMS(now time.Duration, readMS float64, writers, context int) float64 {
 	steps := stepsMS(e.runtime, e.total.streams()+writers, e.total.Tokens+context)
-	reading := math.Min(e.backlogMS(now)+e.slowness*readMS, e.slowness*maxReadMS(e.runtime))
-	return e.slowness*steps + reading
+	return e.slowness*(steps+readMS) + e.backlogMS(now)
 }
 
 // writeLoss prices a stream that the engine writes, besides the reading. It is infinite where the engine
 // cannot take the request at all.
-func (e *engine) writeLoss(now time.Duration, req Request, part, worth float64) float64 {
-	tokens := req.PromptTokens + req.OutputTokens
+func (e *engine) writeLoss(now time.Duration, req Request, tokens int, part, worth float64) float64 {
 	streams := e.total.streams()
-	if tokens > e.runtime.MemoryTokens || streams >= e.slots+overbooked {
+	if tokens > e.free() || streams >= e.slots+overbooked {
 		return math.Inf(1)
 	}
 	pass := e.passMS(now, part, 1, tokens)
 	loss := worth * pauseLoss(pass, req.MaxPause)
-	if streams >= e.slots {
-		loss += fullLoss * worth
-	}
-	if float64(e.total.Tokens+tokens) > memoryMargin*float64(e.runtime.MemoryTokens) {
-		loss += fullLoss * worth
-	}
+	loss += worth * crowdLoss * ramp(float64(streams+1)/float64(e.slots), packedSlots, 1)
+	loss += worth * firstLoss(e.slotWaitMS(pass), req.Objective)
 	return loss
 }
+
+// slotWaitMS predicts the wait for a slot on an engine whose slots are taken: the streams on it end one
+// after the other, spread over the passes that a usual answer takes.
+func (e *engine) slotWaitMS(passMS float64) float64 {
+	waiting := e.total.streams() + 1 - e.slots
+	if waiting <= 0 {
+		return 0
+	}
+	passes := float64(e.runtime.UsualAnswer) / float64(max(1, e.runtime.StepsPerPass))
+	return float64(waiting) * math.Max(1, passes) * passMS / float64(e.slots)
+}
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -38,8 +38,7 @@
 }
 
 // add changes the load by one stream; sign is 1 or -1.
-func (l *Load) add(maxPause time.Duration, worth float64, tokens, sign int) {
-	l.Tokens += sign * tokens
+func (l *Load) add(maxPause time.Duration, worth float64, sign int) {
 	i, found := slices.BinarySearchFunc(l.Classes, maxPause, func(c Class, p time.Duration) int { return int(c.MaxPause - p) })
 	if !found {
 		l.Classes = slices.Insert(l.Classes, i, Class{MaxPause: maxPause})
@@ -55,7 +54,8 @@
 // clone returns a copy that the table does not change.
 func (l *Load) clone() Load { return Load{Classes: slices.Clone(l.Classes), Tokens: l.Tokens} }
 
-// Read is prompt reading that a host has added to an engine.
+// Read is prompt reading that a host has added to an engine; a negative number takes back what was
+// cancelled.
 type Read struct {
 	Engine Key
 	MS     float64
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -26,11 +26,6 @@
 	return float64(max(1, r.StepsPerPass)) * step
 }
 
-// maxReadMS bounds the reading of one pass: each step reads at most a chunk.
-func maxReadMS(r *catalog.Runtime) float64 {
-	return float64(max(1, r.StepsPerPass)*r.ChunkTokens) / r.ReadTokensPerMS
-}
-
 // ramp rises from 0 at low to 1 at high.
 func ramp(x, low, high float64) float64 {
 	return math.Min(1, math.Max(0, (x-low)/(high-low)))
@@ -70,11 +65,14 @@
 
 func fromMS(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// worthTokens is the size, prompt and answer, of a request of worth 1.
-const worthTokens = 6000
+const (
+	// worthTokens is the size, prompt and answer, of a request of worth 1.
+	worthTokens = 6000
+	// worthExponent makes long requests worth less than in proportion to their size.
+	worthExponent = 0.8
+)
 
-// Worth estimates what a request is worth to its caller from its size. Long requests are worth more, but
-// less than in proportion.
+// Worth estimates what a request is worth to its caller from its size.
 func Worth(promptTokens, outputTokens int) float64 {
-	return math.Pow(float64(promptTokens+outputTokens)/worthTokens, 0.8)
+	return math.Pow(float64(promptTokens+outputTokens)/worthTokens, worthExponent)
 }
--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -11,46 +11,93 @@
 	engine   *engine
 	maxPause time.Duration
 	worth    float64
-	tokens   int
+	memory   []held
+	parts    []part
+	begun    bool // the first event has come, so all parts are read
 	ended    bool
 }
 
+// held is memory that a request takes on an engine.
+type held struct {
+	engine *engine
+	tokens int
+}
+
+// part is the reading of a prompt, or of a piece of it, on one engine.
+type part struct {
+	engine *engine
+	from   time.Duration // predicted begin
+	length time.Duration
+}
+
 // Place books a choice on its engines. Call End when the request has left the engine.
 func (t *Table) Place(now time.Duration, c Choice) *Item {
 	e := t.engines[c.Engine]
 	if e == nil {
 		return &Item{ended: true}
 	}
-	it := &Item{
-		engine:   e,
-		maxPause: c.request.MaxPause,
-		worth:    Worth(c.request.PromptTokens, c.request.OutputTokens),
-		tokens:   c.request.PromptTokens + c.request.OutputTokens,
+	it := &Item{engine: e, maxPause: c.request.MaxPause, worth: Worth(c.request.PromptTokens, c.request.OutputTokens)}
+	e.change(self, it.maxPause, it.worth, 1)
+	t.hold(it, e, c.tokens)
+	for _, r := range c.Reservations {
+		if x := t.engines[r.Engine]; x != nil {
+			t.hold(it, x, r.Tokens)
+		}
 	}
-	e.change(self, it.maxPause, it.worth, it.tokens, 1)
-	t.dirty[e.key] = e
-	t.read(now, c.Engine, c.readMS)
+	t.read(now, it, c.Engine, c.readMS)
 	for _, h := range c.Helpers {
-		t.read(now, h, c.readMS)
+		t.read(now, it, h, c.readMS)
 	}
 	return it
 }
 
-func (t *Table) read(now time.Duration, id ident.BackendID, readMS float64) {
-	if e := t.engines[id]; e != nil {
-		e.addRead(now, readMS)
-		t.reads = append(t.reads, Read{Engine: e.key, MS: readMS})
+func (t *Table) hold(it *Item, e *engine, tokens int) {
+	e.hold(self, tokens)
+	t.dirty[e.key] = e
+	it.memory = append(it.memory, held{e, tokens})
+}
+
+func (t *Table) read(now time.Duration, it *Item, id ident.BackendID, readMS float64) {
+	e := t.engines[id]
+	if e == nil {
+		return
 	}
+	from := max(now, e.busyUntil)
+	e.addRead(now, readMS)
+	it.parts = append(it.parts, part{engine: e, from: from, length: e.busyUntil - from})
+	t.reads = append(t.reads, Read{Engine: e.key, MS: readMS})
 }
 
+// Begun notes that the first event has come.
+func (t *Table) Begun(it *Item) { it.begun = true }
+
 // End takes a request off its engine. Calling it again changes nothing.
-func (t *Table) End(it *Item) {
+func (t *Table) End(now time.Duration, it *Item) {
 	if it.ended {
 		return
 	}
 	it.ended = true
-	it.engine.change(self, it.maxPause, it.worth, it.tokens, -1)
-	t.dirty[it.engine.key] = it.engine
+	it.engine.change(self, it.maxPause, it.worth, -1)
+	for _, m := range it.memory {
+		m.engine.hold(self, -m.tokens)
+		t.dirty[m.engine.key] = m.engine
+	}
+	if !it.begun {
+		t.cancelReads(now, it)
+	}
+}
+
+// cancelReads takes back the reading that a cancelled request has not begun. An engine finishes the pass
+// that it is in, so what has begun still takes its time.
+func (t *Table) cancelReads(now time.Duration, it *Item) {
+	for _, p := range it.parts {
+		if p.from <= now {
+			continue
+		}
+		readMS := ms(p.length) / p.engine.slowness
+		p.engine.addRead(now, -readMS)
+		t.reads = append(t.reads, Read{Engine: p.engine.key, MS: -readMS})
+	}
 }
 
 // Address returns the address of an engine.
@@ -61,3 +108,19 @@
 	}
 	return e.address, true
 }
+
+// Find returns the engine with an id or an address.
+func (t *Table) Find(name string) (id ident.BackendID, ok bool) {
+	if name == "" {
+		return "", false
+	}
+	if e := t.engines[ident.BackendID(name)]; e != nil {
+		return e.id, true
+	}
+	for _, e := range t.engines {
+		if e.address == name {
+			return e.id, true
+		}
+	}
+	return "", false
+}
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -27,7 +27,7 @@
 // group is the engines of one service.
 type group struct {
 	runtime *catalog.Runtime
-	engines []*engine // sorted by id, so that all hosts rank them alike
+	engines []*engine // sorted by id, so that all hosts give them the same roles
 }
 
 type engine struct {
@@ -36,7 +36,7 @@
 	address   string
 	runtime   *catalog.Runtime
 	slots     int
-	rank      int
+	role      role
 	busyUntil time.Duration // when the reading that is known of ends
 	loads     map[Owner]*Load
 	total     Load
@@ -69,9 +69,6 @@
 		g.engines = append(g.engines, e)
 	}
 	slices.SortFunc(g.engines, func(a, b *engine) int { return strings.Compare(string(a.id), string(b.id)) })
-	for i, e := range g.engines {
-		e.rank = i
-	}
 	t.groups[service] = g
 	t.forgetIdle()
 }
@@ -85,7 +82,7 @@
 		}
 	}
 	for id, e := range t.engines {
-		if !listed[e] && e.total.streams() == 0 {
+		if !listed[e] && e.total.streams() == 0 && e.total.Tokens == 0 {
 			delete(t.engines, id)
 			delete(t.byKey, e.key)
 		}
@@ -95,19 +92,36 @@
 // backlogMS returns the reading that is still to be done.
 func (e *engine) backlogMS(now time.Duration) float64 { return max(0, ms(e.busyUntil-now)) }
 
+// addRead adds reading to the backlog; a negative number takes some back.
 func (e *engine) addRead(now time.Duration, readMS float64) {
-	e.busyUntil = max(e.busyUntil, now) + fromMS(readMS*e.slowness)
+	e.busyUntil = max(now, max(e.busyUntil, now)+fromMS(readMS*e.slowness))
 }
 
-// change adds a stream to an owner's load, or takes it away.
-func (e *engine) change(o Owner, maxPause time.Duration, worth float64, tokens, sign int) {
+// own returns the load of an owner for changing it.
+func (e *engine) own(o Owner) *Load {
 	l := e.loads[o]
 	if l == nil {
 		l = &Load{}
 		e.loads[o] = l
 	}
-	l.add(maxPause, worth, tokens, sign)
-	e.total.add(maxPause, worth, tokens, sign)
+	return l
+}
+
+// change adds a stream to an owner's load, or takes it away.
+func (e *engine) change(o Owner, maxPause time.Duration, worth float64, sign int) {
+	e.own(o).add(maxPause, worth, sign)
+	e.total.add(maxPause, worth, sign)
+}
+
+// hold adds memory to an owner's load; a negative number gives it back.
+func (e *engine) hold(o Owner, tokens int) {
+	e.own(o).Tokens += tokens
+	e.total.Tokens += tokens
+}
+
+// free returns the memory that a new request may take.
+func (e *engine) free() int {
+	return int(memoryMargin*float64(e.runtime.MemoryTokens)) - e.total.Tokens
 }
 
 // replace sets the load of a peer.
@@ -146,7 +160,7 @@
 // Heard merges a peer's update.
 func (t *Table) Heard(now time.Duration, from Owner, u Update) {
 	for _, r := range u.Reads {
-		if e := t.byKey[r.Engine]; e != nil && r.MS > 0 {
+		if e := t.byKey[r.Engine]; e != nil {
 			e.addRead(now, r.MS)
 		}
 	}
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -42,7 +42,9 @@
 	ID     string // of the request that is answered
 	Sealed bool   // carries the server's signature
 	NotRun bool   // the server says that it did not run the request
-	Load   *ServerLoad
+	// AtFault names the server whose state made this one refuse or break off, where it says so.
+	AtFault string
+	Load    *ServerLoad
 }
 
 // ServerLoad is the load that a plain server reports with an answer.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -52,6 +52,7 @@
 	set         settings.Entry
 	log         *logrus.Entry
 	obs         *obs.Obs
+	decisions   *decisionLog
 	metrics     metrics
 	start       time.Time
 	incarnation ident.Incarnation
@@ -63,7 +64,8 @@
 	control     *control.Server
 	peerClient  *control.Client
 	wake        chan struct{} // load changed
-	running     atomic.Int64  // requests in progress
+	running     atomic.Int64  // requests in progress, and releases of memory
+	sequence    atomic.Uint64 // of reservations
 	stopping    atomic.Bool
 	ctx         context.Context // ends when the process stops
 	cancel      context.CancelFunc
@@ -83,7 +85,7 @@
 		return nil, Error.Wrap(err)
 	}
 	h := &Host{
-		cfg: cfg, set: s.Entry, log: o.Log, obs: o, metrics: newMetrics(o), start: time.Now(),
+		cfg: cfg, set: s.Entry, log: o.Log, obs: o, decisions: newDecisionLog(o.Log), metrics: newMetrics(o), start: time.Now(),
 		incarnation: ident.NewIncarnation(), wake: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- /dev/null
+++ b/node/entry/events_test.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// Guards against half an event that is passed on, and against a stream that broke off and looks whole.
+func TestEventsComeWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all strings.Builder
+		n := rapid.IntRange(0, 6).Draw(t, "events")
+		for i := range n {
+			newline := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "newline")
+			if rapid.Bool().Draw(t, "first line") {
+				all.WriteString("x-version: 3" + newline)
+			}
+			all.WriteString("id: " + string(rune('0'+i)) + newline + "data: " + strings.Repeat("y", rapid.IntRange(0, 5000).Draw(t, "size")) + newline + newline)
+		}
+		text := all.String()
+		cut := rapid.IntRange(0, len(text)).Draw(t, "cut")
+		r := newEventReader(iotest.OneByteReader(strings.NewReader(text[:cut])))
+		var passed bytes.Buffer
+		last := int64(-1)
+		for {
+			ev, err := r.next()
+			if err != nil {
+				whole := strings.HasPrefix(text[cut:], "id:") || strings.HasPrefix(text[cut:], "x-") || cut == len(text) || cut == 0
+				if errors.Is(err, io.EOF) && !whole {
+					t.Fatalf("a stream that broke off at %d of %d ended in order", cut, len(text))
+				}
+				break
+			}
+			if ev.id != last+1 {
+				t.Fatalf("event %d after %d", ev.id, last)
+			}
+			last = ev.id
+			passed.Write(ev.raw)
+		}
+		if !strings.HasPrefix(text, passed.String()) {
+			t.Fatal("bytes were changed")
+		}
+	})
+}
+
+// Guards against the memory that an event without end takes.
+func TestEventIsBounded(t *testing.T) {
+	c := qt.New(t)
+	_, err := newEventReader(io.LimitReader(zeros{}, 2*maxEvent)).next()
+	c.Assert(err, qt.ErrorMatches, ".*event of more than.*")
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = '0'
+	}
+	return len(p), nil
+}
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -128,9 +128,10 @@
 
 // Steps at which a request can fail.
 const (
-	stepDial   = "dial"
-	stepSend   = "send"
-	stepAnswer = "answer"
+	stepDial    = "dial"
+	stepReserve = "reserve"
+	stepSend    = "send"
+	stepAnswer  = "answer"
 )
 
 // tryPlain sends a request to one server and reads the whole answer.
@@ -181,10 +182,22 @@
 		q.attempts++
 		q.ran = true
 	}
-	if q.http.Context().Err() == nil {
+	h.noteFailure(ctx, id, step, err)
+	return lost(step, id, ran, err)
+}
+
+// noteFailure records a failed send as evidence. The end of the request's own time, or of the caller's
+// patience, says little about the server: routes may have short timeouts.
+func (h *Host) noteFailure(ctx context.Context, id ident.BackendID, step string, err error) {
+	if ctx.Err() == nil {
 		h.noteLost(id, step, err)
+		return
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		h.state.mu.Lock()
+		h.state.health.Failed(id)
+		h.state.mu.Unlock()
 	}
-	return lost(step, id, ran, err)
 }
 
 // noteLost excludes a server that could not be reached or broke off.
@@ -203,6 +216,10 @@
 // rejected turns a server's refusal before running into an error.
 func (h *Host) rejected(q *request, id ident.BackendID, s sent) *outcome.Error {
 	h.metrics.rejected.Add(1, q.service)
+	h.decisions.write(fields{
+		"request": q.call.ID, "server": id, "status": s.resp.StatusCode, "at_fault": s.reply.AtFault,
+		"helpers": q.placed.helpers, "prompt_tokens": q.call.PromptTokens,
+	}, "server refused request")
 	e := &outcome.Error{
 		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepSend, Peer: string(id), RetryAfter: noBackendRetry,
 		Detail: "the server refused the request: status " + strconv.Itoa(s.resp.StatusCode),
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpend"
 )
@@ -38,6 +40,17 @@
 	deadline time.Duration // by the steady clock
 	attempts int           // servers that it was sent to
 	ran      bool          // a server may have begun it
+	placed   placed        // the last placement; streams only
+}
+
+// placed is what a placement expected and what came of it.
+type placed struct {
+	engine    ident.BackendID
+	helpers   int
+	predicted time.Duration // time to the first event
+	first     time.Duration // seen, zero when none came
+	longest   time.Duration // pause between two events
+	loss      float64       // expected loss of worth
 }
 
 func (q *request) left(now time.Duration) time.Duration { return q.deadline - now }
@@ -141,12 +154,16 @@
 		"request": q.call.ID, "service": q.service, "team": q.team, "outcome": kind, "attempts": q.attempts,
 		"took_ms": took.Milliseconds(), "prompt_tokens": q.call.PromptTokens,
 	}
+	if p := q.placed; p.engine != "" {
+		f["engine"], f["helpers"], f["loss"] = p.engine, p.helpers, math.Round(p.loss*1000)/1000
+		f["predicted_ms"], f["first_ms"], f["pause_ms"] = p.predicted.Milliseconds(), p.first.Milliseconds(), p.longest.Milliseconds()
+	}
 	if cause == nil {
-		h.log.WithFields(f).Debug("request answered")
+		h.decisions.write(f, "request answered")
 		return
 	}
 	f["reason"], f["step"], f["peer"], f["error"] = reason, cause.Step, cause.Peer, cause.Error()
-	h.log.WithFields(f).Info("request failed")
+	h.decisions.write(f, "request failed")
 }
 
 func splitList(line string) []string {
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -16,11 +16,15 @@
 )
 
 const (
-	// stallSlack is the silence beyond a prediction after which an engine counts as lost. Predictions miss
-	// by a few passes; callers leave a stream after 2 s without an event.
-	stallSlack = 900 * time.Millisecond
+	// minStall and maxStall bound the silence beyond a prediction after which an engine counts as lost; in
+	// between it is twice the objective. Callers of short requests leave a stream after 2 s without an event,
+	// those of long ones after 6 s and more. A long prompt that is given up wrongly is read twice.
+	minStall = 900 * time.Millisecond
+	maxStall = 3 * time.Second
 	// stallShare is added to it in proportion to the prediction, which is less exact for long waits.
 	stallShare = 0.5
+	// maxReserveFailures bounds the placements that are tried until one has its memory.
+	maxReserveFailures = 2
 	// resumeFloor is the time that must be left for a stream to be worth another server.
 	resumeFloor = 50 * time.Millisecond
 )
@@ -34,6 +38,8 @@
 	begun  bool // the header has been written
 	lastID int64
 	failed map[ident.BackendID]bool
+	// reserveFailures counts placements whose memory was not free.
+	reserveFailures int
 }
 
 // serveStream relays the stream of an engine. After a loss it goes on at another engine behind the last
@@ -58,6 +64,9 @@
 		if last == nil {
 			return nil
 		}
+		if last.Step == stepReserve && st.reserveFailures <= maxReserveFailures && ctx.Err() == nil {
+			continue // nothing was sent
+		}
 		if q.left(h.now()) < resumeFloor || !h.mayRepeat(ctx, q, last) {
 			break
 		}
@@ -96,6 +105,11 @@
 		e.RetryAfter = noBackendRetry
 		return choice, catalog.Server{}, e
 	}
+	if v := s.engines.Admit(now, q.service, choice); !v.Admit && !q.ran {
+		e := outcome.Refuse("admit", outcome.Overload, "the engines are busy with prompts that end sooner")
+		e.RetryAfter = v.RetryAfter
+		return choice, catalog.Server{}, e
+	}
 	for _, srv := range s.catalog.Usable(q.service) {
 		if srv.ID == choice.Engine {
 			return choice, srv, nil
@@ -111,42 +125,39 @@
 	h, q := st.host, st.q
 	s := h.state
 	s.mu.Lock()
-	f := Forward{Engine: true, Urgency: urgency(q.route), ResumeAfter: q.call.ResumeAfter}
-	if st.lastID >= 0 {
-		f.ResumeAfter = strconv.FormatInt(st.lastID, 10)
-	}
-	for _, id := range choice.Helpers {
-		if a, ok := s.engines.Address(id); ok {
-			f.Helpers = append(f.Helpers, Helper{Address: a})
-		}
-	}
 	item := s.engines.Place(h.now(), choice)
 	s.mu.Unlock()
 	h.changed()
 	defer func() {
 		s.mu.Lock()
-		s.engines.End(item)
+		s.engines.End(h.now(), item)
 		s.mu.Unlock()
 		h.changed()
 	}()
-	h.log.WithFields(fields{
-		"request": q.call.ID, "engine": srv.ID, "helpers": len(f.Helpers), "prompt_tokens": q.call.PromptTokens,
-		"predicted_ms": choice.First.Milliseconds(), "loss": choice.Loss, "attempt": q.attempts + 1,
-	}).Debug("placed")
+	q.placed = placed{engine: srv.ID, helpers: len(choice.Helpers), predicted: choice.First, loss: choice.Loss}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	memory, e := st.reserve(ctx, choice, cancel)
+	if e != nil {
+		return e
+	}
+	defer memory.release()
 	guard := st.newGuard(cancel, choice.First)
 	defer guard.stop()
+	f := st.forward(choice, memory)
 	began := h.now()
 	answer, ran, err := h.send(ctx, q, srv, f)
 	if err != nil {
 		st.failed[srv.ID] = true
+		if guard.fired() {
+			h.noteLost(srv.ID, stepSend, errStalled)
+		}
 		return h.sendFailed(ctx, q, srv.ID, ran, guard.explain(err))
 	}
 	defer answer.resp.Body.Close()
 	q.attempts++
 	if answer.reply.NotRun {
-		st.failed[srv.ID] = true
+		st.blame(srv.ID, answer.reply.AtFault)
 		return h.rejected(q, srv.ID, answer)
 	}
 	q.ran = true
@@ -157,9 +168,9 @@
 		st.failed[srv.ID] = true
 		return h.answerBroken(ctx, srv.ID, nil)
 	}
-	if err := st.relay(answer, srv.ID, guard, began, choice.First); err != nil {
+	if err := st.relay(answer, srv.ID, item, guard, began); err != nil {
 		st.failed[srv.ID] = true
-		if q.http.Context().Err() == nil && ctx.Err() == nil || guard.fired() {
+		if ctx.Err() == nil || guard.fired() {
 			h.noteLost(srv.ID, stepAnswer, guard.explain(err))
 		}
 		return lost(stepAnswer, srv.ID, true, guard.explain(err))
@@ -167,6 +178,59 @@
 	return nil
 }
 
+// reserve sets aside the memory that the choice needs on its helpers. A failure leaves the request unsent.
+func (st *stream) reserve(ctx context.Context, choice placement.Choice, lose context.CancelFunc) (*reservations, *outcome.Error) {
+	if len(choice.Reservations) == 0 {
+		return nil, nil
+	}
+	memory, err := st.host.reserve(ctx, choice, lose)
+	if err == nil {
+		return memory, nil
+	}
+	st.reserveFailures++
+	var refused *reserveError
+	if errors.As(err, &refused) {
+		st.failed[refused.engine] = true
+	}
+	st.host.decisions.write(fields{"request": st.q.call.ID, "error": err.Error(), "helpers": len(choice.Helpers)}, "memory not reserved")
+	return nil, &outcome.Error{
+		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepReserve, RetryAfter: noBackendRetry, Err: err,
+	}
+}
+
+// blame notes which engine made an attempt fail: the one that refused it, or a helper that it names by id or
+// address, which then gets no parts from other requests either.
+func (st *stream) blame(refused ident.BackendID, atFault string) {
+	h := st.host
+	s := h.state
+	s.mu.Lock()
+	culprit, found := s.engines.Find(atFault)
+	s.mu.Unlock()
+	if !found || culprit == refused {
+		st.failed[refused] = true
+		return
+	}
+	st.failed[culprit] = true
+	h.noteLost(culprit, stepSend, errHelper)
+}
+
+// forward builds what the engine is told.
+func (st *stream) forward(choice placement.Choice, memory *reservations) Forward {
+	f := Forward{Engine: true, Urgency: urgency(st.q.route), ResumeAfter: st.q.call.ResumeAfter}
+	if st.lastID >= 0 {
+		f.ResumeAfter = strconv.FormatInt(st.lastID, 10)
+	}
+	s := st.host.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range choice.Helpers {
+		if a, ok := s.engines.Address(id); ok {
+			f.Helpers = append(f.Helpers, Helper{Address: a, Reservation: memory.idFor(id)})
+		}
+	}
+	return f
+}
+
 // urgency maps the route's objectives to the engines' priorities, so that short requests are admitted
 // before long ones.
 func urgency(r *catalog.Route) int {
@@ -200,7 +264,7 @@
 }
 
 // relay passes whole events on, in order and once.
-func (st *stream) relay(s sent, id ident.BackendID, g *guard, began, predicted time.Duration) error {
+func (st *stream) relay(s sent, id ident.BackendID, item *placement.Item, g *guard, began time.Duration) error {
 	h := st.host
 	events := newEventReader(s.resp.Body)
 	last := time.Duration(0)
@@ -217,10 +281,15 @@
 		g.extend(pass)
 		if last == 0 {
 			h.metrics.first(st.q, now-st.q.arrived)
+			st.q.placed.first = now - began
 			h.state.mu.Lock()
 			h.state.health.Answered(id, now-began)
+			h.state.engines.Begun(item)
 			h.state.mu.Unlock()
 		}
+		if last != 0 {
+			st.q.placed.longest = max(st.q.placed.longest, now-last)
+		}
 		last = now
 		if ev.id >= 0 && ev.id <= st.lastID {
 			continue // the caller has this event already
@@ -280,17 +349,24 @@
 type guard struct {
 	timer  *time.Timer
 	active bool
+	slack  time.Duration
 	hit    atomic.Bool
 }
 
+// errHelper explains the exclusion of an engine that another one named.
+var errHelper = Error.New("another engine could not use it as helper")
+
 // errStalled explains a cancelled attempt.
 var errStalled = Error.New("no event within the time that the engine's load explains")
 
 // newGuard starts a guard for the first event. Streams that may not be resumed get none: their only
 // server is never left.
 func (st *stream) newGuard(cancel context.CancelFunc, predicted time.Duration) *guard {
-	g := &guard{active: st.q.route.Repeatable() && st.q.attempts+1 < st.q.route.MaxAttempts}
-	g.timer = time.AfterFunc(patience(predicted), func() {
+	g := &guard{
+		active: st.q.route.Repeatable() && st.q.attempts+1 < st.q.route.MaxAttempts,
+		slack:  min(maxStall, max(minStall, 2*st.q.route.Objective)),
+	}
+	g.timer = time.AfterFunc(g.patience(predicted), func() {
 		if g.active {
 			g.hit.Store(true)
 			cancel()
@@ -299,11 +375,11 @@
 	return g
 }
 
-func patience(predicted time.Duration) time.Duration {
-	return stallSlack + predicted + time.Duration(stallShare*float64(predicted))
+func (g *guard) patience(predicted time.Duration) time.Duration {
+	return g.slack + predicted + time.Duration(stallShare*float64(predicted))
 }
 
-func (g *guard) extend(predicted time.Duration) { g.timer.Reset(patience(predicted)) }
+func (g *guard) extend(predicted time.Duration) { g.timer.Reset(g.patience(predicted)) }
 func (g *guard) stop()                          { g.timer.Stop() }
 func (g *guard) fired() bool                    { return g.hit.Load() }
 
--- a/transport/gossip/load.go
+++ b/transport/gossip/load.go
@@ -134,7 +134,7 @@
 // finite keeps a damaged number from spoiling sums.
 func finite(f float32) float64 {
 	v := float64(f)
-	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 || v > 1e9 {
+	if math.IsNaN(v) || math.Abs(v) > 1e9 {
 		return 0
 	}
 	return v
--- /dev/null
+++ b/transport/gossip/load_test.go
@@ -0,0 +1,78 @@
+package gossip
+
+import (
+	"context"
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
+)
+
+// loadSink collects load reports.
+type loadSink struct{ got chan LoadReport }
+
+func (loadSink) OnChange(member.Action) {}
+
+func (s loadSink) OnLoad(_ member.Addr, r LoadReport) { s.got <- r }
+
+// Guards against a long report that is cut off at the size of a datagram.
+func TestLongReportArrivesInParts(t *testing.T) {
+	c := qt.New(t)
+	sink := loadSink{make(chan LoadReport, 100)}
+	listen := func(id member.ID, h Handler) *Service {
+		s, err := Listen(member.Config{Self: id, Zone: "z", Incarnation: 1}, "127.0.0.1:0", h)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = s.Close(context.Background()) })
+		return s
+	}
+	from, to := listen("a/entry", loadSink{}), listen("b/entry", sink)
+	r := LoadReport{Incarnation: 7, Ready: true, Config: 3, Revision: 9}
+	for i := range 70 {
+		r.Update.Loads = append(r.Update.Loads, placement.EngineLoad{Engine: placement.Key(i), Load: placement.Load{
+			Tokens: 1 << 20, Classes: []placement.Class{{MaxPause: time.Second, Streams: 9, Worth: 4.5}, {MaxPause: 2 * time.Second, Streams: 1, Worth: 1}},
+		}})
+	}
+	r.Update.Reads = []placement.Read{{Engine: 5, MS: -12.5}}
+	from.SendLoad([]member.Addr{to.Addr()}, r)
+	loads, reads := 0, 0
+	for loads < 70 {
+		select {
+		case got := <-sink.got:
+			c.Assert(got.Revision, qt.Equals, uint64(9))
+			loads += len(got.Update.Loads)
+			reads += len(got.Update.Reads)
+		case <-time.After(5 * time.Second):
+			c.Fatalf("%d of 70 loads arrived", loads)
+		}
+	}
+	c.Assert(reads, qt.Equals, 1)
+	c.Assert(from.Stats().SendFailures, qt.Equals, uint64(0))
+}
+
+// Guards against a damaged datagram that panics or spoils the sums of loads.
+func TestLoadReportDecoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")
+		_, _ = decodeLoad(b)
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		r := LoadReport{Incarnation: 1, Ready: rapid.Bool().Draw(t, "ready"), Revision: rapid.Uint64().Draw(t, "revision")}
+		for range rapid.IntRange(0, 5).Draw(t, "loads") {
+			r.Update.Loads = append(r.Update.Loads, placement.EngineLoad{
+				Engine: placement.Key(rapid.Uint32().Draw(t, "engine")), Load: placement.Load{Tokens: rapid.IntRange(0, 1<<30).Draw(t, "tokens")},
+			})
+		}
+		w := pack.NewWriter()
+		encodeLoad(w, r)
+		got, err := decodeLoad(w.Buf)
+		if err != nil || !reflect.DeepEqual(got, r) {
+			t.Fatalf("%+v became %+v, %v", r, got, err)
+		}
+	})
+}
