--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -6,6 +6,9 @@
 	// calmBacklogMS is the mean reading backlog of an engine up to which every request is admitted. Below it,
 	// prompts of all sizes still meet their objectives.
 	calmBacklogMS = 350
+	// idleBacklogMS is the mean backlog up to which any prompt is admitted, so that the largest ones are served
+	// at all: nothing that it would delay is waiting.
+	idleBacklogMS = 60
 	// fullBacklogMS is the mean backlog at which the reading time of engines has its full price.
 	fullBacklogMS = 1600
 	// readPrice is the full price of a second of an engine's reading, in worth: what the usual mix of prompts
@@ -38,7 +41,7 @@
 	price := readPrice * ramp(backlog+own, calmBacklogMS, fullBacklogMS)
 	worth := Worth(req.PromptTokens, req.OutputTokens)
 	gain := worth * (1 - firstLoss(ms(c.First), req.Objective))
-	if c.First < req.Left && gain >= price*readMS/1000 {
+	if c.First < req.Left && (backlog < idleBacklogMS || gain >= price*readMS/1000) {
 		return Verdict{Admit: true}
 	}
 	wait := 2 * fromMS(backlog+own-calmBacklogMS) // more work comes while the backlog drains
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -191,6 +191,15 @@
 	c.Assert(tb.Admit(10*time.Second, service, choice).Admit, qt.IsTrue, qt.Commentf("short requests are cheap"))
 }
 
+// Guards against a prompt that is refused for ever because it is large: idle engines take any that ends in time.
+func TestIdleEnginesAdmitTheLargest(t *testing.T) {
+	c := qt.New(t)
+	tb := table(4)
+	choice, ok := tb.Choose(0, service, long(500_000))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(tb.Admit(0, service, choice).Admit, qt.IsTrue)
+}
+
 // Guards against a placement that exceeds an engine's memory or its queue, uses an engine twice or one that
 // is excluded, and against loads that do not return to zero.
 func TestPlacementInvariants(t *testing.T) {
