Let entry hosts meet at once after a start

Ruled out: a slow start (state read in 20 ms), lost engines (they answered others).

Change: load reports go to the seeds in the first seconds and to every host that is known in any way; a new host is answered with the whole load and the known addresses.

--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -187,11 +187,7 @@
 	u := Update{Reads: t.reads}
 	t.reads = nil
 	if all {
-		for _, e := range t.engines {
-			if l := e.loads[self]; l != nil {
-				u.Loads = append(u.Loads, EngineLoad{Engine: e.key, Load: l.clone()})
-			}
-		}
+		u.Loads = t.OwnLoads()
 	} else {
 		for key, e := range t.dirty {
 			var l Load
@@ -205,6 +201,17 @@
 	return u
 }
 
+// OwnLoads returns the whole own load.
+func (t *Table) OwnLoads() []EngineLoad {
+	var out []EngineLoad
+	for _, e := range t.engines {
+		if l := e.loads[self]; l != nil {
+			out = append(out, EngineLoad{Engine: e.key, Load: l.clone()})
+		}
+	}
+	return out
+}
+
 // slownessGain is the weight of one observation; some ten events show a slow engine.
 const slownessGain = 0.15
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return Error.New("step=start peer=%s: %w", address, err)
 	}
+	h.state.mu.Lock()
+	h.state.seeds = h.seeds()
+	h.state.mu.Unlock()
 	h.gossip.Do(member.Seeds{Seeds: h.seeds()})
 	h.peerClient, err = control.NewClient(control.Config{DialTimeout: peerTimeout, CallTimeout: peerTimeout})
 	if err != nil {
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/member"
@@ -23,6 +25,8 @@
 	// silence is the time without a report after which a peer is not handed out to callers and its load does
 	// not count: four reports.
 	silence = 1100 * time.Millisecond
+	// contactTime is how long a host that others named gets reports before it answers.
+	contactTime = 3 * time.Second
 	// forgetPeer is the time after which a silent peer no longer shares the retry budget, twice its window.
 	forgetPeer = 20 * time.Second
 )
@@ -48,10 +52,18 @@
 	if p == nil {
 		p = &peer{}
 		s.peers[from] = p
+		delete(s.contacts, from)
 	}
 	owner := placement.Owner(from)
 	if p.incarnation != r.Incarnation {
 		s.engines.Forget(owner)
+		s.newcomers = append(s.newcomers, from)
+		h.changed()
+	}
+	for _, addr := range r.Known {
+		if s.peers[addr] == nil && addr != g.gossip.Addr() {
+			s.contacts[addr] = now + contactTime
+		}
 	}
 	*p = peer{
 		heard: now, incarnation: r.Incarnation, ready: r.Ready, leaving: r.Leaving, connected: r.Connected,
@@ -107,11 +119,16 @@
 	}
 }
 
-// report sends the load to all members.
+// report sends the load to all other hosts, and whom this host knows to those that have just started:
+// probes alone would take seconds to bring all of them together, and until then every host would place
+// its requests on the same engines.
 func (h *Host) report(full bool) {
-	to := h.members()
+	members := h.members()
 	s := h.state
 	s.mu.Lock()
+	newcomers := s.newcomers
+	s.newcomers = nil
+	to := s.reportTo(h.now(), members)
 	r := gossip.LoadReport{
 		Incarnation: h.incarnation, Ready: h.readyLocked(), Leaving: h.stopping.Load(), Connected: s.connected,
 		Revision: s.catalog.Revision(), Update: s.engines.TakeUpdate(full),
@@ -119,8 +136,54 @@
 	if c := s.catalog.Config(); c != nil {
 		r.Config = c.Version
 	}
+	greeting := r
+	greeting.Update = placement.Update{}
+	if len(newcomers) > 0 {
+		greeting.Update.Loads = s.engines.OwnLoads()
+		greeting.Known = s.known()
+	}
 	s.mu.Unlock()
 	h.gossip.SendLoad(to, r)
+	if len(newcomers) > 0 {
+		h.gossip.SendLoad(newcomers, greeting)
+	}
+}
+
+// reportTo returns all hosts that are known in any way: by membership, by their reports, by the settings
+// or because another host named them.
+func (s *state) reportTo(now time.Duration, members []member.Addr) []member.Addr {
+	all := map[member.Addr]bool{}
+	for _, addr := range members {
+		all[addr] = true
+	}
+	for addr := range s.peers {
+		all[addr] = true
+	}
+	for addr, until := range s.contacts {
+		if now > until {
+			delete(s.contacts, addr)
+			continue
+		}
+		all[addr] = true
+	}
+	if now < contactTime {
+		for _, seed := range s.seeds {
+			all[seed.Addr] = true
+		}
+	}
+	return slices.Collect(maps.Keys(all))
+}
+
+// known returns addresses of hosts that were heard, at most as many as fit a report.
+func (s *state) known() []member.Addr {
+	var out []member.Addr
+	for addr := range s.peers { // in random order, so that several reports together name all hosts of a large fleet
+		if len(out) == gossip.MaxKnown {
+			break
+		}
+		out = append(out, addr)
+	}
+	return out
 }
 
 // members returns the gossip addresses of the other entry hosts that are not known to be dead.
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -25,6 +25,12 @@
 	plain   *placement.Plain
 	budgets map[string]*retry.FleetBudget
 	peers   map[member.Addr]*peer
+	// contacts are hosts that others named and that were not heard yet, with the time until which they get
+	// reports.
+	contacts map[member.Addr]time.Duration
+	seeds    []member.Seed // hosts of the settings
+	// newcomers are peers that were just heard for the first time; they are told whom this host knows.
+	newcomers []member.Addr
 	// connected is set while the store answers this host.
 	connected bool
 }
@@ -42,14 +48,15 @@
 
 func newState(set settings.Entry, rng *rand.Rand) *state {
 	return &state{
-		set:     set,
-		rng:     rng,
-		catalog: catalog.NewTable(),
-		engines: placement.NewTable(),
-		health:  health.NewTracker(health.Config{}),
-		plain:   placement.NewPlain(),
-		budgets: map[string]*retry.FleetBudget{},
-		peers:   map[member.Addr]*peer{},
+		set:      set,
+		rng:      rng,
+		catalog:  catalog.NewTable(),
+		engines:  placement.NewTable(),
+		health:   health.NewTracker(health.Config{}),
+		plain:    placement.NewPlain(),
+		budgets:  map[string]*retry.FleetBudget{},
+		peers:    map[member.Addr]*peer{},
+		contacts: map[member.Addr]time.Duration{},
 	}
 }
 
--- a/transport/gossip/load.go
+++ b/transport/gossip/load.go
@@ -19,9 +19,14 @@
 	Connected   bool          // hears the platform's store itself
 	Config      ident.Version // in force
 	Revision    uint64        // of the store, as far as the host knows
-	Update      placement.Update
+	// Known are addresses of other hosts, for a host that has just started.
+	Known  []member.Addr
+	Update placement.Update
 }
 
+// MaxKnown bounds the addresses in a report, so that they fit a datagram beside nothing else.
+const MaxKnown = 40
+
 // LoadHandler is implemented by handlers that take load reports.
 type LoadHandler interface {
 	// OnLoad runs on the event loop and must not block.
@@ -36,13 +41,16 @@
 const loadsPerReport = 24
 
 // reportFields is the number of fields of a load report.
-const reportFields = 8
+const reportFields = 9
 
 // SendLoad sends a report to the addresses, in several datagrams when it is long.
 func (s *Service) SendLoad(to []member.Addr, r LoadReport) {
 	w := pack.NewWriter()
 	for first := true; first || len(r.Update.Loads) > 0 || len(r.Update.Reads) > 0; first = false {
 		part := r
+		if !first {
+			part.Known = nil
+		}
 		part.Update.Loads, r.Update.Loads = cut(r.Update.Loads, loadsPerReport)
 		part.Update.Reads, r.Update.Reads = cut(r.Update.Reads, loadsPerReport)
 		w.Buf = append(w.Buf[:0], payloadMark)
@@ -70,6 +78,10 @@
 	w.Bool(r.Connected)
 	w.Uint(uint64(r.Config))
 	w.Uint(r.Revision)
+	w.Array(len(r.Known))
+	for _, a := range r.Known {
+		w.Str(string(a))
+	}
 	w.Array(len(r.Update.Reads))
 	for _, x := range r.Update.Reads {
 		w.Array(2)
@@ -109,6 +121,9 @@
 	v.Connected = r.Bool()
 	v.Config = ident.Version(r.Uint(math.MaxUint64))
 	v.Revision = r.Uint(math.MaxUint64)
+	for range r.Array(maxList) {
+		v.Known = append(v.Known, member.Addr(r.Str(maxString)))
+	}
 	for range r.Array(maxList) {
 		r.Fields(2)
 		x := placement.Read{Engine: placement.Key(r.Uint(math.MaxUint32)), MS: finite(r.Float())}
