Read the store by a few hosts of each zone, and notice watches that the store has swallowed

Host c-2 sent its watch at 19.4 s, the store was silent until 19.5 s and never answered it; the watch ran into its timeout of 5.7 s. Ruled out: a lost change (it came with the next watch), a slow apply (20 ms). Second: every host watched the store, so each change cost as many calls as there are hosts.

Removals that an outage may have caused are passed on as such. Settings are read again when their file changes. A pause of the process ends its watch.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -114,6 +114,9 @@
 	State    ServerState
 	Warmup   time.Duration // how much longer the server is slow after its start
 	Revision uint64        // of the store, at the entry's last change
+	// Lapsed marks a server in a snapshot whose entry is missing since an outage. It is dropped soon unless
+	// it comes back.
+	Lapsed bool
 }
 
 // Change is one change of the published state. Exactly one of Config, Server and Removed is set.
@@ -122,6 +125,8 @@
 	Config   *Config
 	Server   *Server
 	Removed  ident.BackendID
+	// Lapsed marks a removal that an outage of the store may have caused.
+	Lapsed bool
 }
 
 // Snapshot is the whole published state at a revision.
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -137,3 +138,78 @@
 	}
 	c.Assert(n, qt.DeepEquals, map[string]int{"a": 900, "b": 100})
 }
+
+// Guards against a host that follows a peer and ends up with other servers or another configuration than
+// one that reads the store itself.
+func TestFollowingAPeerGivesTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader, follower := NewTable(), NewTable()
+		revision, version := uint64(1), 1
+		reader.Replace(0, Snapshot{Revision: 1, Config: config(1), Servers: []Server{server("a", 1)}})
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "gap")) * time.Millisecond
+			reader.Tick(now)
+			follower.Tick(now)
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				revision++
+				s := server(id, revision)
+				s.State = ServerState(rapid.IntRange(0, 1).Draw(t, "state"))
+				reader.Apply(now, []Change{{Revision: revision, Server: &s}})
+			case 2:
+				revision++
+				reader.Apply(now, []Change{{Revision: revision, Removed: ident.BackendID(id)}})
+			case 3:
+				revision++
+				version++
+				reader.Apply(now, []Change{{Revision: revision, Config: config(version)}})
+			case 4:
+				reader.SourceLost()
+				reader.SourceBack(now)
+				revision++
+				reader.Replace(now, Snapshot{Revision: revision, Config: reader.Config(), Servers: []Server{server("c", revision)}})
+			case 5:
+				follow(now, follower, reader)
+			}
+		}
+		follow(now, follower, reader)
+		now += LapseHold + time.Millisecond
+		reader.Tick(now)
+		follower.Tick(now)
+		a, b := reader.Snapshot(), follower.Snapshot()
+		if a.Config.Version != b.Config.Version || !reflect.DeepEqual(ids(a.Servers), ids(b.Servers)) ||
+			!reflect.DeepEqual(ids(reader.Usable("s")), ids(follower.Usable("s"))) {
+			t.Fatalf("the reader has %v %v, the follower %v %v", a.Config.Version, ids(a.Servers), b.Config.Version, ids(b.Servers))
+		}
+	})
+}
+
+// follow brings a follower up to date as a host does: by the changes since its revision, or a snapshot.
+func follow(now time.Duration, follower, reader *Table) {
+	changes, ok := reader.Since(follower.Revision())
+	if follower.Config() == nil || !ok {
+		follower.Replace(now, reader.Snapshot())
+		return
+	}
+	follower.Apply(now, changes)
+	follower.Advance(reader.Revision())
+}
+
+// Guards against a journal that grows with every change, or that leaves out a change without saying so.
+func TestJournalIsBounded(t *testing.T) {
+	c := qt.New(t)
+	tb := NewTable()
+	tb.Replace(0, Snapshot{Revision: 1, Config: config(1)})
+	for i := range 3 * maxJournal {
+		s := server("a", uint64(i+2))
+		tb.Apply(0, []Change{{Revision: s.Revision, Server: &s}})
+	}
+	c.Assert(len(tb.journal.changes) <= maxJournal, qt.IsTrue)
+	_, ok := tb.Since(5)
+	c.Assert(ok, qt.IsFalse)
+	changes, ok := tb.Since(tb.Revision() - 10)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(changes, qt.HasLen, 10)
+}
--- /dev/null
+++ b/core/catalog/journal.go
@@ -0,0 +1,50 @@
+package catalog
+
+// maxJournal bounds the changes that are kept for peers. A peer that is further behind gets a snapshot.
+const maxJournal = 1024
+
+// journal keeps the last changes, so that a peer that is a little behind does not need everything.
+//
+// Invariant: it holds every change with a revision above start.
+type journal struct {
+	changes []Change
+	start   uint64
+}
+
+func (j *journal) add(c Change) {
+	j.changes = append(j.changes, c)
+	if len(j.changes) <= maxJournal {
+		return
+	}
+	half := len(j.changes) / 2
+	for _, old := range j.changes[:half] {
+		j.start = max(j.start, old.Revision)
+	}
+	j.changes = append([]Change(nil), j.changes[half:]...)
+}
+
+// since returns the changes after a revision in order, of configurations only the last one. ok is false
+// when the journal does not reach back that far.
+func (j *journal) since(revision uint64) (changes []Change, ok bool) {
+	if revision < j.start {
+		return nil, false
+	}
+	config := -1
+	for _, c := range j.changes {
+		if c.Revision <= revision {
+			continue
+		}
+		if c.Config != nil {
+			if config >= 0 {
+				changes[config].Config = nil
+			}
+			config = len(changes)
+		}
+		changes = append(changes, c)
+	}
+	return changes, true
+}
+
+// Since returns the changes after a revision, for a peer that holds everything up to it. ok is false when
+// the peer needs a snapshot.
+func (t *Table) Since(revision uint64) (changes []Change, ok bool) { return t.journal.since(revision) }
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -28,6 +28,7 @@
 	servers  map[ident.BackendID]*serverEntry
 	byName   map[string][]Server // usable servers by service, sorted by id
 	revision uint64
+	journal  journal
 
 	outage   bool
 	outageAt time.Duration // end of the last outage
@@ -51,21 +52,23 @@
 // Config returns the configuration in force, nil before the first one. It must not be changed.
 func (t *Table) Config() *Config { return t.config }
 
-// Apply applies changes in the order of their revisions and skips the ones that it has seen. It reports
-// whether an older configuration was refused.
+// Apply applies changes in the order of their revisions and skips the ones that it has seen. Several of them
+// may have one revision, where a peer found them by a snapshot. It reports whether an older configuration was
+// refused.
 func (t *Table) Apply(now time.Duration, changes []Change) (refused bool) {
+	seen := t.revision
 	for _, c := range changes {
-		if c.Revision <= t.revision {
+		if c.Revision <= seen {
 			continue
 		}
-		t.revision = c.Revision
+		t.revision = max(t.revision, c.Revision)
 		switch {
 		case c.Config != nil:
-			refused = !t.setConfig(c.Config) || refused
+			refused = !t.setConfig(c.Config, c.Revision) || refused
 		case c.Server != nil:
-			t.put(*c.Server)
+			t.put(now, *c.Server)
 		case c.Removed != "":
-			t.remove(now, c.Removed)
+			t.remove(now, c.Removed, c.Revision, c.Lapsed)
 		}
 	}
 	t.index()
@@ -79,20 +82,23 @@
 // what the table holds.
 func (t *Table) Replace(now time.Duration, s Snapshot) (refused bool) {
 	if s.Config != nil {
-		refused = !t.setConfig(s.Config)
+		refused = !t.setConfig(s.Config, s.Revision)
 	}
 	if s.Revision < t.revision {
 		return refused
 	}
+	if t.revision == 0 {
+		t.journal.start = s.Revision
+	}
 	t.revision = s.Revision
 	named := make(map[ident.BackendID]bool, len(s.Servers))
 	for _, srv := range s.Servers {
 		named[srv.ID] = true
-		t.put(srv)
+		t.put(now, srv)
 	}
 	for id := range t.servers {
 		if !named[id] {
-			t.remove(now, id)
+			t.remove(now, id, s.Revision, false)
 		}
 	}
 	t.index()
@@ -103,7 +109,9 @@
 func (t *Table) Snapshot() Snapshot {
 	s := Snapshot{Revision: t.revision, Config: t.config}
 	for _, e := range t.servers {
-		s.Servers = append(s.Servers, e.Server)
+		srv := e.Server
+		srv.Lapsed = e.lapsing
+		s.Servers = append(s.Servers, srv)
 	}
 	slices.SortFunc(s.Servers, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return s
@@ -135,11 +143,12 @@
 	return dropped
 }
 
-func (t *Table) setConfig(c *Config) bool {
+func (t *Table) setConfig(c *Config, revision uint64) bool {
 	if t.config != nil && c.Version <= t.config.Version {
 		return c.Version == t.config.Version
 	}
 	t.config = c
+	t.journal.add(Change{Revision: revision, Config: c})
 	t.routes = newRouteIndex(c.Routes)
 	t.keys = make(map[string]*Team)
 	for i := range c.Teams {
@@ -155,20 +164,25 @@
 }
 
 // put stores an entry. An entry with a lower revision than the held one is older news.
-func (t *Table) put(s Server) {
-	if e := t.servers[s.ID]; e != nil && s.Revision < e.Revision {
+func (t *Table) put(now time.Duration, s Server) {
+	e := t.servers[s.ID]
+	if e != nil && (s.Revision < e.Revision || (s.Revision == e.Revision && e.lapsing == s.Lapsed)) {
 		return
 	}
-	t.servers[s.ID] = &serverEntry{Server: s}
+	lapsed := s.Lapsed
+	s.Lapsed = false
+	t.servers[s.ID] = &serverEntry{Server: s, lapsing: lapsed, until: now + LapseHold}
+	t.journal.add(Change{Revision: s.Revision, Server: &s})
 }
 
 // remove drops an entry at once, or holds it for a while when an outage may be the cause.
-func (t *Table) remove(now time.Duration, id ident.BackendID) {
+func (t *Table) remove(now time.Duration, id ident.BackendID, revision uint64, lapsed bool) {
 	e := t.servers[id]
 	if e == nil || e.lapsing {
 		return
 	}
-	lapsed := t.outage || (t.hadOne && now-t.outageAt < outageTail)
+	lapsed = lapsed || t.outage || (t.hadOne && now-t.outageAt < outageTail)
+	t.journal.add(Change{Revision: revision, Removed: id, Lapsed: lapsed})
 	if e.State == Ready && lapsed {
 		e.lapsing = true
 		e.until = now + LapseHold
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
@@ -40,6 +41,7 @@
 // Config sets up a Host.
 type Config struct {
 	Settings settings.Settings
+	File     string // of the settings, to read them again when they change; empty for none
 	Dialect  Dialect
 	// OpenStore returns the client of the platform's store.
 	OpenStore func(*logrus.Entry) Store
@@ -64,6 +66,9 @@
 	control     *control.Server
 	peerClient  *control.Client
 	wake        chan struct{} // load changed
+	resync      chan struct{} // this process was paused: read the store anew
+	resynced    atomic.Bool   // a watch was ended by resync
+	behind      chan struct{} // a peer knows more of the platform
 	running     atomic.Int64  // requests in progress, and releases of memory
 	sequence    atomic.Uint64 // of reservations
 	stopping    atomic.Bool
@@ -86,7 +91,7 @@
 	}
 	h := &Host{
 		cfg: cfg, set: s.Entry, log: o.Log, obs: o, decisions: newDecisionLog(o.Log), metrics: newMetrics(o), start: time.Now(),
-		incarnation: ident.NewIncarnation(), wake: make(chan struct{}, 1),
+		incarnation: ident.NewIncarnation(), wake: make(chan struct{}, 1), resync: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.client, h.orders = newClients()
@@ -100,6 +105,10 @@
 		h.Close()
 		return nil, err
 	}
+	applyMemoryLimit(s.Entry.MemoryMB)
+	if cfg.File != "" {
+		go h.watchSettings()
+	}
 	go h.followStore()
 	go h.tick()
 	h.log.WithFields(fields{"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress}).Info("started")
@@ -125,9 +134,11 @@
 		return Error.New("step=start peer=%s: %w", address, err)
 	}
 	h.state.mu.Lock()
-	h.state.seeds = h.seeds()
+	h.state.seeds = h.seeds(h.set.Peers)
+	h.state.self = h.gossip.Addr()
+	h.state.zone = uint32(xxhash.Sum64String(h.cfg.Settings.AvailabilityZone))
 	h.state.mu.Unlock()
-	h.gossip.Do(member.Seeds{Seeds: h.seeds()})
+	h.gossip.Do(member.Seeds{Seeds: h.state.seeds})
 	h.peerClient, err = control.NewClient(control.Config{DialTimeout: peerTimeout, CallTimeout: peerTimeout})
 	if err != nil {
 		return Error.Wrap(err)
@@ -138,10 +149,10 @@
 	return Error.Wrap(err)
 }
 
-// seeds are the gossip addresses of the hosts in the settings.
-func (h *Host) seeds() []member.Seed {
+// seeds returns the gossip addresses of hosts by their control addresses.
+func (h *Host) seeds(peers []string) []member.Seed {
 	var out []member.Seed
-	for _, p := range h.set.Peers {
+	for _, p := range peers {
 		if p == h.set.ControlAddress {
 			continue
 		}
--- /dev/null
+++ b/node/entry/follow_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"math/rand"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
+)
+
+func testHost() *Host {
+	h := &Host{start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1)))}
+	h.set.HTTPAddress, h.set.ControlAddress = "10.0.0.1:80", "10.0.0.1:83"
+	return h
+}
+
+func addr(i int) member.Addr { return member.Addr(fmt.Sprintf("10.0.0.%d:7340", i)) }
+
+// Guards against an availability zone without a reader of the store, and against hundreds of hosts that all
+// read it.
+func TestReadersOfAZone(t *testing.T) {
+	c := qt.New(t)
+	const hosts = 20
+	readers := func(connected func(i int) bool) (n int) {
+		for self := range hosts {
+			h := testHost()
+			h.state.self, h.state.zone = addr(self), 7
+			for i := range hosts {
+				if i != self {
+					h.state.peers[addr(i)] = &peer{heard: h.now(), zone: 7, connected: connected(i)}
+				}
+			}
+			h.state.peers["10.9.9.9:7340"] = &peer{heard: h.now(), zone: 8, connected: true}
+			if h.isReader() {
+				n++
+			}
+		}
+		return n
+	}
+	c.Assert(readers(func(int) bool { return true }), qt.Equals, readersPerZone)
+	c.Assert(readers(func(int) bool { return false }), qt.Equals, hosts, qt.Commentf("nobody reads, so everyone tries"))
+
+	// A silent reader does not count.
+	h := testHost()
+	h.state.zone = 7
+	for i := range 5 {
+		h.state.peers[addr(i)] = &peer{heard: h.now() - silence, zone: 7, connected: true}
+	}
+	c.Assert(h.isReader(), qt.IsTrue)
+}
+
+// Guards against a host that asks a peer in another availability zone, or one that knows no more than it.
+func TestNewestPeer(t *testing.T) {
+	c := qt.New(t)
+	h := testHost()
+	h.state.zone = 7
+	h.state.catalog.Replace(0, catalog.Snapshot{Revision: 10, Config: &catalog.Config{Version: 3}})
+	_, _, ok := h.newestPeer()
+	c.Assert(ok, qt.IsFalse)
+	h.state.peers[addr(2)] = &peer{heard: h.now(), zone: 7, revision: 10, config: 3}
+	_, _, ok = h.newestPeer()
+	c.Assert(ok, qt.IsFalse)
+	h.state.peers[addr(3)] = &peer{heard: h.now(), zone: 8, revision: 15}
+	h.state.peers[addr(4)] = &peer{heard: h.now(), zone: 7, revision: 12}
+	h.state.peers[addr(5)] = &peer{heard: h.now() - silence, zone: 7, revision: 20}
+	address, req, ok := h.newestPeer()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(address, qt.Equals, "10.0.0.4:83")
+	c.Assert(req.Revision, qt.Equals, uint64(10))
+}
+
+// Guards against log lines without bound under a flood of requests, and against lines that are left out
+// without a trace.
+func TestDecisionLogIsBounded(t *testing.T) {
+	c := qt.New(t)
+	lines := 0
+	l := logrus.New()
+	l.SetOutput(writerFunc(func(p []byte) { lines++ }))
+	d := newDecisionLog(logrus.NewEntry(l))
+	for range 10_000 {
+		d.write(fields{}, "request failed")
+	}
+	c.Assert(lines >= decisionBurst && lines < 2*decisionBurst, qt.IsTrue, qt.Commentf("%d lines", lines))
+	c.Assert(d.omitted.Load() > 9_000, qt.IsTrue)
+}
+
+type writerFunc func([]byte)
+
+func (f writerFunc) Write(p []byte) (int, error) { f(p); return len(p), nil }
+
+var _ io.Writer = writerFunc(nil)
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/pause"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
 	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
@@ -20,6 +21,9 @@
 	reportInterval = 250 * time.Millisecond
 	// reportSpacing is the shortest time between two load reports of one host.
 	reportSpacing = 5 * time.Millisecond
+	// pauseGap is the gap between two ticks above which the process was paused: two report intervals, since
+	// slow hosts delay timers.
+	pauseGap = 2 * reportInterval
 	// fullReports is the number of report intervals after which the whole load is sent again.
 	fullReports = 3
 	// silence is the time without a report after which a peer is not handed out to callers and its load does
@@ -67,15 +71,21 @@
 	}
 	*p = peer{
 		heard: now, incarnation: r.Incarnation, ready: r.Ready, leaving: r.Leaving, connected: r.Connected,
-		config: r.Config, revision: r.Revision,
+		zone: r.Zone, config: r.Config, revision: r.Revision,
 	}
 	s.engines.Heard(now, owner, r.Update)
+	if r.Revision > s.catalog.Revision() {
+		signal(h.behind)
+	}
 }
 
 // changed asks for a load report soon.
-func (h *Host) changed() {
+func (h *Host) changed() { signal(h.wake) }
+
+// signal wakes the receiver, unless it has been woken already.
+func signal(c chan struct{}) {
 	select {
-	case h.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -84,6 +94,7 @@
 func (h *Host) tick() {
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
+	pauses := pause.New(pause.Config{Gap: pauseGap})
 	for n := 0; ; n++ {
 		full := false
 		select {
@@ -95,6 +106,10 @@
 			full = n%fullReports == 0
 			timer.Reset(reportInterval)
 		}
+		if gap, paused := pauses.Tick(h.now()); paused {
+			h.log.WithField("gap_ms", gap.Milliseconds()).Warn("process was paused")
+			signal(h.resync)
+		}
 		h.maintain()
 		h.report(full)
 	}
@@ -131,7 +146,7 @@
 	to := s.reportTo(h.now(), members)
 	r := gossip.LoadReport{
 		Incarnation: h.incarnation, Ready: h.readyLocked(), Leaving: h.stopping.Load(), Connected: s.connected,
-		Revision: s.catalog.Revision(), Update: s.engines.TakeUpdate(full),
+		Zone: s.zone, Revision: s.catalog.Revision(), Update: s.engines.TakeUpdate(full),
 	}
 	if c := s.catalog.Config(); c != nil {
 		r.Config = c.Version
@@ -247,35 +262,50 @@
 	s := p.host.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	reply := &control.StateReply{Revision: s.catalog.Revision()}
 	c := s.catalog.Config()
-	if c == nil || (c.Version <= req.Config && s.catalog.Revision() <= req.Revision) {
-		return &control.StateReply{}, nil
+	if c == nil || (c.Version <= req.Config && reply.Revision <= req.Revision) {
+		return reply, nil
+	}
+	changes, ok := s.catalog.Since(req.Revision)
+	if ok && req.Config != 0 {
+		reply.Changes = changes
+		return reply, nil
 	}
 	snapshot := s.catalog.Snapshot()
-	return &control.StateReply{State: &snapshot}, nil
+	reply.State = &snapshot
+	return reply, nil
 }
 
-// askPeers takes over the state of the peer that knows most, where it knows more than this host. It is
-// for hosts that the store does not answer.
+// askPeers takes over what the peer with the newest view knows beyond this host.
 func (h *Host) askPeers(ctx context.Context) {
 	addr, req, ok := h.newestPeer()
 	if !ok {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
 	reply, err := h.peerClient.State(ctx, addr, &req)
 	if err != nil {
 		h.log.WithFields(fields{"peer": addr, "error": err.Error()}).Warn("peer state not read")
 		return
 	}
-	if reply.State == nil {
+	if reply.State == nil && len(reply.Changes) == 0 {
 		return
 	}
 	s := h.state
 	s.mu.Lock()
-	s.catalog.Replace(h.now(), *reply.State)
+	refused := false
+	if reply.State != nil {
+		refused = s.catalog.Replace(h.now(), *reply.State)
+	} else {
+		refused = s.catalog.Apply(h.now(), reply.Changes)
+		s.catalog.Advance(reply.Revision)
+	}
 	s.published()
 	s.mu.Unlock()
-	h.log.WithFields(fields{"peer": addr, "revision": reply.State.Revision}).Info("state taken from peer")
+	h.logPublished(refused, "peer "+addr)
+	h.changed()
 }
 
 // newestPeer returns the control address of the peer with the newest view, if it is newer than the own.
@@ -288,10 +318,16 @@
 	if c := s.catalog.Config(); c != nil {
 		req.Config = c.Version
 	}
-	best := req.Revision
+	best, near := req.Revision, false
 	for addr, p := range s.peers {
-		if now-p.heard < silence && (p.revision > best || (best == req.Revision && p.config > req.Config)) {
-			best, address, ok = p.revision, withPort(string(addr), h.set.ControlAddress), true
+		if now-p.heard >= silence || p.revision <= req.Revision && p.config <= req.Config {
+			continue
+		}
+		same := p.zone == s.zone
+		// Hosts of the own availability zone go first: traffic between zones is slower and dearer.
+		if !ok || (same && !near) || (same == near && p.revision > best) {
+			best, near, ok = p.revision, same, true
+			address = withPort(string(addr), h.set.ControlAddress)
 		}
 	}
 	return address, req, ok
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -66,7 +66,10 @@
 		last = outcome.Refuse("place", outcome.NoBackend, "no server of "+q.service+" is usable")
 		last.RetryAfter = noBackendRetry
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case q.http.Context().Err() != nil:
+		last.Reason = outcome.Cancelled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		last.Reason = outcome.Deadline
 	}
 	if q.ran {
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -35,6 +35,7 @@
 	route    *catalog.Route
 	service  string
 	team     string
+	config   ident.Version // that decided the route and the team
 	body     []byte
 	arrived  time.Duration
 	deadline time.Duration // by the steady clock
@@ -97,6 +98,7 @@
 		e.RetryAfter = notReadyRetry
 		return e
 	}
+	q.config = c.Version
 	q.route = s.catalog.Route(q.http.Host, q.http.URL.Path)
 	if q.route == nil {
 		return outcome.Refuse("route", outcome.UnknownModel, "no route for this host and path")
@@ -152,7 +154,7 @@
 	h.metrics.end(q, kind, reason, took)
 	f := fields{
 		"request": q.call.ID, "service": q.service, "team": q.team, "outcome": kind, "attempts": q.attempts,
-		"took_ms": took.Milliseconds(), "prompt_tokens": q.call.PromptTokens,
+		"config": uint64(q.config), "took_ms": took.Milliseconds(), "prompt_tokens": q.call.PromptTokens,
 	}
 	if p := q.placed; p.engine != "" {
 		f["engine"], f["helpers"], f["loss"] = p.engine, p.helpers, math.Round(p.loss*1000)/1000
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -8,19 +8,19 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
 const (
-	// leaseTime is the lease of a reservation. Memory must be free again 4 s after its last use, also when
-	// this process dies, so it stays below that.
-	leaseTime = 3200 * time.Millisecond
-	// renewEvery leaves time for a second renewal before the lease ends.
-	renewEvery = 1100 * time.Millisecond
+	// releaseMargin is kept between the end of a lease and the time at which its memory must be free.
+	releaseMargin = 800 * time.Millisecond
+	// renewals is the number of renewals in a lease, so that one may be lost.
+	renewals = 3
 	// leaseMargin is kept before the end of a lease that could not be renewed; by then the request is cut off.
 	leaseMargin = 200 * time.Millisecond
 	// orderTimeout bounds an order to an engine, which answers within some ms.
 	orderTimeout = 300 * time.Millisecond
-	// releaseTries and releasePause bound the release of memory; a lease ends by itself after leaseTime.
+	// releaseTries and releasePause bound the release of memory; a lease also ends by itself.
 	releaseTries = 4
 	releasePause = 250 * time.Millisecond
 )
@@ -29,6 +29,7 @@
 // own, so no two requests ever use one.
 type reservations struct {
 	host  *Host
+	lease time.Duration
 	held  []reserved
 	stop  context.CancelFunc
 	ended sync.WaitGroup
@@ -58,12 +59,13 @@
 // reserve sets aside the memory that a placement needs, on all engines or on none. lose is called when a
 // lease can't be renewed.
 func (h *Host) reserve(ctx context.Context, choice placement.Choice, lose context.CancelFunc) (*reservations, error) {
-	r := &reservations{host: h}
+	lease := min(settings.MS(h.set.MaxHoldMS), settings.MS(h.set.ReleaseMS)-releaseMargin)
+	r := &reservations{host: h, lease: lease}
 	h.state.mu.Lock()
 	for i, x := range choice.Reservations {
 		address, _ := h.state.engines.Address(x.Engine)
 		id := fmt.Sprintf("%s-%d-%d", h.incarnation, h.sequence.Add(1), i)
-		r.held = append(r.held, reserved{Reservation{id, x.Tokens, leaseTime}, x.Engine, address})
+		r.held = append(r.held, reserved{Reservation{id, x.Tokens, lease}, x.Engine, address})
 	}
 	h.state.mu.Unlock()
 	begun := h.now()
@@ -100,8 +102,9 @@
 // happened, so the attempt is given up before the last confirmed lease ends.
 func (r *reservations) renew(ctx context.Context, confirmed time.Duration, lose context.CancelFunc) {
 	defer r.ended.Done()
+	every := r.lease / renewals
 	for ctx.Err() == nil {
-		sleep(ctx, renewEvery)
+		sleep(ctx, every)
 		sentAt := r.host.now()
 		failed, err := r.orderAll(ctx)
 		switch {
@@ -109,7 +112,7 @@
 			return
 		case err == nil:
 			confirmed = sentAt
-		case r.host.now()-confirmed > leaseTime-leaseMargin-renewEvery:
+		case r.host.now()-confirmed > r.lease-leaseMargin-every:
 			r.host.log.WithFields(fields{"server": failed, "error": err.Error()}).Warn("reservation lost")
 			lose()
 			return
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -31,8 +31,10 @@
 	seeds    []member.Seed // hosts of the settings
 	// newcomers are peers that were just heard for the first time; they are told whom this host knows.
 	newcomers []member.Addr
-	// connected is set while the store answers this host.
+	// connected is set while this host follows the store itself.
 	connected bool
+	zone      uint32 // hash of the own availability zone
+	self      member.Addr
 }
 
 // peer is another entry host as heard from its load reports.
@@ -42,6 +44,7 @@
 	ready       bool
 	leaving     bool
 	connected   bool
+	zone        uint32 // hash of the availability zone
 	config      ident.Version
 	revision    uint64
 }
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -112,8 +112,8 @@
 	c.between("entry.address_ttl_ms", e.AddressTTLMS, 100, 600_000)
 	c.between("entry.shutdown_ms", e.ShutdownMS, 1_000, 3_600_000)
 	c.between("entry.retry_window_ms", e.RetryWindowMS, 100, 600_000)
-	c.between("entry.stall_ms", e.StallMS, 1, 600_000)
-	c.between("entry.max_hold_ms", e.MaxHoldMS, 100, 3_600_000)
+	c.between("entry.max_hold_ms", e.MaxHoldMS, 1_000, 3_600_000)
+	c.between("entry.release_ms", e.ReleaseMS, 2_000, 3_600_000)
 	c.between("entry.memory_mb", e.MemoryMB, 0, 1<<20)
 	if !(e.RetryRatio >= 0 && e.RetryRatio <= 10) {
 		c.add("entry.retry_ratio", e.RetryRatio, "0 to 10")
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -114,11 +114,13 @@
 	RetryRatio    float64 `toml:"retry_ratio"`
 	RetryWindowMS int64   `toml:"retry_window_ms"`
 	RetrySlack    float64 `toml:"retry_slack"`
-	// StallMS is the time after which an engine cuts off work that depends on a lost one. Default 1,500.
-	StallMS int64 `toml:"stall_ms"`
-	// MaxHoldMS bounds a memory reservation on an engine. Default 20,000.
+	// MaxHoldMS bounds the lease of a memory reservation on an engine. Default 20,000.
 	MaxHoldMS int64 `toml:"max_hold_ms"`
-	// MemoryMB is the memory limit of the process. Zero sets none.
+	// ReleaseMS is the time within which reserved memory must be free again after its last use, also when
+	// this host is lost. Default 4,000. Leases are shorter than that; a short time costs more renewals.
+	ReleaseMS int64 `toml:"release_ms"`
+	// MemoryMB is the memory limit of the process; the garbage collector works harder near it. Zero sets
+	// none.
 	MemoryMB int64 `toml:"memory_mb"`
 }
 
@@ -204,8 +206,8 @@
 			RetryRatio:    0.2,
 			RetryWindowMS: 10_000,
 			RetrySlack:    100,
-			StallMS:       1_500,
 			MaxHoldMS:     20_000,
+			ReleaseMS:     4_000,
 		},
 		Platform: Platform{HostsMS: 2_000, ReadsPerS: 1.9, StartSpreadMS: 2_000},
 		Log:      Log{Level: "info"},
--- a/transport/control/fields.go
+++ b/transport/control/fields.go
@@ -160,29 +160,37 @@
 	}
 }
 
-// encodeState writes the state as one nested msgpack value, or no bytes when there is none. An encoding
-// error leaves the reply without a state, which the caller treats as a peer that knows nothing more.
+// encodeState writes state and changes as nested msgpack values, or no bytes for none. An encoding error leaves
+// the reply without them, which the caller treats as a peer that knows nothing more.
 func encodeState(w *pack.Writer, v *StateReply) {
-	w.Array(1)
-	var body []byte
+	w.Array(3)
+	var state, changes []byte
 	if v.State != nil {
-		body, _ = msgpack.Marshal(v.State)
+		state, _ = msgpack.Marshal(v.State)
 	}
-	w.Bytes(body)
+	if len(v.Changes) > 0 {
+		changes, _ = msgpack.Marshal(v.Changes)
+	}
+	w.Bytes(state)
+	w.Bytes(changes)
+	w.Uint(v.Revision)
 }
 
 func decodeState(r *pack.Reader, v *StateReply) {
-	r.Fields(1)
-	body := r.Bytes(maxState)
-	if len(body) == 0 {
-		return
+	r.Fields(3)
+	state, changes := r.Bytes(maxState), r.Bytes(maxState)
+	v.Revision = r.Uint(math.MaxUint64)
+	if len(state) > 0 {
+		v.State = new(catalog.Snapshot)
+		if err := msgpack.Unmarshal(state, v.State); err != nil {
+			r.Fail("state: %v", err)
+		}
 	}
-	var s catalog.Snapshot
-	if err := msgpack.Unmarshal(body, &s); err != nil {
-		r.Fail("state: %v", err)
-		return
+	if len(changes) > 0 {
+		if err := msgpack.Unmarshal(changes, &v.Changes); err != nil {
+			r.Fail("changes: %v", err)
+		}
 	}
-	v.State = &s
 }
 
 func encodeStatus(w *pack.Writer, v *StatusReply) {
--- a/transport/control/messages.go
+++ b/transport/control/messages.go
@@ -64,9 +64,13 @@
 	Config ident.Version
 }
 
-// StateReply holds the state, nil when the host knows no more than the caller.
+// StateReply holds what the host knows beyond the caller: the changes, or the whole state for a caller that is
+// too far behind. It is empty when the host knows no more.
 type StateReply struct {
-	State *catalog.Snapshot
+	State   *catalog.Snapshot
+	Changes []catalog.Change
+	// Revision is that of the host; the caller holds everything up to it after it has applied the changes.
+	Revision uint64
 }
 
 // StatusRequest asks for the status.
--- a/transport/gossip/load.go
+++ b/transport/gossip/load.go
@@ -17,6 +17,7 @@
 	Ready       bool // takes new connections
 	Leaving     bool
 	Connected   bool          // hears the platform's store itself
+	Zone        uint32        // hash of the availability zone
 	Config      ident.Version // in force
 	Revision    uint64        // of the store, as far as the host knows
 	// Known are addresses of other hosts, for a host that has just started.
@@ -41,7 +42,7 @@
 const loadsPerReport = 24
 
 // reportFields is the number of fields of a load report.
-const reportFields = 9
+const reportFields = 10
 
 // SendLoad sends a report to the addresses, in several datagrams when it is long.
 func (s *Service) SendLoad(to []member.Addr, r LoadReport) {
@@ -76,6 +77,7 @@
 	w.Bool(r.Ready)
 	w.Bool(r.Leaving)
 	w.Bool(r.Connected)
+	w.Uint(uint64(r.Zone))
 	w.Uint(uint64(r.Config))
 	w.Uint(r.Revision)
 	w.Array(len(r.Known))
@@ -119,6 +121,7 @@
 	v.Ready = r.Bool()
 	v.Leaving = r.Bool()
 	v.Connected = r.Bool()
+	v.Zone = uint32(r.Uint(math.MaxUint32))
 	v.Config = ident.Version(r.Uint(math.MaxUint64))
 	v.Revision = r.Uint(math.MaxUint64)
 	for range r.Array(maxList) {
