Choose the writing engine among all, honour priorities, and drop what nothing reads

Cause: a read-through. The engine that writes an answer was chosen only among those that read its parts; priorities of teams and routes were decoded and never used; several decoded values had no reader.

Documents brought up to date.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -48,10 +48,8 @@
 
 // Service is a group of interchangeable backend servers.
 type Service struct {
-	Name       string
-	HealthPath string
-	MaxConns   int      // connections that one server accepts from all callers together
-	Runtime    *Runtime // set for model engines only
+	Name    string
+	Runtime *Runtime // set for model engines only
 }
 
 // Runtime holds the speed figures of the engines of a service, as published with the configuration.
@@ -64,11 +62,7 @@
 	ContextMSPerK    float64 // added to a step for each 1,000 tokens of context of the writing requests
 	ReadTokensPerMS  float64 // prefill speed without attention cost
 	PairMSPerMillion float64 // attention cost of prefill, for a million pairs of tokens
-	ChunkTokens      int     // prompt tokens read in one step at most
-	HelperStepMS     float64 // added to a step when a prompt's memory is spread over engines
-	ReportLag        time.Duration
-	UsualPrompt      int // mean tokens of a prompt
-	UsualAnswer      int // mean tokens of an answer
+	UsualAnswer      int     // mean tokens of an answer
 }
 
 // Team is a customer with its API keys.
@@ -80,10 +74,7 @@
 
 // CallerLimits bound what a caller may send.
 type CallerLimits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	MaxBodyBytes int64 // zero when not set
 }
 
 // Config is one version of the routing configuration.
@@ -109,11 +100,9 @@
 	ID       ident.BackendID
 	Service  string
 	Address  string // ip:port
-	Zone     ident.Zone
 	Slots    int
 	State    ServerState
-	Warmup   time.Duration // how much longer the server is slow after its start
-	Revision uint64        // of the store, at the entry's last change
+	Revision uint64 // of the store, at the entry's last change
 	// Lapsed marks a server in a snapshot whose entry is missing since an outage. It is dropped soon unless
 	// it comes back.
 	Lapsed bool
--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -23,6 +23,10 @@
 type Verdict struct {
 	Admit      bool
 	RetryAfter time.Duration // when the backlog will have drained, if refused
+	// What decided: the mean backlog of the engines that read long prompts, what the request is expected to
+	// earn and what its reading costs others, in worth.
+	Backlog    time.Duration
+	Gain, Cost float64
 }
 
 // Admit decides whether a placement is worth the reading time that it takes from others. It answers
@@ -41,11 +45,14 @@
 	price := readPrice * ramp(backlog+own, calmBacklogMS, fullBacklogMS)
 	worth := Worth(req.PromptTokens, req.OutputTokens)
 	gain := worth * (1 - firstLoss(ms(c.First), req.Objective))
-	if c.First < req.Left && (backlog < idleBacklogMS || gain >= price*readMS/1000) {
-		return Verdict{Admit: true}
+	v := Verdict{Backlog: fromMS(backlog), Gain: gain, Cost: price * readMS / 1000}
+	if c.First < req.Left && (backlog < idleBacklogMS || v.Gain >= v.Cost) {
+		v.Admit = true
+		return v
 	}
 	wait := 2 * fromMS(backlog+own-calmBacklogMS) // more work comes while the backlog drains
-	return Verdict{RetryAfter: min(maxRetry, max(minRetry, wait))}
+	v.RetryAfter = min(maxRetry, max(minRetry, wait))
+	return v
 }
 
 // meanBacklogMS returns the mean reading backlog of the engines that read long prompts.
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -59,6 +59,8 @@
 	crowdLoss = 0.25
 	// overbooked is the number of requests beyond its slots that an engine is given at most.
 	overbooked = 8
+	// tieWeight prices a ms until the first event, so that the sooner of two safe choices is taken.
+	tieWeight = 1e-4
 	// memoryMargin leaves room for answers that are longer than the memory accounting of peers shows.
 	memoryMargin = 0.97
 )
@@ -124,44 +126,53 @@
 		return Choice{}, false
 	}
 	worth := Worth(req.PromptTokens, req.OutputTokens)
-	weigh := func(c candidate) float64 { return c.loss + worth*firstLoss(c.firstMS, req.Objective) + c.firstMS*1e-4 }
-	slices.SortStableFunc(cands, func(a, b candidate) int { return cmp.Compare(weigh(a), weigh(b)) })
-	wanted := writerRole(read, req.MaxPause)
-	first, firstLossHere, found := 0, math.Inf(1), false
-	// The engine that writes the answer may be any of the best ones; the others read parts.
-	for i := 0; i < len(cands) && (parts == 1 || i < parts); i++ {
-		loss := cands[i].e.writeLoss(now, req, onEngine, part, worth)
-		loss += worth * misplaced(wanted, cands[i].e.role)
-		if parts == 1 {
-			loss += weigh(cands[i])
-		}
-		if !math.IsInf(loss, 1) && loss < firstLossHere {
-			first, firstLossHere, found = i, loss, true
-		}
+	weigh := func(c candidate) float64 {
+		return c.loss + worth*firstLoss(c.firstMS, req.Objective) + c.firstMS*tieWeight
 	}
-	if !found {
+	slices.SortStableFunc(cands, func(a, b candidate) int { return cmp.Compare(weigh(a), weigh(b)) })
+	writer, writeLoss := chooseWriter(now, cands, req, onEngine, read, part, worth)
+	if writer < 0 {
 		return Choice{}, false
 	}
-	c := Choice{Engine: cands[first].e.id, request: req, readMS: part, tokens: onEngine, Loss: firstLossHere + partLoss*float64(parts-1)}
-	firstMS := cands[first].firstMS
-	if parts > 1 {
-		for i := range parts {
-			c.Loss += cands[i].loss
-			firstMS = math.Max(firstMS, cands[i].firstMS)
-			if i == first {
-				continue
-			}
-			c.Helpers = append(c.Helpers, cands[i].e.id)
-			if onHelper > 0 {
-				c.Reservations = append(c.Reservations, Reservation{cands[i].e.id, onHelper})
-			}
+	// The writer reads a part like its helpers, which are the best of the others.
+	w := cands[writer]
+	c := Choice{
+		Engine: w.e.id, request: req, readMS: part, tokens: onEngine,
+		Loss: writeLoss + w.loss + partLoss*float64(parts-1),
+	}
+	firstMS := w.firstMS
+	for i := 0; len(c.Helpers) < parts-1; i++ {
+		if i == writer {
+			continue
+		}
+		x := cands[i]
+		c.Loss += x.loss
+		firstMS = math.Max(firstMS, x.firstMS)
+		c.Helpers = append(c.Helpers, x.e.id)
+		if onHelper > 0 {
+			c.Reservations = append(c.Reservations, Reservation{x.e.id, onHelper})
 		}
-		c.Loss += worth * firstLoss(firstMS, req.Objective)
 	}
+	c.Loss += worth * firstLoss(firstMS, req.Objective)
 	c.First = fromMS(firstMS)
 	return c, true
 }
 
+// chooseWriter returns the candidate that writes the answer at the least loss, or -1 when none can, with the
+// loss by writing. What its reading costs counts as well, as it decides between equal writers.
+func chooseWriter(now time.Duration, cands []candidate, req Request, tokens int, read, part, worth float64) (best int, loss float64) {
+	wanted := writerRole(read, req.MaxPause)
+	best, lowest := -1, math.Inf(1)
+	for i, c := range cands {
+		write := c.e.writeLoss(now, req, tokens, part, worth) + worth*misplaced(wanted, c.e.role)
+		total := write + c.loss + worth*firstLoss(c.firstMS, req.Objective) + c.firstMS*tieWeight
+		if total < lowest {
+			best, loss, lowest = i, write, total
+		}
+	}
+	return best, loss
+}
+
 // candidate prices the reading of a part on an engine.
 func (e *engine) candidate(now time.Duration, part float64) candidate {
 	c := candidate{e: e}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -15,7 +15,7 @@
 // engines are those of a usual deployment.
 var engines = &catalog.Runtime{
 	Slots: 16, MemoryTokens: 315_000, StepsPerPass: 51, StepMS: 0.85, SequenceMS: 0.00425, ContextMSPerK: 0.00285,
-	ReadTokensPerMS: 177, PairMSPerMillion: 0.184, ChunkTokens: 2048, UsualPrompt: 11_000, UsualAnswer: 1_600,
+	ReadTokensPerMS: 177, PairMSPerMillion: 0.184, UsualAnswer: 1_600,
 }
 
 const service = "models"
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -17,7 +17,6 @@
 	ResumeAfter  string        // last event that the caller holds of an earlier stream
 	PromptTokens int           // zero for requests to plain services
 	OutputTokens int           // at most
-	HintTokens   int           // the caller's estimate of the answer, zero when none
 }
 
 // Helper is an engine that reads a part of a prompt.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -58,8 +58,7 @@
 	metrics     metrics
 	start       time.Time
 	incarnation ident.Incarnation
-	client      *http.Client // for requests to backend servers
-	orders      *http.Client // for reservations
+	client      *http.Client // for backend servers
 	state       *state
 	store       Store
 	gossip      *gossip.Service
@@ -94,7 +93,7 @@
 		incarnation: ident.NewIncarnation(), wake: make(chan struct{}, 1), resync: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.client, h.orders = newClients()
+	h.client = newClient()
 	h.store = cfg.OpenStore(o.Log)
 	h.state = newState(s.Entry, rand.New(rand.NewSource(int64(h.incarnation))))
 	if err := h.startPeers(); err != nil {
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -76,6 +76,20 @@
 	c.Assert(req.Revision, qt.Equals, uint64(10))
 }
 
+// Guards against a request of a less urgent team or route that is admitted before a more urgent one.
+func TestUrgency(t *testing.T) {
+	c := qt.New(t)
+	last := -1
+	for priority := range 4 {
+		for _, objective := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+			u := urgency(priority, objective)
+			c.Assert(u > last || u == maxUrgency, qt.IsTrue, qt.Commentf("%d after %d", u, last))
+			last = u
+		}
+	}
+	c.Assert(urgency(1000, time.Hour), qt.Equals, maxUrgency)
+}
+
 // Guards against log lines without bound under a flood of requests, and against lines that are left out
 // without a trace.
 func TestDecisionLogIsBounded(t *testing.T) {
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -35,6 +35,7 @@
 	route    *catalog.Route
 	service  string
 	team     string
+	priority int           // of the team, else of the route; 0 is the most urgent
 	config   ident.Version // that decided the route and the team
 	body     []byte
 	arrived  time.Duration
@@ -103,12 +104,16 @@
 	if q.route == nil {
 		return outcome.Refuse("route", outcome.UnknownModel, "no route for this host and path")
 	}
+	q.priority = q.route.Priority
 	if !q.route.Public && s.catalog.Keyed() {
 		team := s.catalog.TeamOf(q.call.Key)
 		if team == nil {
 			return outcome.Refuse("authenticate", outcome.UnknownTeam, "unknown API key")
 		}
 		q.team = team.Name
+		if team.Priority >= 0 {
+			q.priority = team.Priority
+		}
 	}
 	q.service = q.route.Pick(s.rng.Float64())
 	limit := defaultTimeout
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -87,7 +87,7 @@
 	errs := make([]error, len(r.held))
 	var wg sync.WaitGroup
 	for i, x := range r.held {
-		wg.Go(func() { errs[i] = r.host.cfg.Dialect.Reserve(ctx, r.host.orders, x.address, x.Reservation) })
+		wg.Go(func() { errs[i] = r.host.cfg.Dialect.Reserve(ctx, r.host.client, x.address, x.Reservation) })
 	}
 	wg.Wait()
 	for i, err := range errs {
@@ -142,7 +142,7 @@
 	var err error
 	for range releaseTries {
 		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
-		err = h.cfg.Dialect.Release(ctx, h.orders, x.address, x.ID)
+		err = h.cfg.Dialect.Release(ctx, h.client, x.address, x.ID)
 		cancel()
 		if err == nil || h.ctx.Err() != nil {
 			return
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -29,11 +29,11 @@
 	userTimeout = 3 * time.Second
 )
 
-// newClients returns the clients for requests and for reservations.
+// newClient returns the client for requests and reservations.
 //
 // Each request gets a connection of its own. A kept connection may be dead without a sign, may carry a
 // late second answer, and makes net/http send a request again by itself; a new one costs about 1 ms.
-func newClients() (requests, orders *http.Client) {
+func newClient() *http.Client {
 	http1 := new(http.Protocols)
 	http1.SetHTTP1(true)
 	d := &net.Dialer{
@@ -53,7 +53,7 @@
 		WriteBufferSize: 2 << 10,
 	}
 	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: t, CheckRedirect: refuse}, &http.Client{Transport: t, CheckRedirect: refuse}
+	return &http.Client{Transport: t, CheckRedirect: refuse}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -106,7 +107,9 @@
 		return choice, catalog.Server{}, e
 	}
 	if v := s.engines.Admit(now, q.service, choice); !v.Admit && !q.ran {
-		e := outcome.Refuse("admit", outcome.Overload, "the engines are busy with prompts that end sooner")
+		e := outcome.Refuse("admit", outcome.Overload, fmt.Sprintf(
+			"reading costs others %.1f, earns %.1f; backlog %d ms, first event after %d ms",
+			v.Cost, v.Gain, v.Backlog.Milliseconds(), choice.First.Milliseconds()))
 		e.RetryAfter = v.RetryAfter
 		return choice, catalog.Server{}, e
 	}
@@ -216,7 +219,7 @@
 
 // forward builds what the engine is told.
 func (st *stream) forward(choice placement.Choice, memory *reservations) Forward {
-	f := Forward{Engine: true, Urgency: urgency(st.q.route), ResumeAfter: st.q.call.ResumeAfter}
+	f := Forward{Engine: true, Urgency: urgency(st.q.priority, st.q.route.Objective), ResumeAfter: st.q.call.ResumeAfter}
 	if st.lastID >= 0 {
 		f.ResumeAfter = strconv.FormatInt(st.lastID, 10)
 	}
@@ -231,17 +234,26 @@
 	return f
 }
 
-// urgency maps the route's objectives to the engines' priorities, so that short requests are admitted
-// before long ones.
-func urgency(r *catalog.Route) int {
+// Urgencies of engines go from 0 to 9. Each priority has three of them, by the latency objective.
+const (
+	urgenciesPerPriority = 3
+	maxUrgency           = 9
+	shortObjective       = 500 * time.Millisecond
+	mediumObjective      = 2 * time.Second
+)
+
+// urgency orders requests for admission to an engine: by the priority of team or route, then short objectives
+// first.
+func urgency(priority int, objective time.Duration) int {
+	u := priority * urgenciesPerPriority
 	switch {
-	case r.Objective <= 500*time.Millisecond:
-		return 2
-	case r.Objective <= 2*time.Second:
-		return 4
+	case objective <= shortObjective:
+	case objective <= mediumObjective:
+		u++
 	default:
-		return 6
+		u += 2
 	}
+	return min(maxUrgency, max(0, u))
 }
 
 // passFailure handles a complete answer that is no stream.
