--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -36,7 +36,7 @@
 	pause := firstRetry
 	synced, well := false, true
 	for h.ctx.Err() == nil {
-		if synced && !h.isReader() {
+		if h.hasState() && !h.isReader() {
 			h.standBy()
 			continue
 		}
@@ -78,6 +78,13 @@
 // takeResync reports whether the last watch was given up by this host itself.
 func (h *Host) takeResync() bool { return h.resynced.Swap(false) }
 
+// hasState reports whether a configuration is known, be it from the store or from a peer.
+func (h *Host) hasState() bool {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.state.catalog.Config() != nil
+}
+
 // jitter returns a time between half of d and d, so that hosts do not return to the store together.
 func (h *Host) jitter(d time.Duration) time.Duration {
 	h.state.mu.Lock()
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -90,6 +93,20 @@
 	c.Assert(urgency(1000, time.Hour), qt.Equals, maxUrgency)
 }
 
+// Guards against a request that a host which is cut off from all servers holds until its deadline.
+func TestUnreachableServersEndARequest(t *testing.T) {
+	c := qt.New(t)
+	h := testHost()
+	q := &request{route: &catalog.Route{MaxAttempts: 2}}
+	unreached := lost(stepDial, "i-1", false, io.ErrClosedPipe)
+	tries := 1
+	for h.mayRepeat(context.Background(), q, unreached) {
+		tries++
+	}
+	c.Assert(tries, qt.Equals, maxDials)
+	c.Assert(h.final(context.Background(), &request{http: httptest.NewRequest("GET", "/", nil)}, unreached).Kind, qt.Equals, outcome.NotRun)
+}
+
 // Guards against log lines without bound under a flood of requests, and against lines that are left out
 // without a trace.
 func TestDecisionLogIsBounded(t *testing.T) {
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -28,6 +28,10 @@
 	maxPatience    = 1200 * time.Millisecond
 )
 
+// maxDials is the number of servers that may turn out unreachable for one request. A host that reaches none of
+// them is cut off itself, and its callers are better served elsewhere.
+const maxDials = 3
+
 // servePlain serves a request to a plain service. Non-idempotent requests are sent once; only a server
 // that was never reached may be followed by another.
 func (h *Host) servePlain(ctx context.Context, w http.ResponseWriter, q *request) *outcome.Error {
@@ -88,7 +92,8 @@
 		return false
 	}
 	if e != nil && e.Step == stepDial {
-		return true // nothing was sent, so it counts neither as an attempt nor as a repeat
+		q.dials++ // nothing was sent, so it counts neither as an attempt nor as a repeat
+		return q.dials < maxDials
 	}
 	notRun := e != nil && e.Kind == outcome.NotRun
 	if !notRun && !q.route.Repeatable() {
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -41,6 +41,7 @@
 	arrived  time.Duration
 	deadline time.Duration // by the steady clock
 	attempts int           // servers that it was sent to
+	dials    int           // servers that could not be reached
 	ran      bool          // a server may have begun it
 	placed   placed        // the last placement; streams only
 }
