--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -110,7 +110,11 @@
 	}
 	go h.followStore()
 	go h.tick()
-	h.log.WithFields(fields{"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress}).Info("started")
+	h.log.WithFields(fields{
+		"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress, "peers": len(s.Entry.Peers),
+		"retry_ratio": s.Entry.RetryRatio, "retry_slack": s.Entry.RetrySlack, "shutdown_ms": s.Entry.ShutdownMS,
+		"release_ms": s.Entry.ReleaseMS, "memory_mb": s.Entry.MemoryMB,
+	}).Info("started")
 	return h, nil
 }
 
