--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -134,13 +134,20 @@
 	if err != nil {
 		return err
 	}
+	h.publish("snapshot", func(t *catalog.Table) bool { return t.Replace(h.now(), snapshot) })
+	return nil
+}
+
+// publish changes what is known of the platform, whatever the source, and lets the rest of the host and its
+// peers know. change reports whether an older configuration was refused.
+func (h *Host) publish(source string, change func(*catalog.Table) (refused bool)) {
 	s := h.state
 	s.mu.Lock()
-	refused := s.catalog.Replace(h.now(), snapshot)
+	refused := change(s.catalog)
 	s.published()
 	s.mu.Unlock()
-	h.logPublished(refused, "snapshot")
-	return nil
+	h.logPublished(refused, source)
+	h.changed()
 }
 
 func (h *Host) readChanges(wait, timeout time.Duration) error {
@@ -155,7 +162,12 @@
 	if err != nil {
 		return err
 	}
-	h.apply(changes, at)
+	if len(changes) > 0 {
+		h.publish("changes", func(t *catalog.Table) bool { return t.Apply(h.now(), changes) })
+	}
+	s.mu.Lock()
+	s.catalog.Advance(at)
+	s.mu.Unlock()
 	return nil
 }
 
@@ -186,24 +198,6 @@
 	return func() { close(done) }
 }
 
-func (h *Host) apply(changes []catalog.Change, at uint64) {
-	s := h.state
-	s.mu.Lock()
-	if s.catalog.Config() != nil && !s.connected {
-		s.catalog.SourceBack(h.now())
-	}
-	refused := s.catalog.Apply(h.now(), changes)
-	s.catalog.Advance(at)
-	if len(changes) > 0 {
-		s.published()
-	}
-	s.mu.Unlock()
-	if len(changes) > 0 {
-		h.logPublished(refused, "changes")
-		h.changed()
-	}
-}
-
 // logPublished writes what the host now believes of the platform.
 func (h *Host) logPublished(refused bool, source string) {
 	s := h.state
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/pause"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -95,7 +96,7 @@
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
 	pauses := pause.New(pause.Config{Gap: pauseGap})
-	for n := 0; ; n++ {
+	for intervals := 0; ; {
 		full := false
 		select {
 		case <-h.ctx.Done():
@@ -103,7 +104,8 @@
 		case <-h.wake:
 			time.Sleep(reportSpacing)
 		case <-timer.C:
-			full = n%fullReports == 0
+			full = intervals%fullReports == 0
+			intervals++
 			timer.Reset(reportInterval)
 		}
 		if gap, paused := pauses.Tick(h.now()); paused {
@@ -293,19 +295,14 @@
 	if reply.State == nil && len(reply.Changes) == 0 {
 		return
 	}
-	s := h.state
-	s.mu.Lock()
-	refused := false
-	if reply.State != nil {
-		refused = s.catalog.Replace(h.now(), *reply.State)
-	} else {
-		refused = s.catalog.Apply(h.now(), reply.Changes)
-		s.catalog.Advance(reply.Revision)
-	}
-	s.published()
-	s.mu.Unlock()
-	h.logPublished(refused, "peer "+addr)
-	h.changed()
+	h.publish("peer "+addr, func(t *catalog.Table) bool {
+		if reply.State != nil {
+			return t.Replace(h.now(), *reply.State)
+		}
+		refused := t.Apply(h.now(), reply.Changes)
+		t.Advance(reply.Revision)
+		return refused
+	})
 }
 
 // newestPeer returns the control address of the peer with the newest view, if it is newer than the own.
