Let short requests wait at the host instead of at a full engine

The prediction left the wait for a slot out of the first event, and an engine serves its queue in order of arrival, so that a short overload made everything behind it late.

Ruled out: wrong pass times (predictions of the pass were within 20 %), stale views of other hosts (the table's streams matched the reported ones within one or two).

Change: the wait for a slot is part of the predicted first event. A short request that would be late, or cost others more than it earns, waits at the host (placement.Queue): those that can be on time go first, overdue ones follow when they take nothing from others, and none waits longer than a fifth of its time. Requests that may wait are not refused by the price of reading.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -13,7 +13,7 @@
 type Request struct {
 	PromptTokens int
 	OutputTokens int           // at most
-	Objective    time.Duration // left for the first event to be on time
+	Objective    time.Duration // left for the first event to be on time; negative when overdue, zero when there is none
 	MaxPause     time.Duration // objective of the pauses between events
 	Left         time.Duration // until the deadline
 	// Excluded tells which engines must not be used, such as those that failed this request.
@@ -130,7 +130,7 @@
 		return c.loss + worth*firstLoss(c.firstMS, req.Objective) + c.firstMS*tieWeight
 	}
 	slices.SortStableFunc(cands, func(a, b candidate) int { return cmp.Compare(weigh(a), weigh(b)) })
-	writer, writeLoss := chooseWriter(now, cands, req, onEngine, read, part, worth)
+	writer, writeLoss, slotWait := chooseWriter(now, cands, req, onEngine, read, part, worth)
 	if writer < 0 {
 		return Choice{}, false
 	}
@@ -140,7 +140,7 @@
 		Engine: w.e.id, request: req, readMS: part, tokens: onEngine,
 		Loss: writeLoss + w.loss + partLoss*float64(parts-1),
 	}
-	firstMS := w.firstMS
+	firstMS := w.firstMS + slotWait
 	for i := 0; len(c.Helpers) < parts-1; i++ {
 		if i == writer {
 			continue
@@ -159,18 +159,21 @@
 }
 
 // chooseWriter returns the candidate that writes the answer at the least loss, or -1 when none can, with the
-// loss by writing. What its reading costs counts as well, as it decides between equal writers.
-func chooseWriter(now time.Duration, cands []candidate, req Request, tokens int, read, part, worth float64) (best int, loss float64) {
+// loss by writing and the ms until a slot is free. What its reading costs counts as well, as it decides between
+// equal writers.
+func chooseWriter(now time.Duration, cands []candidate, req Request, tokens int, read, part, worth float64) (best int, loss, slotWait float64) {
 	wanted := writerRole(read, req.MaxPause)
 	best, lowest := -1, math.Inf(1)
 	for i, c := range cands {
-		write := c.e.writeLoss(now, req, tokens, part, worth) + worth*misplaced(wanted, c.e.role)
-		total := write + c.loss + worth*firstLoss(c.firstMS, req.Objective) + c.firstMS*tieWeight
+		pass := c.e.passMS(now, part, 1, tokens)
+		write := c.e.writeLoss(pass, req, tokens, worth) + worth*misplaced(wanted, c.e.role)
+		wait := c.e.slotWaitMS(pass)
+		total := write + c.loss + worth*firstLoss(c.firstMS+wait, req.Objective) + (c.firstMS+wait)*tieWeight
 		if total < lowest {
-			best, loss, lowest = i, write, total
+			best, loss, slotWait, lowest = i, write, wait, total
 		}
 	}
-	return best, loss
+	return best, loss, slotWait
 }
 
 // candidate prices the reading of a part on an engine.
@@ -196,17 +199,15 @@
 	return e.slowness*(steps+readMS) + e.backlogMS(now)
 }
 
-// writeLoss prices a stream that the engine writes, besides the reading. It is infinite where the engine
-// cannot take the request at all.
-func (e *engine) writeLoss(now time.Duration, req Request, tokens int, part, worth float64) float64 {
+// writeLoss prices a stream that the engine writes in passes of that length, besides the reading. It is infinite
+// where the engine cannot take the request at all.
+func (e *engine) writeLoss(passMS float64, req Request, tokens int, worth float64) float64 {
 	streams := e.total.streams()
 	if tokens > e.free() || streams >= e.slots+overbooked {
 		return math.Inf(1)
 	}
-	pass := e.passMS(now, part, 1, tokens)
-	loss := worth * pauseLoss(pass, req.MaxPause)
+	loss := worth * pauseLoss(passMS, req.MaxPause)
 	loss += worth * crowdLoss * ramp(float64(streams+1)/float64(e.slots), packedSlots, 1)
-	loss += worth * firstLoss(e.slotWaitMS(pass), req.Objective)
 	return loss
 }
 
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -41,8 +41,13 @@
 // lateShare is the part of its worth that a request loses when it misses an objective.
 const lateShare = 0.75
 
-// overdueSlope prices each further objective of delay, so that a late choice still prefers the sooner one.
-const overdueSlope = 0.05
+const (
+	// overdueSlope prices each further objective of delay, so that a late choice still prefers the sooner one.
+	overdueSlope = 0.05
+	// maxOverdue bounds that price: a late answer keeps a part of its worth, however little of its objective was
+	// left when the request was placed.
+	maxOverdue = 0.15
+)
 
 // firstLoss returns the share of its worth that a request is expected to lose by its first event.
 func firstLoss(firstMS float64, objective time.Duration) float64 {
@@ -50,7 +55,7 @@
 		return 0
 	}
 	x := firstMS / ms(objective)
-	return lateShare*ramp(x, firstSafe, firstMissed) + overdueSlope*math.Max(0, x-1)
+	return lateShare*ramp(x, firstSafe, firstMissed) + math.Min(maxOverdue, overdueSlope*math.Max(0, x-1))
 }
 
 // pauseLoss returns the share of its worth that a stream is expected to lose by a pass of that length.
--- /dev/null
+++ b/core/placement/queue.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Queue holds the requests of one host that wait for an engine. It answers floods of short requests: an
+// engine serves waiting requests first come, first served, so that once its slots are taken every later
+// request is late as well. Here those that can still be on time go first, and the overdue ones follow when
+// they take nothing from others. It is not safe for concurrent use.
+type Queue[T any] struct {
+	waiting []*Waiting[T]
+}
+
+// Waiting is a request in a queue.
+type Waiting[T any] struct {
+	Value     T
+	Arrived   time.Duration
+	Objective time.Duration // time at which its first event becomes late
+	Until     time.Duration // time at which it is placed at any cost
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue[T]) Len() int { return len(q.waiting) }
+
+// Add adds a request.
+func (q *Queue[T]) Add(w *Waiting[T]) { q.waiting = append(q.waiting, w) }
+
+// Remove takes a request out, if it is still in the queue.
+func (q *Queue[T]) Remove(w *Waiting[T]) {
+	if i := slices.Index(q.waiting, w); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+}
+
+// Offer offers the waiting requests for placement, in order, until one of each kind was declined: first
+// those that must not wait any longer, then those that can be on time, by their objectives, then the
+// overdue ones by arrival. place takes a request or declines it.
+func (q *Queue[T]) Offer(now time.Duration, place func(*Waiting[T]) bool) {
+	slices.SortStableFunc(q.waiting, func(a, b *Waiting[T]) int {
+		return cmp.Or(cmp.Compare(a.kind(now), b.kind(now)), cmp.Compare(a.order(now), b.order(now)))
+	})
+	var declined [kinds]bool
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting[T]) bool {
+		k := w.kind(now)
+		if declined[k] {
+			return false
+		}
+		declined[k] = !place(w)
+		return !declined[k]
+	})
+}
+
+// Kinds of waiting requests, by the order in which they are offered.
+const (
+	mustGo = iota
+	onTime
+	overdue
+	kinds
+)
+
+func (w *Waiting[T]) kind(now time.Duration) int {
+	switch {
+	case now >= w.Until:
+		return mustGo
+	case now < w.Objective:
+		return onTime
+	default:
+		return overdue
+	}
+}
+
+func (w *Waiting[T]) order(now time.Duration) time.Duration {
+	if w.kind(now) == onTime {
+		return w.Objective
+	}
+	return w.Arrived
+}
+
+const (
+	// waitShare is the share of the time until its deadline that a request waits at most. The rest is
+	// enough for an answer from a full engine.
+	waitShare = 0.2
+	// onTimeLoss is the loss, as a share of its worth, above which a request that could be on time waits.
+	// Above it the request is late itself, or makes others late.
+	onTimeLoss = lateShare
+	// overdueLoss is the same for overdue requests, which earn the rest of their worth whenever they are served.
+	overdueLoss = 0.2
+)
+
+// MayWait reports whether a request is of the kind that gains by waiting: a short one with an objective, and with
+// time left.
+func (t *Table) MayWait(c Choice) bool {
+	e := t.engines[c.Engine]
+	if e == nil || c.request.Objective == 0 {
+		return false
+	}
+	return writerRole(ReadMS(e.runtime, c.request.PromptTokens), c.request.MaxPause) == shortWriter
+}
+
+// PlaceNow reports whether a choice earns more now than later.
+func (t *Table) PlaceNow(c Choice) bool {
+	share := c.Loss / Worth(c.request.PromptTokens, c.request.OutputTokens)
+	if c.request.Objective < 0 {
+		return share < overdueLoss
+	}
+	return share < onTimeLoss
+}
+
+// WaitUntil returns how long a request may wait.
+func WaitUntil(now, left time.Duration) time.Duration {
+	return now + time.Duration(waitShare*float64(left))
+}
--- /dev/null
+++ b/core/placement/queue_test.go
@@ -0,0 +1,159 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// fill takes all slots of all engines with short streams and lets the reading end.
+func fill(c *qt.C, t *Table, engines int) (items []*Item, now time.Duration) {
+	for range 16 * engines {
+		now += 20 * time.Millisecond
+		_, it := place(c, t, now, short())
+		t.Begun(it)
+		items = append(items, it)
+	}
+	return items, now + time.Second
+}
+
+// Guards against a prediction that leaves out the wait for a slot: requests were sent to full engines as if
+// they were on time and waited there for up to 900 ms.
+func TestPredictionHoldsTheWaitForASlot(t *testing.T) {
+	c := qt.New(t)
+	tb := table(4)
+	items, now := fill(c, tb, 4)
+	full, ok := tb.Choose(now, service, short())
+	c.Assert(ok, qt.IsTrue)
+	tb.End(now, items[0])
+	free, ok := tb.Choose(now, service, short())
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(full.First-free.First > 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v full, %v with a free slot", full.First, free.First))
+}
+
+// Guards against requests that queue at full engines, where each makes all later ones late, and against
+// overdue requests that take the first free slot from one that can be on time.
+func TestShortRequestsWaitForASlot(t *testing.T) {
+	c := qt.New(t)
+	tb := table(4)
+	items, now := fill(c, tb, 4)
+	late := short()
+	late.Objective = -time.Millisecond
+	now1 := func(r Request) bool {
+		choice, ok := tb.Choose(now, service, r)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(tb.MayWait(choice), qt.IsTrue)
+		return tb.PlaceNow(choice)
+	}
+	c.Assert(now1(short()), qt.IsFalse, qt.Commentf("all engines full"))
+	c.Assert(now1(late), qt.IsFalse)
+	tb.End(now, items[0])
+	c.Assert(now1(short()), qt.IsTrue, qt.Commentf("one slot free"))
+	c.Assert(now1(late), qt.IsFalse)
+	for _, it := range items[:16] {
+		tb.End(now, it)
+	}
+	c.Assert(now1(late), qt.IsTrue, qt.Commentf("a quarter of the slots free"))
+}
+
+// Guards against long prompts in the queue: they are admitted by the price of their reading, and refused at
+// once when they are not worth it.
+func TestLongPromptsDoNotWait(t *testing.T) {
+	c := qt.New(t)
+	tb := table(8)
+	choice, ok := tb.Choose(0, service, long(150_000))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(tb.MayWait(choice), qt.IsFalse)
+	none := short()
+	none.Objective = 0
+	choice, _ = tb.Choose(0, service, none)
+	c.Assert(tb.MayWait(choice), qt.IsFalse, qt.Commentf("no objective, so nothing to gain"))
+}
+
+// Guards against a price of lateness without bound, which refused requests that had little of their objective
+// left although a late answer still earns a part of their worth.
+func TestLateAnswersKeepAPartOfTheirWorth(t *testing.T) {
+	c := qt.New(t)
+	for _, objective := range []time.Duration{time.Millisecond, 300 * time.Millisecond} {
+		c.Assert(firstLoss(5000, objective) <= lateShare+maxOverdue, qt.IsTrue)
+	}
+	c.Assert(firstLoss(5000, 3*time.Second) > firstLoss(4000, 3*time.Second), qt.IsTrue, qt.Commentf("sooner is better"))
+}
+
+// Guards against overdue requests that go before those that can be on time, and against a request that
+// waits beyond its bound because others are always offered first.
+func TestOrderOfTheQueue(t *testing.T) {
+	c := qt.New(t)
+	var q Queue[string]
+	add := func(name string, arrived, objective, until time.Duration) {
+		q.Add(&Waiting[string]{Value: name, Arrived: arrived, Objective: objective, Until: until})
+	}
+	add("overdue late", 20, 80, 900)
+	add("overdue early", 10, 70, 900)
+	add("fresh", 60, 140, 900)
+	add("must go", 5, 50, 95)
+	add("urgent", 70, 120, 900)
+	var offered []string
+	take := func(w *Waiting[string]) bool { offered = append(offered, w.Value); return true }
+	q.Offer(100, take)
+	c.Assert(offered, qt.DeepEquals, []string{"must go", "urgent", "fresh", "overdue early", "overdue late"})
+	c.Assert(q.Len(), qt.Equals, 0)
+
+	add("a", 10, 200, 900)
+	add("b", 20, 210, 900)
+	add("c", 5, 50, 900)
+	offered = nil
+	q.Offer(100, func(w *Waiting[string]) bool { offered = append(offered, w.Value); return w.Value == "c" })
+	c.Assert(offered, qt.DeepEquals, []string{"a", "c"}, qt.Commentf("one declined request stands for its kind"))
+	c.Assert(q.Len(), qt.Equals, 2)
+}
+
+// Guards against waiting requests that get lost or are placed twice, whatever the order of events.
+func TestQueueKeepsEveryRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[int]
+		waiting := map[int]*Waiting[int]{}
+		next := 0
+		now := time.Duration(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				w := &Waiting[int]{
+					Value: next, Arrived: now, Objective: now + time.Duration(rapid.IntRange(0, 300).Draw(t, "objective")),
+					Until: now + time.Duration(rapid.IntRange(0, 2000).Draw(t, "until")),
+				}
+				next++
+				waiting[w.Value] = w
+				q.Add(w)
+			},
+			"remove": func(t *rapid.T) {
+				for id, w := range waiting {
+					q.Remove(w)
+					q.Remove(w)
+					delete(waiting, id)
+					return
+				}
+			},
+			"offer": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 500).Draw(t, "pause"))
+				q.Offer(now, func(w *Waiting[int]) bool {
+					if waiting[w.Value] != w {
+						t.Fatalf("request %d is not waiting", w.Value)
+					}
+					taken := now >= w.Until || rapid.Bool().Draw(t, "taken")
+					if taken {
+						delete(waiting, w.Value)
+					}
+					return taken
+				})
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(waiting) || slices.ContainsFunc(q.waiting, func(w *Waiting[int]) bool { return waiting[w.Value] != w }) {
+					t.Fatalf("%d requests in the queue, want %d", q.Len(), len(waiting))
+				}
+			},
+		})
+	})
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -68,6 +68,7 @@
 	resync      chan struct{} // this process was paused: read the store anew
 	resynced    atomic.Bool   // a watch was ended by resync
 	behind      chan struct{} // a peer knows more of the platform
+	queued      chan struct{} // requests wait for an engine
 	running     atomic.Int64  // requests in progress, and releases of memory
 	sequence    atomic.Uint64 // of reservations
 	stopping    atomic.Bool
@@ -91,6 +92,7 @@
 	h := &Host{
 		cfg: cfg, set: s.Entry, log: o.Log, obs: o, decisions: newDecisionLog(o.Log), metrics: newMetrics(o), start: time.Now(),
 		incarnation: ident.NewIncarnation(), wake: make(chan struct{}, 1), resync: make(chan struct{}, 1), behind: make(chan struct{}, 1),
+		queued: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.client = newClient()
@@ -110,6 +112,7 @@
 	}
 	go h.followStore()
 	go h.tick()
+	go h.serveQueue()
 	h.log.WithFields(fields{
 		"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress, "peers": len(s.Entry.Peers),
 		"retry_ratio": s.Entry.RetryRatio, "retry_slack": s.Entry.RetrySlack, "shutdown_ms": s.Entry.ShutdownMS,
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -136,6 +136,7 @@
 
 // Steps at which a request can fail.
 const (
+	stepQueue   = "queue"
 	stepDial    = "dial"
 	stepReserve = "reserve"
 	stepSend    = "send"
--- /dev/null
+++ b/node/entry/queue_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/placement"
+)
+
+const engineSlots = 4
+
+// fullHost returns a host whose only engine has no free slot, and the items that take the slots.
+func fullHost(c *qt.C) (*Host, []*placement.Item) {
+	h := testHost()
+	h.wake, h.queued = make(chan struct{}, 1), make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.ctx = ctx
+	c.Cleanup(cancel)
+	h.state.catalog.Replace(0, catalog.Snapshot{
+		Revision: 1,
+		Config: &catalog.Config{Version: 1, Services: []catalog.Service{{Name: "models", Runtime: &catalog.Runtime{
+			Slots: engineSlots, MemoryTokens: 300_000, StepsPerPass: 50, StepMS: 0.85, SequenceMS: 0.004, ContextMSPerK: 0.003,
+			ReadTokensPerMS: 177, PairMSPerMillion: 0.18, UsualAnswer: 1600,
+		}}}},
+		Servers: []catalog.Server{{ID: "e1", Service: "models", Address: "10.0.0.9:1", Slots: engineSlots}},
+	})
+	h.state.published()
+	var items []*placement.Item
+	for range engineSlots {
+		choice, ok := h.state.engines.Choose(0, "models", placement.Request{PromptTokens: 5000, OutputTokens: 1600, MaxPause: 250 * time.Millisecond})
+		c.Assert(ok, qt.IsTrue)
+		items = append(items, h.state.engines.Place(0, choice))
+	}
+	return h, items
+}
+
+func shortStream(h *Host, limit time.Duration) *stream {
+	q := &request{
+		http: httptest.NewRequest("POST", "/m/", nil), service: "models", arrived: h.now(), deadline: h.now() + limit,
+		route: &catalog.Route{Kind: catalog.Streaming, Objective: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond},
+	}
+	q.call.PromptTokens, q.call.OutputTokens = 5000, 1600
+	return &stream{host: h, q: q, lastID: -1}
+}
+
+// Guards against a request that stays in the queue after its caller has left, and is sent to an engine then.
+func TestLeavingCallerLeavesTheQueue(t *testing.T) {
+	c := qt.New(t)
+	h, items := fullHost(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan *outcome.Error, 1)
+	go func() {
+		_, e := shortStream(h, 10*time.Second).place(ctx)
+		ended <- e
+	}()
+	<-h.queued
+	cancel()
+	e := <-ended
+	c.Assert(e, qt.IsNotNil)
+	c.Assert(e.Kind, qt.Equals, outcome.NotRun)
+	c.Assert(h.offerQueue(), qt.Equals, 0)
+	for _, it := range items {
+		h.state.engines.End(h.now(), it)
+	}
+	c.Assert(h.offerQueue(), qt.Equals, 0)
+	c.Assert(h.state.engines.OwnLoads(), qt.HasLen, 1)
+	c.Assert(h.state.engines.OwnLoads()[0].Load.Tokens, qt.Equals, 0, qt.Commentf("memory of a request that nobody waits for"))
+}
+
+// Guards against a waiting request that is not placed when a slot comes free, or that is held until its
+// deadline when none does.
+func TestWaitEndsWithASlotOrItsBound(t *testing.T) {
+	c := qt.New(t)
+	for _, slotComesFree := range []bool{true, false} {
+		h, items := fullHost(c)
+		go h.serveQueue()
+		const limit = time.Second
+		placed := make(chan attempt, 1)
+		go func() {
+			a, _ := shortStream(h, limit).place(context.Background())
+			placed <- a
+		}()
+		began := time.Now()
+		if slotComesFree {
+			time.Sleep(20 * time.Millisecond)
+			h.state.mu.Lock()
+			h.state.engines.End(h.now(), items[0])
+			h.state.mu.Unlock()
+		}
+		a := <-placed
+		c.Assert(a.item, qt.IsNotNil)
+		c.Assert(string(a.server.ID), qt.Equals, "e1")
+		c.Assert(time.Since(began) < limit/2, qt.IsTrue)
+	}
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -43,9 +43,22 @@
 	attempts int           // servers that it was sent to
 	dials    int           // servers that could not be reached
 	ran      bool          // a server may have begun it
+	waited   time.Duration // for an engine; streams only
 	placed   placed        // the last placement; streams only
 }
 
+// objectiveLeft returns the time left for the first event to be on time. It is negative once that has passed
+// and zero for a route without an objective.
+func (q *request) objectiveLeft(now time.Duration) time.Duration {
+	if q.route.Objective == 0 {
+		return 0
+	}
+	if left := q.arrived + q.route.Objective - now; left != 0 {
+		return left
+	}
+	return -1
+}
+
 // placed is what a placement expected and what came of it.
 type placed struct {
 	engine    ident.BackendID
@@ -162,6 +175,9 @@
 		"request": q.call.ID, "service": q.service, "team": q.team, "outcome": kind, "attempts": q.attempts,
 		"config": uint64(q.config), "took_ms": took.Milliseconds(), "prompt_tokens": q.call.PromptTokens,
 	}
+	if q.waited > 0 {
+		f["waited_ms"] = q.waited.Milliseconds()
+	}
 	if p := q.placed; p.engine != "" {
 		f["engine"], f["helpers"], f["loss"] = p.engine, p.helpers, math.Round(p.loss*1000)/1000
 		f["predicted_ms"], f["first_ms"], f["pause_ms"] = p.predicted.Milliseconds(), p.first.Milliseconds(), p.longest.Milliseconds()
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -21,6 +21,7 @@
 	rng     *rand.Rand
 	catalog *catalog.Table
 	engines *placement.Table
+	queue   placement.Queue[queued]
 	health  *health.Tracker
 	plain   *placement.Plain
 	budgets map[string]*retry.FleetBudget
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -54,14 +53,14 @@
 	}
 	var last *outcome.Error
 	for {
-		choice, srv, e := st.place()
+		a, e := st.place(ctx)
 		if e != nil {
 			if last == nil {
 				last = e
 			}
 			break
 		}
-		last = st.try(ctx, choice, srv)
+		last = st.try(ctx, a)
 		if last == nil {
 			return nil
 		}
@@ -81,17 +80,14 @@
 	return last
 }
 
-// place chooses the engines.
-func (st *stream) place() (placement.Choice, catalog.Server, *outcome.Error) {
-	h, q := st.host, st.q
-	now := h.now()
-	s := h.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// choose returns the placement that is best now. The state must be locked.
+func (st *stream) choose(now time.Duration) (attempt, *outcome.Error) {
+	q := st.q
+	s := st.host.state
 	req := placement.Request{
 		PromptTokens: q.call.PromptTokens,
 		OutputTokens: q.call.OutputTokens,
-		Objective:    q.route.Objective - (now - q.arrived),
+		Objective:    q.objectiveLeft(now),
 		MaxPause:     q.route.MaxPause,
 		Left:         q.left(now),
 		Excluded:     func(id ident.BackendID) bool { return st.failed[id] || s.health.Excluded(now, id) },
@@ -104,33 +100,38 @@
 	if !ok {
 		e := outcome.Refuse("place", outcome.Overload, "no engine has room")
 		e.RetryAfter = noBackendRetry
-		return choice, catalog.Server{}, e
+		return attempt{}, e
 	}
-	if v := s.engines.Admit(now, q.service, choice); !v.Admit && !q.ran {
+	if q.ran || s.engines.MayWait(choice) {
+		return st.attemptAt(choice)
+	}
+	if v := s.engines.Admit(now, q.service, choice); !v.Admit {
 		e := outcome.Refuse("admit", outcome.Overload, fmt.Sprintf(
 			"reading costs others %.1f, earns %.1f; backlog %d ms, first event after %d ms",
 			v.Cost, v.Gain, v.Backlog.Milliseconds(), choice.First.Milliseconds()))
 		e.RetryAfter = v.RetryAfter
-		return choice, catalog.Server{}, e
+		return attempt{}, e
 	}
-	for _, srv := range s.catalog.Usable(q.service) {
+	return st.attemptAt(choice)
+}
+
+// attemptAt returns the attempt of a choice. The state must be locked.
+func (st *stream) attemptAt(choice placement.Choice) (attempt, *outcome.Error) {
+	for _, srv := range st.host.state.catalog.Usable(st.q.service) {
 		if srv.ID == choice.Engine {
-			return choice, srv, nil
+			return attempt{choice: choice, server: srv}, nil
 		}
 	}
 	e := outcome.Refuse("place", outcome.NoBackend, "the engine has left")
 	e.RetryAfter = noBackendRetry
-	return choice, catalog.Server{}, e
+	return attempt{}, e
 }
 
-// try runs the request on the chosen engines until its end or their loss.
-func (st *stream) try(ctx context.Context, choice placement.Choice, srv catalog.Server) *outcome.Error {
+// try runs a placed attempt until its end or the loss of an engine.
+func (st *stream) try(ctx context.Context, a attempt) *outcome.Error {
 	h, q := st.host, st.q
 	s := h.state
-	s.mu.Lock()
-	item := s.engines.Place(h.now(), choice)
-	s.mu.Unlock()
-	h.changed()
+	choice, srv, item := a.choice, a.server, a.item
 	defer func() {
 		s.mu.Lock()
 		s.engines.End(h.now(), item)
