Soak entry hosts behind proxies that delay, reset, silence and cut one way

Cause: the soak ran inside the adapter's tests, struck processes, store and servers only, and could not be run by an operator. Faults of connections, of which the users' machines have many, were in no test of this repository.

Change: lab/netfault, a TCP proxy with delay, one-way holds and resets; lab/soak, which runs the built program and puts proxies before the store (as each host sees it), every server and every host; rosectl soak. New faults: delay, hold of either direction, silence, reset, changed settings, outage of a service. New checks: answers within the route's timeout plus 0.5 s at hosts without a fault of their own, the retry budget in every window of 10 s over all hosts, one request for each reservation, memory given back.

Findings: seeds 110, 112, 113 and 118 reported a host that did not stop in order. Traced in the hosts' logs: the stop request reached a process that had been started right after the stop before it and had logged nothing yet, so it had not set up its signals.

--- /dev/null
+++ b/cmd/rosectl/soak.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryhill/rosemaryhill/lab/soak"
+)
+
+const (
+	// defaultSoakMinutes is enough to draw each kind of fault some twenty times.
+	defaultSoakMinutes = 1
+	defaultSoakHosts   = 3
+	// defaultSoakPort lies below the range from which outgoing connections take their ports.
+	defaultSoakPort = 19_100
+)
+
+// soakOptions holds the flags of rosectl soak.
+type soakOptions struct {
+	seed         int64
+	minutes      float64
+	hosts, port  int
+	program, dir string
+}
+
+func soakCommand() *command {
+	o := soakOptions{minutes: defaultSoakMinutes, hosts: defaultSoakHosts, port: defaultSoakPort}
+	return &command{
+		name:    "soak",
+		summary: "Inject faults into entry hosts that run as processes here, and check the promises to callers",
+		examples: `  rosectl soak --seed 7 --minutes 5
+  rosectl soak --program out/rosemaryhill --dir out/soak`,
+		flags: o.flags,
+		run:   o.run,
+	}
+}
+
+func (o *soakOptions) flags(sc *flaggy.Subcommand) {
+	sc.Int64(&o.seed, "", "seed", "seed of faults and requests; 0 takes a fresh one")
+	sc.Float64(&o.minutes, "m", "minutes", "time with faults")
+	sc.Int(&o.hosts, "", "hosts", "entry hosts, 2 to 8")
+	sc.Int(&o.port, "", "port", fmt.Sprintf("first of %d free ports on the loopback network", soak.Ports))
+	sc.String(&o.program, "", "program", "path of rosemaryhill; without it, the one beside rosectl")
+	sc.String(&o.dir, "d", "dir", "directory for settings and logs; without it, a new one that is kept")
+}
+
+// run fails the check when a promise was broken.
+func (o *soakOptions) run(ctx context.Context, out io.Writer) error {
+	cfg, err := o.config()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "seed %d, %v with faults, logs in %s\n", cfg.Seed, cfg.Time, cfg.Dir)
+	res, err := soak.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	for _, kind := range res.Kinds() {
+		fmt.Fprintf(out, "%-15s %d\n", kind, res.Faults[kind])
+	}
+	fmt.Fprintf(out, "%d requests, %d served, %d broken promises\n", res.Requests, res.Served, len(res.Broken))
+	for _, b := range res.Broken {
+		fmt.Fprintln(out, b)
+	}
+	if len(res.Broken) > 0 {
+		return checkError.New("%d broken promises; seed %d, logs in %s", len(res.Broken), cfg.Seed, cfg.Dir)
+	}
+	return nil
+}
+
+func (o *soakOptions) config() (soak.Config, error) {
+	cfg := soak.Config{
+		Seed: o.seed, Time: time.Duration(o.minutes * float64(time.Minute)), Hosts: o.hosts,
+		Program: o.program, Dir: o.dir, Port: o.port,
+	}
+	if o.hosts < 2 || o.hosts > 8 {
+		return cfg, usageError.New("--hosts %d is not between 2 and 8", o.hosts)
+	}
+	if cfg.Time <= 0 {
+		return cfg, usageError.New("--minutes must be positive")
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = time.Now().UnixNano()
+	}
+	if cfg.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return cfg, err
+		}
+		cfg.Program = filepath.Join(filepath.Dir(self), "rosemaryhill")
+	}
+	if _, err := os.Stat(cfg.Program); err != nil {
+		return cfg, usageError.New("no program for the hosts: %v; build rosemaryhill and name it with --program", err)
+	}
+	if cfg.Dir == "" {
+		dir, err := os.MkdirTemp("", "soak")
+		cfg.Dir = dir
+		return cfg, err
+	}
+	return cfg, os.MkdirAll(cfg.Dir, 0o755)
+}
--- /dev/null
+++ b/lab/netfault/proxy.go
@@ -0,0 +1,178 @@
+// Package netfault injects faults into TCP connections between processes on the loopback network: a Proxy
+// stands before a listener and delays, holds or resets what passes through it.
+package netfault
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is how a proxy treats its connections. The zero value passes everything on at once.
+type Fault struct {
+	// Delay is added to each piece that passes, in both directions.
+	Delay time.Duration
+	// HoldRequests and HoldAnswers stop what flows to the target and back from it. What is held passes once the
+	// fault ends, as after a partition; connections are still accepted.
+	HoldRequests, HoldAnswers bool
+}
+
+// dialTimeout bounds the connection to the target, which is on the same machine.
+const dialTimeout = time.Second
+
+// Proxy passes connections on to a target. All its methods are safe for concurrent use.
+type Proxy struct {
+	target   string
+	listener net.Listener
+
+	mu      sync.Mutex
+	changed *sync.Cond // the fault changed, or connections were closed
+	fault   Fault
+	pairs   map[*pair]struct{}
+	closed  bool
+}
+
+// pair is a connection from a client and the one to the target that belongs to it.
+type pair struct {
+	client, target *net.TCPConn
+	closed         bool // guarded by the proxy's lock
+}
+
+// Listen starts a proxy that listens on an address and connects to a target.
+func Listen(address, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("proxy: %w", err)
+	}
+	p := &Proxy{target: target, listener: l, pairs: map[*pair]struct{}{}}
+	p.changed = sync.NewCond(&p.mu)
+	go p.accept()
+	return p, nil
+}
+
+// Addr returns the address that the proxy listens on.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Set replaces the fault; it holds for open and new connections.
+func (p *Proxy) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	p.changed.Broadcast()
+}
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for x := range p.pairs {
+		p.resetLocked(x)
+	}
+}
+
+// Close stops the proxy and resets its connections.
+func (p *Proxy) Close() error {
+	err := p.listener.Close()
+	p.Reset()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	return err
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go p.serve(c.(*net.TCPConn))
+	}
+}
+
+func (p *Proxy) serve(client *net.TCPConn) {
+	c, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	if err != nil {
+		_ = client.SetLinger(0) // closes with a reset, as a port without a listener does
+		_ = client.Close()
+		return
+	}
+	x := &pair{client: client, target: c.(*net.TCPConn)}
+	p.mu.Lock()
+	p.pairs[x] = struct{}{}
+	if p.closed {
+		p.resetLocked(x)
+	}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pass(x, x.target, x.client, func(f Fault) bool { return f.HoldRequests }) })
+	both.Go(func() { p.pass(x, x.client, x.target, func(f Fault) bool { return f.HoldAnswers }) })
+	both.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetLocked(x)
+	delete(p.pairs, x)
+}
+
+// resetLocked closes both connections of a pair with a reset. Connections that have ended in order are not
+// affected by it.
+func (p *Proxy) resetLocked(x *pair) {
+	if x.closed {
+		return
+	}
+	x.closed = true
+	for _, c := range []*net.TCPConn{x.client, x.target} {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	p.changed.Broadcast()
+}
+
+// pass copies one direction until its end.
+func (p *Proxy) pass(x *pair, to, from *net.TCPConn, held func(Fault) bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !p.release(x, held) {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				p.reset(x)
+				return
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			_ = to.CloseWrite()
+			return
+		default:
+			p.reset(x)
+			return
+		}
+	}
+}
+
+func (p *Proxy) reset(x *pair) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetLocked(x)
+}
+
+// release waits until a piece may pass. It reports false when the connection was closed meanwhile.
+func (p *Proxy) release(x *pair, held func(Fault) bool) bool {
+	p.mu.Lock()
+	for held(p.fault) && !x.closed {
+		p.changed.Wait()
+	}
+	delay, open := p.fault.Delay, !x.closed
+	p.mu.Unlock()
+	if open && delay > 0 {
+		time.Sleep(delay)
+	}
+	return open
+}
--- /dev/null
+++ b/lab/netfault/proxy_test.go
@@ -0,0 +1,103 @@
+package netfault
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// echo starts a server that sends each line back, and a proxy before it.
+func echo(c *qt.C) *Proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	p, err := Listen("127.0.0.1:0", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+type client struct {
+	net.Conn
+	lines *bufio.Reader
+}
+
+func connect(c *qt.C, p *Proxy) client {
+	conn, err := net.Dial("tcp", p.Addr())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return client{conn, bufio.NewReader(conn)}
+}
+
+// roundTrip sends a line and returns how long its echo took.
+func (x client) roundTrip(limit time.Duration) (time.Duration, error) {
+	began := time.Now()
+	if _, err := io.WriteString(x, "hello\n"); err != nil {
+		return 0, err
+	}
+	return x.answer(began, limit)
+}
+
+func (x client) answer(began time.Time, limit time.Duration) (time.Duration, error) {
+	_ = x.SetReadDeadline(time.Now().Add(limit))
+	_, err := x.lines.ReadString('\n')
+	return time.Since(began), err
+}
+
+// Guards against a proxy whose faults do nothing, which would make a soak pass that tests nothing.
+func TestFaults(t *testing.T) {
+	c := qt.New(t)
+	p := echo(c)
+	x := connect(c, p)
+	_, err := x.roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+
+	p.Set(Fault{Delay: 40 * time.Millisecond})
+	took, err := x.roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(took >= 80*time.Millisecond, qt.IsTrue, qt.Commentf("%v there and back", took))
+
+	for _, f := range []Fault{{HoldRequests: true}, {HoldAnswers: true}} {
+		p.Set(f)
+		_, err = x.roundTrip(100 * time.Millisecond)
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%+v", f))
+		p.Set(Fault{})
+		_, err = x.answer(time.Now(), time.Second)
+		c.Assert(err, qt.IsNil, qt.Commentf("what was held passes after the fault"))
+	}
+
+	p.Reset()
+	_, err = x.roundTrip(time.Second)
+	c.Assert(err, qt.IsNotNil)
+	_, err = connect(c, p).roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+}
+
+// Guards against a held connection that outlives the proxy, which would leak goroutines for each fault.
+func TestCloseEndsHeldConnections(t *testing.T) {
+	c := qt.New(t)
+	p := echo(c)
+	x := connect(c, p)
+	p.Set(Fault{HoldRequests: true, HoldAnswers: true})
+	_, err := io.WriteString(x, "hello\n")
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Close(), qt.IsNil)
+	_, err = x.answer(time.Now(), time.Second)
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/lab/soak/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package soak
+
+const raceDetector = true
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	seedFlag = flag.Int64("soak.seed", -1, "one seed in place of the kept ones; 0 takes a fresh one")
+	timeFlag = flag.Duration("soak.time", 4*time.Second, "time with faults")
+	portFlag = flag.Int("first.port", 19_000, "first port of the hosts and stand-ins")
+)
+
+// keptSeeds are run by default. Seeds 9, 17 and 20 failed in an earlier form of the soak, with another draw of
+// faults: a reload request ended a process that had just been started and did not ignore the signal yet, and
+// the soak did not start it again. Seeds 110, 112 and 113 reported processes that ended by a stop request in the same
+// moments, right after the stop before it.
+var keptSeeds = []int64{1, 9, 17, 20, 110, 112, 113}
+
+// buildHost builds the program, with the race detector if the test has it.
+func buildHost(c *qt.C) string {
+	program := filepath.Join(c.TempDir(), "rosemaryhill")
+	args := []string{"build", "-o", program}
+	if raceDetector {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill")...).CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+// Guards against broken promises while entry hosts are killed, stopped, paused and reloaded in series that
+// overlap, links are delayed, cut one way, silenced and reset, the store fails for some or all hosts,
+// configurations and settings change, and servers fail.
+func TestSoak(t *testing.T) {
+	c := qt.New(t)
+	program := buildHost(c)
+	seeds := keptSeeds
+	switch *seedFlag {
+	case -1:
+	case 0:
+		seeds = []int64{time.Now().UnixNano()}
+	default:
+		seeds = []int64{*seedFlag}
+	}
+	for _, seed := range seeds {
+		c.Run(fmt.Sprint("seed", seed), func(c *qt.C) {
+			dir, err := os.MkdirTemp("", "soak") // kept, so that the logs of a failed seed can be read
+			c.Assert(err, qt.IsNil)
+			res, err := Run(context.Background(), Config{
+				Seed: seed, Time: *timeFlag, Hosts: 3, Program: program, Dir: dir, Port: *portFlag,
+			})
+			c.Assert(err, qt.IsNil)
+			c.Logf("%d requests, %d served, faults %v, logs in %s", res.Requests, res.Served, res.Faults, dir)
+			for _, b := range res.Broken {
+				c.Errorf("%s", b)
+			}
+			c.Assert(res.Served > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against windows that excuse nothing, or everything, when an answer is late.
+func TestWindows(t *testing.T) {
+	c := qt.New(t)
+	var w windows
+	before := time.Now()
+	c.Assert(w.overlap(before, before.Add(time.Hour)), qt.IsFalse)
+	end := w.open(50 * time.Millisecond)
+	c.Assert(w.overlap(before.Add(time.Minute), before.Add(time.Hour)), qt.IsTrue, qt.Commentf("the fault has not ended"))
+	end()
+	c.Assert(w.overlap(before.Add(time.Minute), before.Add(time.Hour)), qt.IsFalse)
+	c.Assert(w.overlap(before, time.Now()), qt.IsTrue)
+	c.Assert(w.overlap(before.Add(-time.Hour), before.Add(-time.Minute)), qt.IsFalse)
+}
+
+// Guards against kinds of faults that are drawn and do nothing.
+func TestEveryKindStrikes(t *testing.T) {
+	c := qt.New(t)
+	other := []string{"store", "config", "outage", "reset"}
+	for _, k := range kinds {
+		_, linked := linkFaults[k]
+		known := hostFaults[k] != nil || linked || slices.Contains(other, k)
+		c.Check(known, qt.IsTrue, qt.Commentf(k))
+	}
+	c.Check(len(kinds), qt.Equals, len(hostFaults)+len(linkFaults)+len(other))
+}
