Emulate entry hosts and engines under virtual time to compare placements

Change: lab/fleet, hosts that run core/placement and exchange load with delay and loss, engines in passes with slots, memory and parts of other engines' prompts, two profiles with swings; policies to choose from and two baselines; rosectl placement with a table and a plot. Tests: same seed same result, placement above the baselines, nothing lost and no memory left, more short requests on time with the queue in a short flood, the time of an idle engine.

Ruled out: reading that waits for the next pass.

--- a/cmd/rosectl/command.go
+++ b/cmd/rosectl/command.go
@@ -38,7 +38,7 @@
 }
 
 func commands() []*command {
-	return []*command{standinCommand(), configCommand(), loadCommand(), policyCommand(), soakCommand(), demoCommand()}
+	return []*command{standinCommand(), configCommand(), loadCommand(), policyCommand(), placementCommand(), soakCommand(), demoCommand()}
 }
 
 // attach adds c and its children to parent.
--- /dev/null
+++ b/cmd/rosectl/placement.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryhill/rosemaryhill/lab/fleet"
+)
+
+const (
+	// defaultPlacementSeeds evens out single large prompts, which weigh as much as some twenty short ones.
+	defaultPlacementSeeds = 5
+	// placementRuns is the number of runs at once.
+	placementRuns = 3
+)
+
+// placementOptions holds the flags of rosectl placement.
+type placementOptions struct {
+	profiles []string
+	seed     int64
+	seeds    int
+	plotFile string
+}
+
+func placementCommand() *command {
+	o := placementOptions{seed: 1, seeds: defaultPlacementSeeds}
+	return &command{
+		name:    "placement",
+		summary: "Compare placement policies of entry hosts under virtual time",
+		examples: `  rosectl placement --profile kernhof --seeds 3
+  rosectl placement --plot out/placement.svg`,
+		flags: o.flags,
+		run:   o.run,
+	}
+}
+
+func (o *placementOptions) flags(sc *flaggy.Subcommand) {
+	sc.StringSlice(&o.profiles, "", "profile", "shipped profile or TOML file, may be given more than once; none means all shipped ones")
+	sc.Int64(&o.seed, "", "seed", "first seed of the workload")
+	sc.Int(&o.seeds, "", "seeds", "number of seeds")
+	sc.String(&o.plotFile, "p", "plot", "file for the plot (SVG)")
+}
+
+func (o *placementOptions) run(_ context.Context, out io.Writer) error {
+	if o.seeds < 1 {
+		return usageError.New("--seeds must be positive")
+	}
+	names := o.profiles
+	if len(names) == 0 {
+		names = fleet.ShippedProfiles()
+	}
+	var profiles []*fleet.Profile
+	for _, name := range names {
+		p, err := fleet.LoadProfile(name)
+		if err != nil {
+			return usageError.Wrap(err)
+		}
+		profiles = append(profiles, p)
+	}
+	results := fleet.Compare(profiles, fleet.Policies(), fleet.Seeds(o.seed, o.seeds), placementRuns)
+	if err := fleet.WriteText(out, results); err != nil {
+		return err
+	}
+	if o.plotFile == "" {
+		return nil
+	}
+	return fleet.WritePlot(o.plotFile, results)
+}
--- /dev/null
+++ b/lab/fleet/fleet_test.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func profile(c *qt.C, name string) *Profile {
+	p, err := LoadProfile(name)
+	c.Assert(err, qt.IsNil)
+	return p
+}
+
+// Guards against maps, clocks or goroutines that make two runs with one seed differ, which would turn
+// comparisons of policies into noise.
+func TestSameSeedSameResult(t *testing.T) {
+	c := qt.New(t)
+	p := profile(c, "kernhof")
+	p.LengthS = 10
+	once, again := Run(p, product{queue: true}, 3), Run(p, product{queue: true}, 3)
+	c.Assert(reflect.DeepEqual(once, again), qt.IsTrue, qt.Commentf("%+v\n%+v", once, again))
+	c.Assert(reflect.DeepEqual(once.Kinds, Run(p, product{queue: true}, 4).Kinds), qt.IsFalse)
+}
+
+// Guards against a placement that serves callers no better than hosts that know nothing of each other, and
+// against an emulation that loses requests or memory.
+func TestPlacementBeatsBaselines(t *testing.T) {
+	c := qt.New(t)
+	var profiles []*Profile
+	for _, name := range ShippedProfiles() {
+		profiles = append(profiles, profile(c, name))
+	}
+	results := Compare(profiles, Policies(), Seeds(1, 2), 3)
+	worth := map[string]float64{}
+	for _, g := range groups(results) {
+		worth[g.Profile+"/"+g.Policy] = g.Worth
+	}
+	for _, p := range profiles {
+		ours := worth[p.Name+"/placement"]
+		for _, baseline := range []Policy{takeTurns{}, ownCounts{}} {
+			theirs := worth[p.Name+"/"+baseline.Name()]
+			c.Check(ours > theirs, qt.IsTrue, qt.Commentf("%s: %.3f, %s %.3f", p.Name, ours, baseline.Name(), theirs))
+		}
+	}
+	for _, r := range results {
+		c.Check(r.Memory, qt.Equals, 0, qt.Commentf("%s, %s", r.Profile, r.Policy))
+		for _, k := range r.Kinds {
+			c.Check(k.OnTime+k.LateFirst+k.LatePause+k.Refused+k.Failed, qt.Equals, k.Offered)
+		}
+	}
+}
+
+// flood is a deployment whose engines have slots for half of a flood of short requests.
+func flood(c *qt.C) *Profile {
+	p := profile(c, "kernhof")
+	p.Hosts, p.Engines, p.LengthS = 3, 3, 12
+	p.Kinds = p.Kinds[:1]
+	p.Kinds[0].PerS = 12
+	p.Swings = []Swing{{FromS: 4, ToS: 6, Factors: map[string]float64{"short": 3}}}
+	return p
+}
+
+// Guards against a short flood that makes every later request late: engines serve their queues in order of
+// arrival, so requests that can still be on time must not be sent behind those that cannot.
+func TestFloodOfShortRequests(t *testing.T) {
+	c := qt.New(t)
+	results := Compare([]*Profile{flood(c)}, []Policy{product{queue: true}, product{}}, Seeds(1, 8), 3)
+	g := groups(results)
+	with, without := g[0].Kinds[0], g[1].Kinds[0]
+	c.Check(with.OnTime > without.OnTime, qt.IsTrue, qt.Commentf("on time of %d: %d with the queue, %d without", with.Offered, with.OnTime, without.OnTime))
+	c.Check(with.Refused+with.Failed <= without.Refused+without.Failed, qt.IsTrue, qt.Commentf("%+v\n%+v", with, without))
+}
+
+// Guards against an emulated engine that is faster or slower than its figures say.
+func TestIdleEngine(t *testing.T) {
+	c := qt.New(t)
+	p := profile(c, "kernhof")
+	p.Hosts, p.Engines, p.ExchangeLoss = 1, 1, 0
+	w := newWorld(p, takeTurns{}, 1)
+	k := &p.Kinds[0]
+	w.run([]arrival{{kind: k, prompt: 3994}})
+	r := w.requests[0]
+	c.Assert(r.done, qt.IsTrue)
+	// Reading takes 24 ms, a pass 44 ms, the request itself 20 ms; four times the network is 4 ms.
+	c.Check(r.first > 125*time.Millisecond && r.first < 145*time.Millisecond, qt.IsTrue, qt.Commentf("first event after %v", r.first))
+	c.Check(r.longest > 43*time.Millisecond && r.longest < 46*time.Millisecond, qt.IsTrue, qt.Commentf("pause of %v", r.longest))
+}
+
+// Guards against a profile with a misspelt key, which would silently run with a zero.
+func TestProfilesAreChecked(t *testing.T) {
+	c := qt.New(t)
+	_, err := LoadProfile("no-such-profile")
+	c.Assert(err, qt.ErrorMatches, `profile "no-such-profile" is neither shipped nor a readable file.*`)
+	file := filepath.Join(c.TempDir(), "p.toml")
+	c.Assert(os.WriteFile(file, []byte("hots = 3"), 0o600), qt.IsNil)
+	_, err = LoadProfile(file)
+	c.Assert(err, qt.ErrorMatches, `.*unknown key hots`)
+	p := profile(c, "kernhof")
+	p.Swings = []Swing{{Factors: map[string]float64{"long": 2}}}
+	c.Assert(p.check(), qt.ErrorMatches, `.*unknown kind "long"`)
+}
+
+// Guards against a report that cannot be written.
+func TestReport(t *testing.T) {
+	c := qt.New(t)
+	p := flood(c)
+	p.LengthS = 2
+	results := Compare([]*Profile{p}, Policies(), Seeds(1, 1), 3)
+	var text bytes.Buffer
+	c.Assert(WriteText(&text, results), qt.IsNil)
+	for _, policy := range Policies() {
+		c.Check(text.String(), qt.Contains, policy.Name())
+	}
+	c.Assert(WritePlot(filepath.Join(c.TempDir(), "p.svg"), results), qt.IsNil)
+}
--- /dev/null
+++ b/lab/fleet/profile.go
@@ -0,0 +1,190 @@
+// Package fleet emulates entry hosts and model engines under virtual time, to compare placement policies by
+// what callers get. Hosts run the product's own decisions (core/placement) and exchange their load with
+// delay and loss; engines work in passes. The same profile and seed give the same result.
+package fleet
+
+import (
+	"bytes"
+	"embed"
+	"fmt"
+	"math/rand"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+)
+
+//go:embed profiles/*.toml
+var shipped embed.FS
+
+// Profile describes a deployment and its traffic.
+type Profile struct {
+	Name         string  `toml:"name"`
+	Hosts        int     `toml:"hosts"`
+	Engines      int     `toml:"engines"`
+	ExchangeMS   float64 `toml:"exchange_ms"`   // from a placement until other hosts are told
+	ExchangeLoss float64 `toml:"exchange_loss"` // part of the messages between hosts that never arrive
+	NetworkMS    float64 `toml:"network_ms"`    // one way
+	LengthS      float64 `toml:"length_s"`      // of the traffic
+	Engine       Engine  `toml:"engine"`
+	Kinds        []Kind  `toml:"kinds"`
+	Swings       []Swing `toml:"swings"`
+}
+
+// Engine holds the speed figures of all engines.
+type Engine struct {
+	Slots            int     `toml:"slots"`
+	MemoryTokens     int     `toml:"memory_tokens"`
+	StepsPerPass     int     `toml:"steps_per_pass"`
+	StepMS           float64 `toml:"step_ms"`
+	SequenceMS       float64 `toml:"sequence_ms"`
+	ContextMSPerK    float64 `toml:"context_ms_per_k"`
+	ReadTokensPerMS  float64 `toml:"read_tokens_per_ms"`
+	PairMSPerMillion float64 `toml:"pair_ms_per_million"`
+	ChunkTokens      int     `toml:"chunk_tokens"` // read in one step at most
+	WorkMS           float64 `toml:"work_ms"`      // of each request, beside its tokens
+	UsualAnswer      int     `toml:"usual_answer"`
+}
+
+func (e *Engine) runtime() *catalog.Runtime {
+	return &catalog.Runtime{
+		Slots: e.Slots, MemoryTokens: e.MemoryTokens, StepsPerPass: e.StepsPerPass, StepMS: e.StepMS,
+		SequenceMS: e.SequenceMS, ContextMSPerK: e.ContextMSPerK, ReadTokensPerMS: e.ReadTokensPerMS,
+		PairMSPerMillion: e.PairMSPerMillion, UsualAnswer: e.UsualAnswer,
+	}
+}
+
+// Kind is a kind of request. Prompts are spread exponentially around their mean, above a fifth of it.
+type Kind struct {
+	Name         string  `toml:"name"`
+	PerS         float64 `toml:"per_s"`
+	PromptTokens int     `toml:"prompt_tokens"` // mean
+	Events       int     `toml:"events"`
+	ObjectiveMS  float64 `toml:"objective_ms"` // to the first event
+	MaxPauseMS   float64 `toml:"max_pause_ms"` // between two events
+	DeadlineMS   float64 `toml:"deadline_ms"`
+	Worth        float64 `toml:"worth"` // of a request of the mean size
+}
+
+// Swing changes the rates of kinds for a time.
+type Swing struct {
+	FromS   float64            `toml:"from_s"`
+	ToS     float64            `toml:"to_s"`
+	Factors map[string]float64 `toml:"factors"` // by kind
+}
+
+// minPromptShare is the smallest prompt as a share of the mean, maxPromptShare the largest.
+const (
+	minPromptShare = 0.2
+	maxPromptShare = 4
+)
+
+// LoadProfile reads a shipped profile by name, or a file.
+func LoadProfile(name string) (*Profile, error) {
+	data, err := shipped.ReadFile("profiles/" + name + ".toml")
+	if err != nil {
+		if data, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("profile %q is neither shipped nor a readable file: %w", name, err)
+		}
+	}
+	p := &Profile{}
+	md, err := toml.NewDecoder(bytes.NewReader(data)).Decode(p)
+	if err != nil {
+		return nil, fmt.Errorf("profile %q: %w", name, err)
+	}
+	if extra := md.Undecoded(); len(extra) > 0 {
+		return nil, fmt.Errorf("profile %q: unknown key %s", name, extra[0])
+	}
+	return p, p.check()
+}
+
+// ShippedProfiles returns the names of the shipped profiles.
+func ShippedProfiles() []string {
+	entries, _ := shipped.ReadDir("profiles") // embedded, so it exists
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
+func (p *Profile) check() error {
+	if p.Hosts < 1 || p.Engines < 1 || p.LengthS <= 0 || len(p.Kinds) == 0 {
+		return fmt.Errorf("profile %q: hosts, engines, length_s and kinds must be set", p.Name)
+	}
+	if e := p.Engine; e.Slots < 1 || e.MemoryTokens < 1 || e.StepsPerPass < 1 || e.ReadTokensPerMS <= 0 || e.ChunkTokens < 1 {
+		return fmt.Errorf("profile %q: slots, memory_tokens, steps_per_pass, read_tokens_per_ms and chunk_tokens of the engine must be positive", p.Name)
+	}
+	for _, k := range p.Kinds {
+		if k.PromptTokens < 1 || k.Events < 1 || k.DeadlineMS <= 0 {
+			return fmt.Errorf("profile %q: prompt_tokens, events and deadline_ms of kind %q must be positive", p.Name, k.Name)
+		}
+	}
+	for _, s := range p.Swings {
+		for kind := range s.Factors {
+			if !slices.ContainsFunc(p.Kinds, func(k Kind) bool { return k.Name == kind }) {
+				return fmt.Errorf("profile %q: a swing names the unknown kind %q", p.Name, kind)
+			}
+		}
+	}
+	return nil
+}
+
+// arrival is a request of the workload.
+type arrival struct {
+	at     time.Duration
+	host   int
+	kind   *Kind
+	prompt int
+}
+
+// workload draws the requests of a run. It depends on the profile and the seed only, so that all policies
+// serve the same requests.
+func (p *Profile) workload(seed int64) []arrival {
+	rng := rand.New(rand.NewSource(seed))
+	var list []arrival
+	for i := range p.Kinds {
+		k := &p.Kinds[i]
+		most := k.PerS * p.maxFactor(k.Name)
+		for t := 0.0; most > 0; {
+			t += rng.ExpFloat64() / most
+			if t >= p.LengthS {
+				break
+			}
+			if rng.Float64() >= k.PerS*p.factor(k.Name, t)/most {
+				continue // thinned out: the rate is lower at this time
+			}
+			share := minPromptShare + (1-minPromptShare)*rng.ExpFloat64()
+			list = append(list, arrival{
+				at: fromMS(1000 * t), host: rng.Intn(p.Hosts), kind: k,
+				prompt: int(min(share, maxPromptShare) * float64(k.PromptTokens)),
+			})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b arrival) int { return int(a.at - b.at) })
+	return list
+}
+
+// factor returns how much a kind's rate is raised at a time.
+func (p *Profile) factor(kind string, t float64) float64 {
+	for _, s := range p.Swings {
+		if f, ok := s.Factors[kind]; ok && t >= s.FromS && t < s.ToS {
+			return f
+		}
+	}
+	return 1
+}
+
+func (p *Profile) maxFactor(kind string) float64 {
+	most := 1.0
+	for _, s := range p.Swings {
+		most = max(most, s.Factors[kind])
+	}
+	return most
+}
+
+func fromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/lab/fleet/report.go
@@ -0,0 +1,226 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// lateWorth is the part of its worth that a late answer still earns.
+const lateWorth = 0.25
+
+// Result is what callers got in one run.
+type Result struct {
+	Profile string  `json:"profile"`
+	Policy  string  `json:"policy"`
+	Seed    int64   `json:"seed"`
+	Worth   float64 `json:"worth"` // earned, as a share of what all requests are worth
+	Kinds   []Count `json:"kinds"`
+	Memory  int     `json:"memory_left_tokens"` // at engines after the run
+}
+
+// Count is what callers of one kind of request got.
+type Count struct {
+	Kind       string  `json:"kind"`
+	Offered    int     `json:"offered"`
+	OnTime     int     `json:"on_time"`
+	LateFirst  int     `json:"late_first"` // the first event missed its objective
+	LatePause  int     `json:"late_pause"` // only a pause did
+	Refused    int     `json:"refused"`
+	Failed     int     `json:"failed"` // no whole answer by the deadline
+	Worth      float64 `json:"worth"`  // earned, as a share
+	OnTimeRate float64 `json:"on_time_rate"`
+}
+
+// Run runs one profile under one policy.
+func Run(p *Profile, policy Policy, seed int64) Result {
+	w := newWorld(p, policy, seed)
+	w.run(p.workload(seed))
+	return w.measure(policy, seed)
+}
+
+func (w *world) measure(policy Policy, seed int64) Result {
+	res := Result{Profile: w.profile.Name, Policy: policy.Name(), Seed: seed}
+	var earned, owed float64
+	for i := range w.profile.Kinds {
+		k := &w.profile.Kinds[i]
+		c := Count{Kind: k.Name}
+		var kindEarned, kindOwed float64
+		for _, r := range w.requests {
+			if r.kind != k {
+				continue
+			}
+			worth := r.worth()
+			kindOwed += worth
+			kindEarned += worth * c.add(r)
+		}
+		if kindOwed > 0 {
+			c.Worth, c.OnTimeRate = kindEarned/kindOwed, float64(c.OnTime)/float64(c.Offered)
+		}
+		earned, owed = earned+kindEarned, owed+kindOwed
+		res.Kinds = append(res.Kinds, c)
+	}
+	if owed > 0 {
+		res.Worth = earned / owed
+	}
+	for _, e := range w.engines {
+		res.Memory += e.memory
+	}
+	return res
+}
+
+// worth returns what a request is worth: a part for each and the rest in proportion to its size.
+func (r *request) worth() float64 {
+	const fixed = 0.3
+	size := float64(r.prompt) / float64(r.kind.PromptTokens)
+	return r.kind.Worth * min(4, fixed+(1-fixed)*size)
+}
+
+// add counts a request and returns the share of its worth that it has earned.
+func (c *Count) add(r *request) float64 {
+	c.Offered++
+	switch {
+	case r.refused:
+		c.Refused++
+		return 0
+	case !r.done:
+		c.Failed++
+		return 0
+	case r.first-r.at > fromMS(r.kind.ObjectiveMS):
+		c.LateFirst++
+		return lateWorth
+	case r.longest > fromMS(r.kind.MaxPauseMS):
+		c.LatePause++
+		return lateWorth
+	}
+	c.OnTime++
+	return 1
+}
+
+// Compare runs profiles under all policies with several seeds, at most parallel runs at once. Results come in
+// the order of profiles, policies and seeds.
+func Compare(profiles []*Profile, policies []Policy, seeds []int64, parallel int) []Result {
+	out := make([]Result, len(profiles)*len(policies)*len(seeds))
+	slots := make(chan struct{}, max(1, parallel))
+	var wg sync.WaitGroup
+	i := 0
+	for _, p := range profiles {
+		for _, policy := range policies {
+			for _, seed := range seeds {
+				slots <- struct{}{}
+				res := &out[i]
+				i++
+				wg.Go(func() {
+					defer func() { <-slots }()
+					*res = Run(p, policy, seed)
+				})
+			}
+		}
+	}
+	wg.Wait()
+	return out
+}
+
+// WriteText writes results as a table, one line for each profile and policy with the sums over the seeds.
+func WriteText(out io.Writer, results []Result) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "profile\tpolicy\tworth\tkind\toffered\ton time\tlate first\tlate pause\trefused\tfailed\tworth")
+	for _, g := range groups(results) {
+		for i, c := range g.Kinds {
+			profile, policy, worth := "", "", ""
+			if i == 0 {
+				profile, policy, worth = g.Profile, g.Policy, fmt.Sprintf("%.3f", g.Worth)
+			}
+			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\n", profile, policy, worth,
+				c.Kind, c.Offered, c.OnTime, c.LateFirst, c.LatePause, c.Refused, c.Failed, c.Worth)
+		}
+	}
+	return tw.Flush()
+}
+
+// groups sums up the seeds of each profile and policy; shares are means.
+func groups(results []Result) []Result {
+	var out []Result
+	runs := map[int]int{}
+	for _, r := range results {
+		i := slices.IndexFunc(out, func(x Result) bool { return x.Profile == r.Profile && x.Policy == r.Policy })
+		if i < 0 {
+			i = len(out)
+			out = append(out, Result{Profile: r.Profile, Policy: r.Policy, Kinds: make([]Count, len(r.Kinds))})
+		}
+		runs[i]++
+		g := &out[i]
+		g.Worth += r.Worth
+		for k, c := range r.Kinds {
+			s := &g.Kinds[k]
+			s.Kind = c.Kind
+			s.Offered, s.OnTime, s.Refused, s.Failed = s.Offered+c.Offered, s.OnTime+c.OnTime, s.Refused+c.Refused, s.Failed+c.Failed
+			s.LateFirst, s.LatePause, s.Worth = s.LateFirst+c.LateFirst, s.LatePause+c.LatePause, s.Worth+c.Worth
+		}
+	}
+	for i := range out {
+		out[i].Worth /= float64(runs[i])
+		for k := range out[i].Kinds {
+			c := &out[i].Kinds[k]
+			c.Worth /= float64(runs[i])
+			c.OnTimeRate = float64(c.OnTime) / float64(max(1, c.Offered))
+		}
+	}
+	return out
+}
+
+// WritePlot draws the worth that callers got, by kind of request and policy. The file's ending chooses the
+// format, such as .svg or .png.
+func WritePlot(file string, results []Result) error {
+	p := plot.New()
+	p.Title.Text = "worth to callers, as a share of what all requests are worth"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = true
+	bar := vg.Points(7)
+	var names []string
+	byPolicy := map[string]plotter.Values{}
+	var policies []string
+	for _, g := range groups(results) {
+		if byPolicy[g.Policy] == nil {
+			policies = append(policies, g.Policy)
+		}
+		for _, c := range g.Kinds {
+			byPolicy[g.Policy] = append(byPolicy[g.Policy], c.Worth)
+			if name := g.Profile + "\n" + c.Kind; !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	for i, policy := range policies {
+		bars, err := plotter.NewBarChart(byPolicy[policy], bar)
+		if err != nil {
+			return fmt.Errorf("plot %s: %w", file, err)
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = bar * vg.Length(float64(i)-float64(len(policies)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(policy, bars)
+	}
+	p.NominalX(names...)
+	return p.Save(20*vg.Centimeter, 11*vg.Centimeter, file)
+}
+
+// Seeds returns n seeds from the first one on.
+func Seeds(first int64, n int) []int64 {
+	var out []int64
+	for i := range n {
+		out = append(out, first+int64(i))
+	}
+	return out
+}
+
+// length returns the time of the traffic.
+func (p *Profile) length() time.Duration { return fromMS(1000 * p.LengthS) }
