Trace each hop of a request in the entry role

Cause: the entry role had no spans, although the other roles have one for each hop.

Change: a server span for each request, in the caller's trace if it names one, with children for the wait in the queue, reservations and each send to a server. The trace context is not passed on to servers, which get the caller's header unchanged. Without an exporter spans are created and dropped.

--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -15,11 +15,16 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
 func testHost() *Host {
-	h := &Host{start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1)))}
+	o, err := obs.New(obs.Config{HostID: "h1", LogLevel: "info", LogTo: io.Discard, TraceTo: io.Discard})
+	if err != nil {
+		panic(err)
+	}
+	h := &Host{obs: o, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1)))}
 	h.set.HTTPAddress, h.set.ControlAddress = "10.0.0.1:80", "10.0.0.1:83"
 	return h
 }
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -144,8 +144,10 @@
 )
 
 // tryPlain sends a request to one server and reads the whole answer.
-func (h *Host) tryPlain(ctx context.Context, q *request, srv catalog.Server) (*answer, *outcome.Error) {
+func (h *Host) tryPlain(ctx context.Context, q *request, srv catalog.Server) (a *answer, e *outcome.Error) {
 	began := h.now()
+	ctx, span := h.startHop(ctx, stepSend, srv.ID)
+	defer func() { endSpan(span, e) }()
 	ctx, cancel := h.withPatience(ctx, q, srv.ID)
 	defer cancel()
 	defer func() {
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -66,9 +66,11 @@
 }
 
 // wait returns when the request has been placed, refused, or given up by its caller.
-func (st *stream) wait(ctx context.Context, w *waiting) (attempt, *outcome.Error) {
+func (st *stream) wait(ctx context.Context, w *waiting) (a attempt, e *outcome.Error) {
 	h := st.host
 	began := h.now()
+	ctx, span := h.startHop(ctx, stepQueue, "")
+	defer func() { endSpan(span, e) }()
 	select {
 	case end := <-w.Value.ended:
 		st.q.waited += h.now() - began
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -79,27 +79,30 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now()}
-	if e := h.admit(q); e != nil {
+	ctx, span := h.startRequest(q)
+	var e *outcome.Error
+	defer func() { endSpan(span, e) }()
+	if e = h.answer(ctx, w, q); e != nil {
 		h.refuse(w, q, e)
 		return
 	}
+	h.ended(q, outcome.Answered.String(), "", nil)
+}
+
+// answer admits a request and answers it. An error means that the caller has got no answer yet.
+func (h *Host) answer(ctx context.Context, w http.ResponseWriter, q *request) *outcome.Error {
+	if e := h.admit(q); e != nil {
+		return e
+	}
 	if e := h.readBody(w, q); e != nil {
-		h.refuse(w, q, e)
-		return
+		return e
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(q.left(h.now())-answerMargin))
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(q.left(h.now())-answerMargin))
 	defer cancel()
-	var e *outcome.Error
 	if q.route.Kind == catalog.Streaming {
-		e = h.serveStream(ctx, w, q)
-	} else {
-		e = h.servePlain(ctx, w, q)
+		return h.serveStream(ctx, w, q)
 	}
-	if e != nil {
-		h.refuse(w, q, e)
-		return
-	}
-	h.ended(q, outcome.Answered.String(), "", nil)
+	return h.servePlain(ctx, w, q)
 }
 
 // admit finds the route, the team and the deadline of a request.
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -128,7 +128,7 @@
 }
 
 // try runs a placed attempt until its end or the loss of an engine.
-func (st *stream) try(ctx context.Context, a attempt) *outcome.Error {
+func (st *stream) try(ctx context.Context, a attempt) (failed *outcome.Error) {
 	h, q := st.host, st.q
 	s := h.state
 	choice, srv, item := a.choice, a.server, a.item
@@ -150,6 +150,8 @@
 	defer guard.stop()
 	f := st.forward(choice, memory)
 	began := h.now()
+	ctx, span := h.startHop(ctx, stepSend, srv.ID)
+	defer func() { endSpan(span, failed) }()
 	answer, ran, err := h.send(ctx, q, srv, f)
 	if err != nil {
 		st.failed[srv.ID] = true
@@ -183,10 +185,12 @@
 }
 
 // reserve sets aside the memory that the choice needs on its helpers. A failure leaves the request unsent.
-func (st *stream) reserve(ctx context.Context, choice placement.Choice, lose context.CancelFunc) (*reservations, *outcome.Error) {
+func (st *stream) reserve(ctx context.Context, choice placement.Choice, lose context.CancelFunc) (held *reservations, e *outcome.Error) {
 	if len(choice.Reservations) == 0 {
 		return nil, nil
 	}
+	ctx, span := st.host.startHop(ctx, stepReserve, "")
+	defer func() { endSpan(span, e) }()
 	memory, err := st.host.reserve(ctx, choice, lose)
 	if err == nil {
 		return memory, nil
--- /dev/null
+++ b/node/entry/trace.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
+)
+
+// spanRequest is the span of a caller's request; each hop has a child span named after its step. The trace is
+// not passed on to backend servers, which get the caller's header unchanged.
+const spanRequest = "request"
+
+// startRequest starts the span of a caller's request, in the caller's trace if it names one.
+func (h *Host) startRequest(q *request) (context.Context, trace.Span) {
+	ctx := obs.FromHTTP(q.http.Context(), q.http.Header)
+	return h.obs.Span(ctx, spanRequest, trace.SpanKindServer, attribute.String("request", q.call.ID))
+}
+
+// startHop starts the span of a step with a backend server, or of one inside this host if none is named.
+func (h *Host) startHop(ctx context.Context, step string, server ident.BackendID) (context.Context, trace.Span) {
+	if server == "" {
+		return h.obs.Span(ctx, step, trace.SpanKindInternal)
+	}
+	return h.obs.Span(ctx, step, trace.SpanKindClient, attribute.String("server", string(server)))
+}
+
+// endSpan ends a span with the failure of its step, or nil.
+func endSpan(s trace.Span, e *outcome.Error) {
+	if e == nil {
+		obs.EndSpan(s, "")
+		return
+	}
+	obs.EndSpan(s, string(e.Reason))
+}
