--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -40,13 +40,23 @@
 	if err := h.serve(readiness, h.set.ReadyAddress); err != nil {
 		return err
 	}
+	h.startMetrics()
+	return nil
+}
+
+// startMetrics serves the metrics. A host whose port is taken goes on without them, since callers need no
+// metrics.
+func (h *Host) startMetrics() {
 	if h.set.AdminPort == 0 {
-		return nil
+		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.obs.MetricsHandler())
 	ip, _, _ := net.SplitHostPort(h.set.HTTPAddress)
-	return h.serve(h.newServer(mux), net.JoinHostPort(ip, strconv.Itoa(h.set.AdminPort)))
+	address := net.JoinHostPort(ip, strconv.Itoa(h.set.AdminPort))
+	if err := h.serve(h.newServer(mux), address); err != nil {
+		h.log.WithFields(fields{"address": address, "error": err.Error()}).Error("metrics not served")
+	}
 }
 
 func (h *Host) newServer(handler http.Handler) *http.Server {
