Queue waiting requests by service, urgent priorities first

Cause: found on reading the queue again. All services shared one queue, in which one declined request stands for its kind, so that a service with free engines could wait behind another without; the priorities of teams and routes were not looked at; a request whose caller left at the moment of its placement was taken back without telling the peers.

Change: a queue for each service; a more urgent priority goes first among requests of one kind, and the bound of a wait keeps it from holding up the others for good; the peers are told.

Tests: a service with a free engine is served beside a full one (fails with the shared queue); the order by priority.

--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Queue holds the requests of one host that wait for an engine. It answers floods of short requests: an
+// Queue holds the requests of one host that wait for an engine of one service. It answers floods of short requests: an
 // engine serves waiting requests first come, first served, so that once its slots are taken every later
 // request is late as well. Here those that can still be on time go first, and the overdue ones follow when
 // they take nothing from others. It is not safe for concurrent use.
@@ -17,6 +17,7 @@
 // Waiting is a request in a queue.
 type Waiting[T any] struct {
 	Value     T
+	Priority  int // 0 is the most urgent
 	Arrived   time.Duration
 	Objective time.Duration // time at which its first event becomes late
 	Until     time.Duration // time at which it is placed at any cost
@@ -37,10 +38,13 @@
 
 // Offer offers the waiting requests for placement, in order, until one of each kind was declined: first
 // those that must not wait any longer, then those that can be on time, by their objectives, then the
-// overdue ones by arrival. place takes a request or declines it.
+// overdue ones by arrival. More urgent priorities go first within a kind; Until keeps them from holding up the
+// others for good. place takes a request or declines it.
 func (q *Queue[T]) Offer(now time.Duration, place func(*Waiting[T]) bool) {
 	slices.SortStableFunc(q.waiting, func(a, b *Waiting[T]) int {
-		return cmp.Or(cmp.Compare(a.kind(now), b.kind(now)), cmp.Compare(a.order(now), b.order(now)))
+		return cmp.Or(
+			cmp.Compare(a.kind(now), b.kind(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.order(now), b.order(now)),
+		)
 	})
 	var declined [kinds]bool
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting[T]) bool {
@@ -90,8 +94,7 @@
 	overdueLoss = 0.2
 )
 
-// MayWait reports whether a request is of the kind that gains by waiting: a short one with an objective, and with
-// time left.
+// MayWait reports whether a request is of the kind that gains by waiting: a short one with an objective.
 func (t *Table) MayWait(c Choice) bool {
 	e := t.engines[c.Engine]
 	if e == nil || c.request.Objective == 0 {
--- a/core/placement/queue_test.go
+++ b/core/placement/queue_test.go
@@ -102,6 +102,13 @@
 	c.Assert(offered, qt.DeepEquals, []string{"must go", "urgent", "fresh", "overdue early", "overdue late"})
 	c.Assert(q.Len(), qt.Equals, 0)
 
+	add("less urgent", 10, 110, 900)
+	q.waiting[0].Priority = 1
+	add("more urgent", 20, 190, 900)
+	offered = nil
+	q.Offer(100, take)
+	c.Assert(offered, qt.DeepEquals, []string{"more urgent", "less urgent"})
+
 	add("a", 10, 200, 900)
 	add("b", 20, 210, 900)
 	add("c", 5, 50, 900)
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -33,7 +33,7 @@
 	err     *outcome.Error
 }
 
-type waiting = placement.Waiting[queued]
+type waitingStream = placement.Waiting[queued]
 
 // place chooses engines for a stream and books its load. A request that would be late, or make others late,
 // waits for a better moment.
@@ -53,20 +53,21 @@
 		h.changed()
 		return a, nil
 	}
-	w := &waiting{
+	w := &waitingStream{
 		Value:     queued{stream: st, ended: make(chan queueEnd, 1)},
+		Priority:  q.priority,
 		Arrived:   q.arrived,
 		Objective: q.arrived + q.route.Objective,
 		Until:     placement.WaitUntil(q.arrived, q.deadline-q.arrived),
 	}
-	s.queue.Add(w)
+	s.queue(q.service).Add(w)
 	s.mu.Unlock()
 	signal(h.queued)
 	return st.wait(ctx, w)
 }
 
 // wait returns when the request has been placed, refused, or given up by its caller.
-func (st *stream) wait(ctx context.Context, w *waiting) (a attempt, e *outcome.Error) {
+func (st *stream) wait(ctx context.Context, w *waitingStream) (a attempt, e *outcome.Error) {
 	h := st.host
 	began := h.now()
 	ctx, span := h.startHop(ctx, stepQueue, "")
@@ -79,11 +80,12 @@
 	}
 	h.state.mu.Lock()
 	defer h.state.mu.Unlock()
-	h.state.queue.Remove(w)
+	h.state.queue(st.q.service).Remove(w)
 	select {
 	case end := <-w.Value.ended: // placed at the same moment
 		if end.attempt.item != nil {
 			h.state.engines.End(h.now(), end.attempt.item)
+			h.changed()
 		}
 	default:
 	}
@@ -106,26 +108,29 @@
 }
 
 // offerQueue places the waiting requests that an engine can take now and returns how many still wait.
-func (h *Host) offerQueue() int {
+func (h *Host) offerQueue() (waiting int) {
 	now := h.now()
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	placed := false
-	s.queue.Offer(now, func(w *waiting) bool {
-		a, e := w.Value.stream.choose(now)
-		if e == nil {
-			if now < w.Until && !s.engines.PlaceNow(a.choice) {
-				return false
-			}
-			a.item = s.engines.Place(now, a.choice)
-			placed = true
+	for _, queue := range s.queues {
+		queue.Offer(now, func(w *waitingStream) bool { return h.offer(now, w) })
+		waiting += queue.Len()
+	}
+	return waiting
+}
+
+// offer places a waiting stream, or declines it as long as it gains by waiting. The state must be locked.
+func (h *Host) offer(now time.Duration, w *waitingStream) bool {
+	engines := h.state.engines
+	a, e := w.Value.stream.choose(now)
+	if e == nil {
+		if now < w.Until && !engines.PlaceNow(a.choice) {
+			return false
 		}
-		w.Value.ended <- queueEnd{a, e}
-		return true
-	})
-	if placed {
+		a.item = engines.Place(now, a.choice)
 		h.changed()
 	}
-	return s.queue.Len()
+	w.Value.ended <- queueEnd{a, e}
+	return true
 }
--- a/node/entry/queue_test.go
+++ b/node/entry/queue_test.go
@@ -73,6 +73,31 @@
 	c.Assert(h.state.engines.OwnLoads()[0].Load.Tokens, qt.Equals, 0, qt.Commentf("memory of a request that nobody waits for"))
 }
 
+// Guards against requests of a service with free engines that wait because another service has none.
+func TestServicesWaitApart(t *testing.T) {
+	c := qt.New(t)
+	h, _ := fullHost(c)
+	full := shortStream(h, 10*time.Second)
+	free := shortStream(h, 10*time.Second)
+	free.q.service = "other"
+	for _, st := range []*stream{full, free} {
+		h.state.queue(st.q.service).Add(&waitingStream{
+			Value: queued{stream: st, ended: make(chan queueEnd, 1)}, Arrived: h.now(), Objective: h.now() + time.Hour, Until: h.now() + time.Hour,
+		})
+	}
+	snapshot := h.state.catalog.Snapshot()
+	snapshot.Revision++
+	config := *snapshot.Config
+	config.Version++
+	config.Services = append(config.Services, catalog.Service{Name: "other", Runtime: config.Services[0].Runtime})
+	snapshot.Config = &config
+	snapshot.Servers = append(snapshot.Servers, catalog.Server{ID: "e2", Service: "other", Address: "10.0.0.9:2", Slots: engineSlots})
+	h.state.catalog.Replace(h.now(), snapshot)
+	h.state.published()
+	c.Assert(h.offerQueue(), qt.Equals, 1)
+	c.Assert(h.state.queue("models").Len(), qt.Equals, 1)
+}
+
 // Guards against a waiting request that is not placed when a slot comes free, or that is held until its
 // deadline when none does.
 func TestWaitEndsWithASlotOrItsBound(t *testing.T) {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -21,7 +21,7 @@
 	rng     *rand.Rand
 	catalog *catalog.Table
 	engines *placement.Table
-	queue   placement.Queue[queued]
+	queues  map[string]*placement.Queue[queued] // by service
 	health  *health.Tracker
 	plain   *placement.Plain
 	budgets map[string]*retry.FleetBudget
@@ -57,6 +57,7 @@
 		catalog:  catalog.NewTable(),
 		engines:  placement.NewTable(),
 		health:   health.NewTracker(health.Config{}),
+		queues:   map[string]*placement.Queue[queued]{},
 		plain:    placement.NewPlain(),
 		budgets:  map[string]*retry.FleetBudget{},
 		peers:    map[member.Addr]*peer{},
@@ -86,6 +87,16 @@
 	s.plain.Keep(keep)
 }
 
+// queue returns the queue of a service.
+func (s *state) queue(service string) *placement.Queue[queued] {
+	q := s.queues[service]
+	if q == nil {
+		q = &placement.Queue[queued]{}
+		s.queues[service] = q
+	}
+	return q
+}
+
 func (s *state) budget(service string) *retry.FleetBudget {
 	b := s.budgets[service]
 	if b == nil {
