Share virtual time and profiles between the two policy benchmarks

Cause: lab/fleet repeated the event heap and the reading of profiles of lab/policy.

Change: lab/internal/virtual holds the clock, lab/internal/profile reads profiles; both benchmarks use them.

Test: the order of events of one time, of the past and beyond the end.

--- a/lab/fleet/engine.go
+++ b/lab/fleet/engine.go
@@ -105,9 +105,9 @@
 		}
 		r := e.w.runtime
 		step := r.StepMS + float64(len(e.writers))*r.SequenceMS + float64(context)/1000*r.ContextMSPerK
-		e.busy, e.end = true, e.w.now+fromMS(float64(r.StepsPerPass)*step)
+		e.busy, e.end = true, e.w.Now()+fromMS(float64(r.StepsPerPass)*step)
 		e.budget = float64(r.StepsPerPass * e.w.profile.Engine.ChunkTokens)
-		e.w.at(e.end, e.passed)
+		e.w.At(e.end, e.passed)
 	}
 	for _, p := range reads {
 		n := min(p.tokens, e.budget)
@@ -138,8 +138,8 @@
 
 // passed ends the pass, unless reading has made it longer.
 func (e *engine) passed() {
-	if e.w.now < e.end {
-		e.w.at(e.end, e.passed)
+	if e.w.Now() < e.end {
+		e.w.At(e.end, e.passed)
 		return
 	}
 	writers, read := e.writers, e.read
@@ -156,10 +156,10 @@
 			continue
 		}
 		j.events--
-		j.onEvent(e.w.now)
+		j.onEvent(e.w.Now())
 		if j.events == 0 {
 			e.leave(j)
-			j.onEnd(e.w.now)
+			j.onEnd(e.w.Now())
 		}
 	}
 	e.work()
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-func profile(c *qt.C, name string) *Profile {
+func load(c *qt.C, name string) *Profile {
 	p, err := LoadProfile(name)
 	c.Assert(err, qt.IsNil)
 	return p
@@ -21,7 +21,7 @@
 // comparisons of policies into noise.
 func TestSameSeedSameResult(t *testing.T) {
 	c := qt.New(t)
-	p := profile(c, "kernhof")
+	p := load(c, "kernhof")
 	p.LengthS = 10
 	once, again := Run(p, product{queue: true}, 3), Run(p, product{queue: true}, 3)
 	c.Assert(reflect.DeepEqual(once, again), qt.IsTrue, qt.Commentf("%+v\n%+v", once, again))
@@ -34,7 +34,7 @@
 	c := qt.New(t)
 	var profiles []*Profile
 	for _, name := range ShippedProfiles() {
-		profiles = append(profiles, profile(c, name))
+		profiles = append(profiles, load(c, name))
 	}
 	results := Compare(profiles, Policies(), Seeds(1, 2), 3)
 	worth := map[string]float64{}
@@ -58,7 +58,7 @@
 
 // flood is a deployment whose engines have slots for half of a flood of short requests.
 func flood(c *qt.C) *Profile {
-	p := profile(c, "kernhof")
+	p := load(c, "kernhof")
 	p.Hosts, p.Engines, p.LengthS = 3, 3, 12
 	p.Kinds = p.Kinds[:1]
 	p.Kinds[0].PerS = 12
@@ -80,7 +80,7 @@
 // Guards against an emulated engine that is faster or slower than its figures say.
 func TestIdleEngine(t *testing.T) {
 	c := qt.New(t)
-	p := profile(c, "kernhof")
+	p := load(c, "kernhof")
 	p.Hosts, p.Engines, p.ExchangeLoss = 1, 1, 0
 	w := newWorld(p, takeTurns{}, 1)
 	k := &p.Kinds[0]
@@ -101,7 +101,7 @@
 	c.Assert(os.WriteFile(file, []byte("hots = 3"), 0o600), qt.IsNil)
 	_, err = LoadProfile(file)
 	c.Assert(err, qt.ErrorMatches, `.*unknown key hots`)
-	p := profile(c, "kernhof")
+	p := load(c, "kernhof")
 	p.Swings = []Swing{{Factors: map[string]float64{"long": 2}}}
 	c.Assert(p.check(), qt.ErrorMatches, `.*unknown kind "long"`)
 }
--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -56,13 +56,13 @@
 
 // ask returns what a placement depends on.
 func (h *host) ask(r *request) placement.Request {
-	objective := r.at + fromMS(r.kind.ObjectiveMS) - h.w.now
+	objective := r.at + fromMS(r.kind.ObjectiveMS) - h.w.Now()
 	if objective == 0 {
 		objective = -1
 	}
 	return placement.Request{
 		PromptTokens: r.prompt, OutputTokens: r.kind.Events * h.w.runtime.StepsPerPass, Objective: objective,
-		MaxPause: fromMS(r.kind.MaxPauseMS), Left: r.deadline - h.w.now,
+		MaxPause: fromMS(r.kind.MaxPauseMS), Left: r.deadline - h.w.Now(),
 	}
 }
 
@@ -74,17 +74,17 @@
 // refuse sends a caller away until later.
 func (h *host) refuse(r *request, retryAfter time.Duration) {
 	r.tries++
-	if r.tries > callerRetries || h.w.now+retryAfter >= r.deadline {
+	if r.tries > callerRetries || h.w.Now()+retryAfter >= r.deadline {
 		r.refused = true
 		return
 	}
-	h.w.after(retryAfter+2*h.w.network(), func() { h.arrive(r) })
+	h.w.After(retryAfter+2*h.w.network(), func() { h.arrive(r) })
 }
 
 // place sends a request to the chosen engines and books its load.
 func (h *host) place(r *request, c placement.Choice) {
 	w := h.w
-	r.item = h.table.Place(w.now, c)
+	r.item = h.table.Place(w.Now(), c)
 	h.changed()
 	r.engine = w.byID[c.Engine]
 	var helpers []*engine
@@ -94,14 +94,14 @@
 	r.job = &job{
 		prompt: r.prompt, tokens: r.prompt + r.kind.Events*w.runtime.StepsPerPass, events: r.kind.Events,
 		onEvent: func(now time.Duration) { h.event(r, c.Engine, now) },
-		onEnd:   func(time.Duration) { w.after(w.network(), func() { h.end(r, true) }) },
+		onEnd:   func(time.Duration) { w.After(w.network(), func() { h.end(r, true) }) },
 	}
-	w.after(w.network()+fromMS(w.profile.Engine.WorkMS), func() {
+	w.After(w.network()+fromMS(w.profile.Engine.WorkMS), func() {
 		if r.job != nil {
 			r.engine.start(r.job, helpers)
 		}
 	})
-	w.at(r.deadline, func() { h.end(r, false) })
+	w.At(r.deadline, func() { h.end(r, false) })
 }
 
 // event passes an event on to the caller.
@@ -127,7 +127,7 @@
 	if !answered {
 		r.engine.cancel(j)
 	}
-	h.table.End(h.w.now, r.item)
+	h.table.End(h.w.Now(), r.item)
 	h.changed()
 }
 
@@ -137,7 +137,7 @@
 		return
 	}
 	h.telling = true
-	h.w.after(fromMS(h.w.profile.ExchangeMS), func() {
+	h.w.After(fromMS(h.w.profile.ExchangeMS), func() {
 		h.telling = false
 		h.tell(false)
 	})
@@ -145,7 +145,7 @@
 
 func (h *host) exchangeAll() {
 	h.tell(true)
-	h.w.after(fullExchange, h.exchangeAll)
+	h.w.After(fullExchange, h.exchangeAll)
 }
 
 func (h *host) tell(all bool) {
@@ -154,7 +154,7 @@
 		if peer == h || h.w.rng.Float64() < h.w.profile.ExchangeLoss {
 			continue
 		}
-		h.w.after(h.w.network(), func() { peer.table.Heard(h.w.now, h.owner(), u) })
+		h.w.After(h.w.network(), func() { peer.table.Heard(h.w.Now(), h.owner(), u) })
 	}
 }
 
@@ -174,9 +174,9 @@
 	}
 	h.serving = true
 	jitter := time.Duration(h.w.rng.Int63n(int64(queueInterval)))
-	h.w.after(queueInterval/2+jitter, func() {
+	h.w.After(queueInterval/2+jitter, func() {
 		h.serving = false
-		h.queue.Offer(h.w.now, func(x *placement.Waiting[*request]) bool { return h.offered(x) })
+		h.queue.Offer(h.w.Now(), func(x *placement.Waiting[*request]) bool { return h.offered(x) })
 		if h.queue.Len() > 0 {
 			h.serveQueue()
 		}
@@ -186,11 +186,11 @@
 // offered places a waiting request if it is worth it now.
 func (h *host) offered(x *placement.Waiting[*request]) bool {
 	r := x.Value
-	c, ok := h.table.Choose(h.w.now, service, h.ask(r))
+	c, ok := h.table.Choose(h.w.Now(), service, h.ask(r))
 	switch {
 	case !ok:
 		h.refuse(r, noRoomRetry)
-	case h.w.now < x.Until && !h.table.PlaceNow(c):
+	case h.w.Now() < x.Until && !h.table.PlaceNow(c):
 		return false
 	default:
 		h.place(r, c)
--- a/lab/fleet/policy.go
+++ b/lab/fleet/policy.go
@@ -35,7 +35,7 @@
 }
 
 func (p product) arrive(h *host, r *request) {
-	c, ok := h.table.Choose(h.w.now, service, h.ask(r))
+	c, ok := h.table.Choose(h.w.Now(), service, h.ask(r))
 	if !ok {
 		h.refuse(r, noRoomRetry)
 		return
@@ -48,7 +48,7 @@
 		}
 		return
 	}
-	if v := h.table.Admit(h.w.now, service, c); !v.Admit {
+	if v := h.table.Admit(h.w.Now(), service, c); !v.Admit {
 		h.refuse(r, v.RetryAfter)
 		return
 	}
--- a/lab/fleet/profile.go
+++ b/lab/fleet/profile.go
@@ -4,18 +4,14 @@
 package fleet
 
 import (
-	"bytes"
 	"embed"
 	"fmt"
 	"math/rand"
-	"os"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/profile"
 )
 
 //go:embed profiles/*.toml
@@ -85,32 +81,15 @@
 
 // LoadProfile reads a shipped profile by name, or a file.
 func LoadProfile(name string) (*Profile, error) {
-	data, err := shipped.ReadFile("profiles/" + name + ".toml")
-	if err != nil {
-		if data, err = os.ReadFile(name); err != nil {
-			return nil, fmt.Errorf("profile %q is neither shipped nor a readable file: %w", name, err)
-		}
-	}
 	p := &Profile{}
-	md, err := toml.NewDecoder(bytes.NewReader(data)).Decode(p)
-	if err != nil {
-		return nil, fmt.Errorf("profile %q: %w", name, err)
-	}
-	if extra := md.Undecoded(); len(extra) > 0 {
-		return nil, fmt.Errorf("profile %q: unknown key %s", name, extra[0])
+	if err := profile.Load(shipped, name, p); err != nil {
+		return nil, err
 	}
 	return p, p.check()
 }
 
 // ShippedProfiles returns the names of the shipped profiles.
-func ShippedProfiles() []string {
-	entries, _ := shipped.ReadDir("profiles") // embedded, so it exists
-	var names []string
-	for _, e := range entries {
-		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
-	}
-	return names
-}
+func ShippedProfiles() []string { return profile.Names(shipped) }
 
 func (p *Profile) check() error {
 	if p.Hosts < 1 || p.Engines < 1 || p.LengthS <= 0 || len(p.Kinds) == 0 {
--- a/lab/policy/engine.go
+++ b/lab/policy/engine.go
@@ -52,7 +52,7 @@
 
 // start handles POST /v1/sessions.
 func (e *engine) start(send sched.Send) {
-	x := &session{send: send, left: send.PromptTo - send.PromptFrom, count: send.ResumeFrom, progress: e.w.now}
+	x := &session{send: send, left: send.PromptTo - send.PromptFrom, count: send.ResumeFrom, progress: e.w.Now()}
 	x.tokens = x.left + send.MaxOutputTokens
 	x.output = e.w.outputOf(send.Attempt)
 	if e.used+x.tokens > e.w.p.MemoryTokens {
@@ -67,7 +67,7 @@
 		x.left = max(1, x.left-cachedPrefixTokens)
 	}
 	imported := time.Duration(float64(send.PromptFrom) / e.w.p.KVImportTokensPerS * float64(time.Second))
-	e.w.after(imported, func() { e.enqueue(x) })
+	e.w.After(imported, func() { e.enqueue(x) })
 }
 
 func (e *engine) enqueue(x *session) {
@@ -108,7 +108,7 @@
 		budget -= n
 	}
 	batch := slices.Clone(e.decode)
-	e.w.after(e.w.p.stepTime(e.w.p.ChunkTokens-budget, len(batch)), func() { e.stepDone(work, batch) })
+	e.w.After(e.w.p.stepTime(e.w.p.ChunkTokens-budget, len(batch)), func() { e.stepDone(work, batch) })
 }
 
 func (e *engine) stepDone(work []slice, batch []*session) {
@@ -156,8 +156,8 @@
 		e.end(x)
 		return
 	}
-	if e.w.now-x.progress >= progressEvery {
-		x.progress = e.w.now
+	if e.w.Now()-x.progress >= progressEvery {
+		x.progress = e.w.Now()
 		e.w.fromEngine(sched.TokenProgress{Session: x.send.Session, Count: x.count})
 	}
 }
@@ -206,7 +206,7 @@
 		issuer, inc, _, _ := x.send.Session.Parse()
 		r.Sessions = append(r.Sessions, backendapi.Session{
 			Session: string(x.send.Session), Issuer: string(issuer), Incarnation: inc.String(),
-			ReservedTokens: x.tokens, RemainingMS: (x.send.Deadline - e.w.now).Milliseconds(),
+			ReservedTokens: x.tokens, RemainingMS: (x.send.Deadline - e.w.Now()).Milliseconds(),
 		})
 	}
 	for h := range e.kv {
--- a/lab/policy/profile.go
+++ b/lab/policy/profile.go
@@ -1,16 +1,12 @@
 package policy
 
 import (
-	"bytes"
 	"embed"
 	"fmt"
-	"os"
-	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/profile"
 )
 
 //go:embed profiles/*.toml
@@ -74,31 +70,14 @@
 // LoadProfile reads a shipped profile by name, or a file.
 func LoadProfile(name string) (Profile, error) {
 	var p Profile
-	data, err := shipped.ReadFile("profiles/" + name + ".toml")
-	if err != nil {
-		if data, err = os.ReadFile(name); err != nil {
-			return p, fmt.Errorf("profile %q is neither shipped nor a readable file: %w", name, err)
-		}
-	}
-	md, err := toml.NewDecoder(bytes.NewReader(data)).Decode(&p)
-	if err != nil {
-		return p, fmt.Errorf("profile %q: %w", name, err)
-	}
-	if extra := md.Undecoded(); len(extra) > 0 {
-		return p, fmt.Errorf("profile %q: unknown key %s", name, extra[0])
+	if err := profile.Load(shipped, name, &p); err != nil {
+		return p, err
 	}
 	return p, p.check()
 }
 
 // ShippedProfiles returns the names of the shipped profiles.
-func ShippedProfiles() []string {
-	entries, _ := shipped.ReadDir("profiles")
-	var names []string
-	for _, e := range entries {
-		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
-	}
-	return names
-}
+func ShippedProfiles() []string { return profile.Names(shipped) }
 
 func (p *Profile) check() error {
 	if p.Engines < 1 || p.GroupSize < 1 || p.MemoryTokens < 1 || p.ChunkTokens < 1 || p.PrefillTokensPerS <= 0 {
--- a/lab/policy/world.go
+++ b/lab/policy/world.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/limits"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/sched"
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/virtual"
 )
 
 const (
@@ -20,10 +20,8 @@
 
 // world runs one cell: one scheduler, its engines, one gateway with team limits, virtual time.
 type world struct {
+	virtual.Clock
 	p        *Profile
-	now      time.Duration
-	queue    eventHeap
-	seq      uint64
 	rng      *rand.Rand // faults of the platform, such as lost cache events
 	s        *sched.Scheduler
 	wakeAt   time.Duration
@@ -65,7 +63,7 @@
 	w.teams.Configure(0, teamRates(p, load))
 	w.step(sched.EnginesChanged{Engines: list})
 	for i, e := range w.order {
-		w.after(time.Duration(i)*time.Millisecond, func() { w.pollReport(e) })
+		w.After(time.Duration(i)*time.Millisecond, func() { w.pollReport(e) })
 	}
 	return w
 }
@@ -96,34 +94,30 @@
 		w.requests[i].arrival = list[i]
 		r := &w.requests[i]
 		r.deadline = r.at + time.Duration(r.arrival.kind.TimeoutMS)*time.Millisecond
-		w.at(r.at, func() { w.arrive(uint64(i)) })
+		w.At(r.at, func() { w.arrive(uint64(i)) })
 	}
 	end := w.p.ends()[phaseHeavy]
 	for _, k := range w.p.Kinds {
 		end = max(end, w.p.ends()[phaseHeavy]+time.Duration(k.TimeoutMS)*time.Millisecond+10*time.Second)
 	}
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.run()
-	}
+	w.Run(end)
 }
 
 func (w *world) arrive(n uint64) {
 	r := &w.requests[n]
-	d := w.teams.Take(w.now, ident.Team(r.team.Name), r.prompt+r.arrival.kind.OutputMax)
+	d := w.teams.Take(w.Now(), ident.Team(r.team.Name), r.prompt+r.arrival.kind.OutputMax)
 	if !d.OK {
 		w.end(n, outcome.NotRun, outcome.TeamLimit)
 		return
 	}
-	w.after(w.p.network(), func() {
+	w.After(w.p.network(), func() {
 		w.step(sched.Submit{
 			Attempt: attemptID(n), Team: ident.Team(r.team.Name), Model: model, Class: r.arrival.kind.class,
 			PromptTokens: r.prompt, MaxOutputTokens: r.arrival.kind.OutputMax, Deadline: r.deadline, Prefix: r.prefix,
 		})
 	})
 	if r.cancelAt > 0 {
-		w.at(r.cancelAt, func() { w.step(sched.Cancelled{Attempt: attemptID(n)}) })
+		w.At(r.cancelAt, func() { w.step(sched.Cancelled{Attempt: attemptID(n)}) })
 	}
 }
 
@@ -132,7 +126,7 @@
 }
 
 func (w *world) step(ev sched.Event) {
-	for _, a := range w.s.Step(w.now, ev) {
+	for _, a := range w.s.Step(w.Now(), ev) {
 		w.act(a)
 	}
 }
@@ -142,18 +136,18 @@
 	case sched.Send:
 		r := &w.requests[a.Attempt.Number]
 		r.sent, r.gang = true, r.gang || len(a.Gang) > 0
-		w.after(w.p.network(), func() { w.engines[a.Engine].start(a) })
+		w.After(w.p.network(), func() { w.engines[a.Engine].start(a) })
 	case sched.CancelSession:
-		w.after(w.p.network(), func() { w.engines[a.Engine].cancel(a.Session) })
+		w.After(w.p.network(), func() { w.engines[a.Engine].cancel(a.Session) })
 	case sched.ReleaseKV:
-		w.after(w.p.network(), func() { w.engines[a.Engine].releaseKV(a.Handle) })
+		w.After(w.p.network(), func() { w.engines[a.Engine].releaseKV(a.Handle) })
 	case sched.Refuse:
 		w.end(a.Attempt.Number, outcome.NotRun, a.Reason)
 	case sched.End:
 		w.end(a.Attempt.Number, a.Kind, a.Reason)
 	case sched.Wake:
 		w.wakeAt = a.At
-		w.at(a.At, func() {
+		w.At(a.At, func() {
 			if w.wakeAt == a.At {
 				w.step(sched.Tick{})
 			}
@@ -163,13 +157,13 @@
 
 func (w *world) end(n uint64, k outcome.Kind, reason outcome.Reason) {
 	r := &w.requests[n]
-	r.done, r.ended, r.kind, r.reason = true, w.now, k, reason
-	r.late = w.now > r.deadline
+	r.done, r.ended, r.kind, r.reason = true, w.Now(), k, reason
+	r.late = w.Now() > r.deadline
 }
 
 func (w *world) firstToken(id sched.AttemptID) {
 	if r := &w.requests[id.Number]; r.first == 0 {
-		r.first = w.now + 2*w.p.network()
+		r.first = w.Now() + 2*w.p.network()
 	}
 }
 
@@ -177,15 +171,15 @@
 
 // fromEngine delivers an event of an engine to the dispatcher.
 func (w *world) fromEngine(ev sched.Event) {
-	w.after(w.p.network(), func() { w.step(ev) })
+	w.After(w.p.network(), func() { w.step(ev) })
 }
 
 func (w *world) pollReport(e *engine) {
 	r := e.report()
 	lag := time.Duration(w.p.ReportLagMS) * time.Millisecond
-	requested := w.now + lag
-	w.after(lag+w.p.network(), func() { w.step(sched.Report{Engine: e.id, Requested: requested, Report: r}) })
-	w.after(time.Duration(w.p.ReportEveryMS)*time.Millisecond, func() { w.pollReport(e) })
+	requested := w.Now() + lag
+	w.After(lag+w.p.network(), func() { w.step(sched.Report{Engine: e.id, Requested: requested, Report: r}) })
+	w.After(time.Duration(w.p.ReportEveryMS)*time.Millisecond, func() { w.pollReport(e) })
 }
 
 func (w *world) cacheEvent(e *engine, ev backendapi.CacheEvent) {
@@ -193,37 +187,5 @@
 		return
 	}
 	lag := time.Duration(w.p.CacheEventLagMS) * time.Millisecond
-	w.after(lag, func() { w.step(sched.CacheEvent{Engine: e.id, Event: ev}) })
-}
-
-func (w *world) after(d time.Duration, run func()) { w.at(w.now+d, run) }
-
-func (w *world) at(at time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.queue, event{at: max(at, w.now), seq: w.seq, run: run})
-}
-
-type event struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*h = old[:len(old)-1]
-	return last
+	w.After(lag, func() { w.step(sched.CacheEvent{Engine: e.id, Event: ev}) })
 }
