Soak up to 40 entry hosts

Cause: a soak was limited to eight hosts, and its faults of links fell in part on the stores of hosts that it had not started.

Change: a fleet of stand-ins serves as many hosts as it is told to; rosectl soak takes 2 to 40.

--- a/cmd/rosectl/soak.go
+++ b/cmd/rosectl/soak.go
@@ -44,7 +44,7 @@
 func (o *soakOptions) flags(sc *flaggy.Subcommand) {
 	sc.Int64(&o.seed, "", "seed", "seed of faults and requests; 0 takes a fresh one")
 	sc.Float64(&o.minutes, "m", "minutes", "time with faults")
-	sc.Int(&o.hosts, "", "hosts", "entry hosts, 2 to 8")
+	sc.Int(&o.hosts, "", "hosts", fmt.Sprintf("entry hosts, 2 to %d", soak.MaxHosts))
 	sc.Int(&o.port, "", "port", fmt.Sprintf("first of %d free ports on the loopback network", soak.Ports))
 	sc.String(&o.program, "", "program", "path of rosemaryhill; without it, the one beside rosectl")
 	sc.String(&o.dir, "d", "dir", "directory for settings and logs; without it, a new one that is kept")
@@ -79,8 +79,8 @@
 		Seed: o.seed, Time: time.Duration(o.minutes * float64(time.Minute)), Hosts: o.hosts,
 		Program: o.program, Dir: o.dir, Port: o.port,
 	}
-	if o.hosts < 2 || o.hosts > 8 {
-		return cfg, usageError.New("--hosts %d is not between 2 and 8", o.hosts)
+	if o.hosts < 2 || o.hosts > soak.MaxHosts {
+		return cfg, usageError.New("--hosts %d is not between 2 and %d", o.hosts, soak.MaxHosts)
 	}
 	if cfg.Time <= 0 {
 		return cfg, usageError.New("--minutes must be positive")
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -21,7 +21,7 @@
 type Config struct {
 	Seed    int64
 	Time    time.Duration // with faults
-	Hosts   int           // entry hosts, 2 to 8
+	Hosts   int           // entry hosts, 2 to MaxHosts
 	Program string        // path of rosemaryhill
 	Dir     string        // for settings and logs; kept
 	Port    int           // first of Ports ports
@@ -30,6 +30,9 @@
 // Ports is the number of ports that a run takes.
 const Ports = 10
 
+// MaxHosts keeps a run to a few dozen processes.
+const MaxHosts = 40
+
 // Result is what a run has shown.
 type Result struct {
 	Requests, Served int
@@ -93,7 +96,7 @@
 }
 
 func (r *run) start(ctx context.Context) error {
-	fleet, err := standin.NewFleet(r.cfg.Port, func(address, target string) error {
+	fleet, err := standin.NewFleet(r.cfg.Port, r.cfg.Hosts, func(address, target string) error {
 		_, err := r.addLink(address, target)
 		return err
 	})
