Refuse hopeless waiting requests, and mark spans of streams that are broken off

Cause: found on reading the change. A short request that could not begin before its deadline waited like the others instead of being refused at once; the span of a stream that ends by breaking off its connection ended as a success; in the emulation, a request that ended on its way to an engine would have panicked.

Change: only requests whose predicted first event lies before their deadline may wait; the span of a request starts as failed and is corrected by its end; a job that has not reached its engine is dropped.

Ruled out: other ways out of the handler; the only panic is the one that breaks off the connection.

--- a/lab/fleet/engine.go
+++ b/lab/fleet/engine.go
@@ -67,8 +67,8 @@
 
 // cancel takes a job off its engine. The pass that runs is not shortened.
 func (e *engine) cancel(j *job) {
-	if j.canceled {
-		return
+	if len(j.parts) == 0 {
+		return // it has not reached the engine yet
 	}
 	j.canceled = true
 	e.leave(j)
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -92,6 +92,19 @@
 	c.Check(r.longest > 43*time.Millisecond && r.longest < 46*time.Millisecond, qt.IsTrue, qt.Commentf("pause of %v", r.longest))
 }
 
+// Guards against a request that ends at its deadline before it has reached its engine.
+func TestDeadlineOnTheWay(t *testing.T) {
+	c := qt.New(t)
+	p := load(c, "kernhof")
+	p.Hosts, p.Engines = 1, 1
+	k := p.Kinds[0]
+	k.DeadlineMS = 10
+	w := newWorld(p, takeTurns{}, 1)
+	w.run([]arrival{{kind: &k, prompt: 4000}})
+	c.Assert(w.requests[0].done, qt.IsFalse)
+	c.Assert(w.engines[0].memory, qt.Equals, 0)
+}
+
 // Guards against a profile with a misspelt key, which would silently run with a zero.
 func TestProfilesAreChecked(t *testing.T) {
 	c := qt.New(t)
--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -33,14 +33,12 @@
 type request struct {
 	arrival
 	deadline time.Duration
-	lastTry  int // refusals after which the caller gives up
-	tries    int
+	tries    int           // refusals
 	first    time.Duration // of the first event at the caller, zero for none
 	longest  time.Duration // pause between two events
 	last     time.Duration
 	done     bool // the whole answer has come
 	refused  bool // finally
-	failed   bool
 	job      *job
 	engine   *engine
 	item     *placement.Item
@@ -123,7 +121,7 @@
 	}
 	j := r.job
 	r.job = nil
-	r.done, r.failed = answered, !answered
+	r.done = answered
 	if !answered {
 		r.engine.cancel(j)
 	}
--- a/lab/fleet/world.go
+++ b/lab/fleet/world.go
@@ -43,7 +43,7 @@
 // run serves the workload until the last request has ended.
 func (w *world) run(list []arrival) {
 	for _, a := range list {
-		r := &request{arrival: a, deadline: a.at + fromMS(a.kind.DeadlineMS), lastTry: 1}
+		r := &request{arrival: a, deadline: a.at + fromMS(a.kind.DeadlineMS)}
 		w.requests = append(w.requests, r)
 		w.At(a.at, func() { w.hosts[r.host].arrive(r) })
 	}
--- a/node/entry/queue_test.go
+++ b/node/entry/queue_test.go
@@ -73,6 +73,17 @@
 	c.Assert(h.state.engines.OwnLoads()[0].Load.Tokens, qt.Equals, 0, qt.Commentf("memory of a request that nobody waits for"))
 }
 
+// Guards against a request that is held although it cannot begin before its deadline.
+func TestHopelessRequestDoesNotWait(t *testing.T) {
+	c := qt.New(t)
+	h, _ := fullHost(c)
+	_, e := shortStream(h, 60*time.Millisecond).place(context.Background())
+	c.Assert(e, qt.IsNotNil)
+	c.Assert(e.Kind, qt.Equals, outcome.NotRun)
+	c.Assert(e.Reason, qt.Equals, outcome.Overload)
+	c.Assert(e.RetryAfter > 0, qt.IsTrue)
+}
+
 // Guards against requests of a service with free engines that wait because another service has none.
 func TestServicesWaitApart(t *testing.T) {
 	c := qt.New(t)
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -80,7 +80,8 @@
 	}
 	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now()}
 	ctx, span := h.startRequest(q)
-	var e *outcome.Error
+	// What the span ends with when a stream that has begun is broken off by a panic.
+	e := outcome.Fail(stepAnswer, "", outcome.BackendLost, nil)
 	defer func() { endSpan(span, e) }()
 	if e = h.answer(ctx, w, q); e != nil {
 		h.refuse(w, q, e)
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -102,7 +102,7 @@
 		e.RetryAfter = noBackendRetry
 		return attempt{}, e
 	}
-	if q.ran || s.engines.MayWait(choice) {
+	if q.ran || (s.engines.MayWait(choice) && choice.First < req.Left) {
 		return st.attemptAt(choice)
 	}
 	if v := s.engines.Admit(now, q.service, choice); !v.Admit {
