Let teams take turns among waiting requests

Cause: nothing kept the flood of one team from holding up the others in the queue of short requests, where the objective alone ordered requests of one priority.

Change: within a kind and a priority, the first waiting requests of all teams go before their second ones, and so on.

Ruled out: a team limit at arrival; the platform publishes no share of a team, and an idle fleet should serve a single team in full.

Test: a light team's requests go after one of a team that has ten waiting.

--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -17,10 +17,13 @@
 // Waiting is a request in a queue.
 type Waiting[T any] struct {
 	Value     T
-	Priority  int // 0 is the most urgent
+	Team      string // teams take turns
+	Priority  int    // 0 is the most urgent
 	Arrived   time.Duration
 	Objective time.Duration // time at which its first event becomes late
 	Until     time.Duration // time at which it is placed at any cost
+
+	turn int // number of requests of its team that go before it
 }
 
 // Len returns the number of waiting requests.
@@ -38,14 +41,11 @@
 
 // Offer offers the waiting requests for placement, in order, until one of each kind was declined: first
 // those that must not wait any longer, then those that can be on time, by their objectives, then the
-// overdue ones by arrival. More urgent priorities go first within a kind; Until keeps them from holding up the
-// others for good. place takes a request or declines it.
+// overdue ones by arrival. Within a kind, more urgent priorities go first, and teams take turns, so that the
+// flood of one team does not hold up the others. Until keeps those that go first from holding up the rest for
+// good. place takes a request or declines it.
 func (q *Queue[T]) Offer(now time.Duration, place func(*Waiting[T]) bool) {
-	slices.SortStableFunc(q.waiting, func(a, b *Waiting[T]) int {
-		return cmp.Or(
-			cmp.Compare(a.kind(now), b.kind(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.order(now), b.order(now)),
-		)
-	})
+	q.sort(now)
 	var declined [kinds]bool
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting[T]) bool {
 		k := w.kind(now)
@@ -57,6 +57,25 @@
 	})
 }
 
+func (q *Queue[T]) sort(now time.Duration) {
+	slices.SortStableFunc(q.waiting, func(a, b *Waiting[T]) int {
+		return cmp.Or(cmp.Compare(a.kind(now), b.kind(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.order(now), b.order(now)))
+	})
+	type class struct {
+		kind, priority int
+		team           string
+	}
+	before := map[class]int{}
+	for _, w := range q.waiting {
+		c := class{w.kind(now), w.Priority, w.Team}
+		w.turn = before[c]
+		before[c]++
+	}
+	slices.SortStableFunc(q.waiting, func(a, b *Waiting[T]) int {
+		return cmp.Or(cmp.Compare(a.kind(now), b.kind(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.turn, b.turn))
+	})
+}
+
 // Kinds of waiting requests, by the order in which they are offered.
 const (
 	mustGo = iota
--- a/core/placement/queue_test.go
+++ b/core/placement/queue_test.go
@@ -118,6 +118,25 @@
 	c.Assert(q.Len(), qt.Equals, 2)
 }
 
+// Guards against a team whose requests wait behind the flood of another one.
+func TestTeamsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	var q Queue[string]
+	add := func(team string, objective time.Duration) {
+		q.Add(&Waiting[string]{Value: team, Team: team, Objective: objective, Until: 900})
+	}
+	for i := range 10 {
+		add("heavy", 100+time.Duration(i))
+	}
+	add("light", 150)
+	add("other", 160)
+	add("light", 170)
+	var offered []string
+	q.Offer(50, func(w *Waiting[string]) bool { offered = append(offered, w.Value); return true })
+	c.Assert(offered[:5], qt.DeepEquals, []string{"heavy", "light", "other", "heavy", "light"})
+	c.Assert(offered, qt.HasLen, 13)
+}
+
 // Guards against waiting requests that get lost or are placed twice, whatever the order of events.
 func TestQueueKeepsEveryRequest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -55,6 +55,7 @@
 	}
 	w := &waitingStream{
 		Value:     queued{stream: st, ended: make(chan queueEnd, 1)},
+		Team:      q.team,
 		Priority:  q.priority,
 		Arrived:   q.arrived,
 		Objective: q.arrived + q.route.Objective,
