Keep what decides on waiting in the placement

The entry role added to the placement that a waiting request must be able to begin before its deadline, and both it and the emulation worked out the time left of an objective. MayWait has the first now, so that the emulation follows it too, and placement.ObjectiveLeft the second; the choice of an attempt is one function again.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -20,6 +20,18 @@
 	Excluded func(ident.BackendID) bool
 }
 
+// ObjectiveLeft returns the Objective of a Request that arrived with an objective: the time left of it, negative once
+// it has passed, and zero for a request without one.
+func ObjectiveLeft(now, arrived, objective time.Duration) time.Duration {
+	if objective == 0 {
+		return 0
+	}
+	if left := arrived + objective - now; left != 0 {
+		return left
+	}
+	return -1
+}
+
 // Choice is a placement.
 type Choice struct {
 	Engine       ident.BackendID   // receives the request and writes the answer
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -113,10 +113,11 @@
 	overdueLoss = 0.2
 )
 
-// MayWait reports whether a request is of the kind that gains by waiting: a short one with an objective.
+// MayWait reports whether a request is of the kind that gains by waiting: a short one with an objective that can
+// begin before its deadline.
 func (t *Table) MayWait(c Choice) bool {
 	e := t.engines[c.Engine]
-	if e == nil || c.request.Objective == 0 {
+	if e == nil || c.request.Objective == 0 || c.First >= c.request.Left {
 		return false
 	}
 	return writerRole(ReadMS(e.runtime, c.request.PromptTokens), c.request.MaxPause) == shortWriter
--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -54,21 +54,12 @@
 
 // ask returns what a placement depends on.
 func (h *host) ask(r *request) placement.Request {
-	objective := r.at + fromMS(r.kind.ObjectiveMS) - h.w.Now()
-	if objective == 0 {
-		objective = -1
-	}
 	return placement.Request{
-		PromptTokens: r.prompt, OutputTokens: r.kind.Events * h.w.runtime.StepsPerPass, Objective: objective,
-		MaxPause: fromMS(r.kind.MaxPauseMS), Left: r.deadline - h.w.Now(),
+		PromptTokens: r.prompt, OutputTokens: r.kind.Events * h.w.runtime.StepsPerPass,
+		Objective: placement.ObjectiveLeft(h.w.Now(), r.at, fromMS(r.kind.ObjectiveMS)), MaxPause: fromMS(r.kind.MaxPauseMS), Left: r.deadline - h.w.Now(),
 	}
 }
 
-// arrive takes a request from a caller, for the first time or again.
-func (h *host) arrive(r *request) {
-	h.decide.arrive(h, r)
-}
-
 // refuse sends a caller away until later.
 func (h *host) refuse(r *request, retryAfter time.Duration) {
 	r.tries++
@@ -76,7 +67,7 @@
 		r.refused = true
 		return
 	}
-	h.w.After(retryAfter+2*h.w.network(), func() { h.arrive(r) })
+	h.w.After(retryAfter+2*h.w.network(), func() { h.decide.arrive(h, r) })
 }
 
 // place sends a request to the chosen engines and books its load.
--- a/lab/fleet/policy.go
+++ b/lab/fleet/policy.go
@@ -10,6 +10,7 @@
 type Policy interface {
 	// Name is how the policy is called in reports.
 	Name() string
+	// arrive decides on a request from a caller, which comes for the first time or again.
 	arrive(h *host, r *request)
 }
 
--- a/lab/fleet/world.go
+++ b/lab/fleet/world.go
@@ -45,7 +45,8 @@
 	for _, a := range list {
 		r := &request{arrival: a, deadline: a.at + fromMS(a.kind.DeadlineMS)}
 		w.requests = append(w.requests, r)
-		w.At(a.at, func() { w.hosts[r.host].arrive(r) })
+		h := w.hosts[r.host]
+		w.At(a.at, func() { h.decide.arrive(h, r) })
 	}
 	for _, h := range w.hosts {
 		w.After(fullExchange, h.exchangeAll)
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -47,18 +47,6 @@
 	placed   placed        // the last placement; streams only
 }
 
-// objectiveLeft returns the time left for the first event to be on time. It is negative once that has passed
-// and zero for a route without an objective.
-func (q *request) objectiveLeft(now time.Duration) time.Duration {
-	if q.route.Objective == 0 {
-		return 0
-	}
-	if left := q.arrived + q.route.Objective - now; left != 0 {
-		return left
-	}
-	return -1
-}
-
 // placed is what a placement expected and what came of it.
 type placed struct {
 	engine    ident.BackendID
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -87,7 +87,7 @@
 	req := placement.Request{
 		PromptTokens: q.call.PromptTokens,
 		OutputTokens: q.call.OutputTokens,
-		Objective:    q.objectiveLeft(now),
+		Objective:    placement.ObjectiveLeft(now, q.arrived, q.route.Objective),
 		MaxPause:     q.route.MaxPause,
 		Left:         q.left(now),
 		Excluded:     func(id ident.BackendID) bool { return st.failed[id] || s.health.Excluded(now, id) },
@@ -102,22 +102,16 @@
 		e.RetryAfter = noBackendRetry
 		return attempt{}, e
 	}
-	if q.ran || (s.engines.MayWait(choice) && choice.First < req.Left) {
-		return st.attemptAt(choice)
-	}
-	if v := s.engines.Admit(now, q.service, choice); !v.Admit {
-		e := outcome.Refuse("admit", outcome.Overload, fmt.Sprintf(
-			"reading costs others %.1f, earns %.1f; backlog %d ms, first event after %d ms",
-			v.Cost, v.Gain, v.Backlog.Milliseconds(), choice.First.Milliseconds()))
-		e.RetryAfter = v.RetryAfter
-		return attempt{}, e
+	if !q.ran && !s.engines.MayWait(choice) {
+		if v := s.engines.Admit(now, q.service, choice); !v.Admit {
+			e := outcome.Refuse("admit", outcome.Overload, fmt.Sprintf(
+				"reading costs others %.1f, earns %.1f; backlog %d ms, first event after %d ms",
+				v.Cost, v.Gain, v.Backlog.Milliseconds(), choice.First.Milliseconds()))
+			e.RetryAfter = v.RetryAfter
+			return attempt{}, e
+		}
 	}
-	return st.attemptAt(choice)
-}
-
-// attemptAt returns the attempt of a choice. The state must be locked.
-func (st *stream) attemptAt(choice placement.Choice) (attempt, *outcome.Error) {
-	for _, srv := range st.host.state.catalog.Usable(st.q.service) {
+	for _, srv := range s.catalog.Usable(q.service) {
 		if srv.ID == choice.Engine {
 			return attempt{choice: choice, server: srv}, nil
 		}
