Share the bounded runner of the policy comparisons, and drop what nothing reads

lab/fleet bounded its parallel runs beside the runner that lab/policy has; lab/internal/parallel serves both. The shares on time and the JSON names of the placement results were read by nothing. The list of a soak's kinds of faults uses the standard library.

--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -12,6 +11,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/parallel"
 )
 
 // lateWorth is the part of its worth that a late answer still earns.
@@ -19,25 +20,24 @@
 
 // Result is what callers got in one run.
 type Result struct {
-	Profile string  `json:"profile"`
-	Policy  string  `json:"policy"`
-	Seed    int64   `json:"seed"`
-	Worth   float64 `json:"worth"` // earned, as a share of what all requests are worth
-	Kinds   []Count `json:"kinds"`
-	Memory  int     `json:"memory_left_tokens"` // at engines after the run
+	Profile string
+	Policy  string
+	Seed    int64
+	Worth   float64 // earned, as a share of what all requests are worth
+	Kinds   []Count
+	Memory  int // tokens left at engines after the run
 }
 
 // Count is what callers of one kind of request got.
 type Count struct {
-	Kind       string  `json:"kind"`
-	Offered    int     `json:"offered"`
-	OnTime     int     `json:"on_time"`
-	LateFirst  int     `json:"late_first"` // the first event missed its objective
-	LatePause  int     `json:"late_pause"` // only a pause did
-	Refused    int     `json:"refused"`
-	Failed     int     `json:"failed"` // no whole answer by the deadline
-	Worth      float64 `json:"worth"`  // earned, as a share
-	OnTimeRate float64 `json:"on_time_rate"`
+	Kind      string
+	Offered   int
+	OnTime    int
+	LateFirst int // the first event missed its objective
+	LatePause int // only a pause did
+	Refused   int
+	Failed    int     // no whole answer by the deadline
+	Worth     float64 // earned, as a share
 }
 
 // Run runs one profile under one policy.
@@ -63,7 +63,7 @@
 			kindEarned += worth * c.add(r)
 		}
 		if kindOwed > 0 {
-			c.Worth, c.OnTimeRate = kindEarned/kindOwed, float64(c.OnTime)/float64(c.Offered)
+			c.Worth = kindEarned / kindOwed
 		}
 		earned, owed = earned+kindEarned, owed+kindOwed
 		res.Kinds = append(res.Kinds, c)
@@ -105,27 +105,20 @@
 	return 1
 }
 
-// Compare runs profiles under all policies with several seeds, at most parallel runs at once. Results come in
-// the order of profiles, policies and seeds.
-func Compare(profiles []*Profile, policies []Policy, seeds []int64, parallel int) []Result {
+// Compare runs profiles under all policies with several seeds, at most n runs at once. Results come in the order
+// of profiles, policies and seeds.
+func Compare(profiles []*Profile, policies []Policy, seeds []int64, n int) []Result {
 	out := make([]Result, len(profiles)*len(policies)*len(seeds))
-	slots := make(chan struct{}, max(1, parallel))
-	var wg sync.WaitGroup
-	i := 0
+	var jobs []func()
 	for _, p := range profiles {
 		for _, policy := range policies {
 			for _, seed := range seeds {
-				slots <- struct{}{}
-				res := &out[i]
-				i++
-				wg.Go(func() {
-					defer func() { <-slots }()
-					*res = Run(p, policy, seed)
-				})
+				res := &out[len(jobs)]
+				jobs = append(jobs, func() { *res = Run(p, policy, seed) })
 			}
 		}
 	}
-	wg.Wait()
+	parallel.Run(jobs, n)
 	return out
 }
 
@@ -169,9 +162,7 @@
 	for i := range out {
 		out[i].Worth /= float64(runs[i])
 		for k := range out[i].Kinds {
-			c := &out[i].Kinds[k]
-			c.Worth /= float64(runs[i])
-			c.OnTimeRate = float64(c.OnTime) / float64(max(1, c.Offered))
+			out[i].Kinds[k].Worth /= float64(runs[i])
 		}
 	}
 	return out
--- a/lab/internal/profile/profile.go
+++ b/lab/internal/profile/profile.go
@@ -1,4 +1,4 @@
-// Package profile reads the profiles of the benchmarks under virtual time.
+// Package profile reads the profiles of the policy comparisons.
 package profile
 
 import (
@@ -11,7 +11,7 @@
 	"github.com/BurntSushi/toml"
 )
 
-// dir is where a benchmark keeps its shipped profiles.
+// dir is where a comparison keeps its shipped profiles.
 const dir = "profiles"
 
 // Load reads a shipped profile by name, or a file. Unknown keys are an error, since a misspelt one would
--- a/lab/policy/options.go
+++ b/lab/policy/options.go
@@ -6,9 +6,9 @@
 
 import (
 	"slices"
-	"sync"
 
 	"github.com/rosemaryhill/rosemaryhill/core/sched"
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/parallel"
 )
 
 // Options selects what Run measures. A zero field takes the default in brackets.
@@ -64,28 +64,11 @@
 			}
 		}
 	}
-	runAll(jobs, o.Parallel)
+	parallel.Run(jobs, o.Parallel)
 	rep.Targets = judge(rep.Cells)
 	return rep, nil
 }
 
-func runAll(jobs []func(), parallel int) {
-	var wg sync.WaitGroup
-	next := make(chan func())
-	for range parallel {
-		wg.Go(func() {
-			for job := range next {
-				job()
-			}
-		})
-	}
-	for _, job := range jobs {
-		next <- job
-	}
-	close(next)
-	wg.Wait()
-}
-
 func runCell(p *Profile, pol sched.Policy, load int, seed int64) Cell {
 	w := newWorld(p, pol, load, seed)
 	w.run(workload(p, load, seed))
--- a/lab/policy/policy_test.go
+++ b/lab/policy/policy_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rosemaryhill/rosemaryhill/core/sched"
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/parallel"
 )
 
 // quick shortens the phases of a shipped profile, so that CI can afford the run.
@@ -29,7 +30,7 @@
 		for j, pol := range []sched.Policy{sched.Predict, sched.RoundRobin, sched.LeastOutstanding} {
 			jobs = append(jobs, func() { r.Cells[j] = runCell(p, pol, 120, 7) })
 		}
-		runAll(jobs, 1+2*i)
+		parallel.Run(jobs, 1+2*i)
 		r.Targets = judge(r.Cells)
 		c.Assert(r.WriteJSON(&texts[i]), qt.IsNil)
 	}
@@ -52,7 +53,7 @@
 			for i, load := range []int{targetLoad, fullLoad, overLoad} {
 				jobs = append(jobs, func() { cells[i] = runCell(&p, sched.Predict, load, 1) })
 			}
-			runAll(jobs, 3)
+			parallel.Run(jobs, 3)
 			for _, x := range judge(cells) {
 				c.Check(x.Met, qt.IsTrue, qt.Commentf("%s: measured %.3g, limit %s", x.Name, x.Measured, x.Limit))
 			}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand"
 	"net/http"
 	"slices"
@@ -223,11 +224,4 @@
 }
 
 // Kinds returns the kinds of faults of a result, in order.
-func (r *Result) Kinds() []string {
-	var out []string
-	for k := range r.Faults {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
+func (r *Result) Kinds() []string { return slices.Sorted(maps.Keys(r.Faults)) }
