Wait for the owners of all engine groups before a gateway is ready; free memory before the end of a stream

When a gateway has its configuration before it knows any dispatcher, no engine group has an owner; the check for missing links walks the owners, finds none missing, and readiness stays true from then on.

Change: a group without an owner counts as a missing link, within the same grace of 3 s. The engine releases first.

Before: TestNotReadyWhileEngineGroupsHaveNoOwner and TestMemoryIsFreeWhenTheEndIsRead fail.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -20,7 +20,7 @@
 // dispatcherPicker selects the dispatcher that gets an attempt.
 type dispatcherPicker struct {
 	g               *Gateway
-	owners          atomic.Pointer[map[ident.Model][]ownerDispatcher]
+	ownership       atomic.Pointer[ownership]
 	linkAddresses   map[ident.HostID]string // by dispatcher host; used by refresh only
 	firstReadyCheck atomic.Int64            // time of the first call of ready, in nanoseconds of the view's clock
 	linksReady      atomic.Bool             // all links were up once, or linkGrace has passed
@@ -30,6 +30,12 @@
 // that is down must not keep the gateway from serving requests through the others.
 const linkGrace = 3 * time.Second
 
+// ownership holds the dispatchers that own the engine groups of the region.
+type ownership struct {
+	byModel map[ident.Model][]ownerDispatcher
+	unowned string // name of a group without an owner, because no dispatcher of the region is known yet; empty if none
+}
+
 // ownerDispatcher is a dispatcher with the engines of one model that it owns.
 type ownerDispatcher struct {
 	host         ident.HostID
@@ -43,8 +49,8 @@
 	return &dispatcherPicker{g: g, linkAddresses: map[ident.HostID]string{}}
 }
 
-// ready reports whether the links to all dispatchers that own engines have been up at the same time, or linkGrace
-// has passed. Without this wait, requests right after the start are refused with "no_backend". It stays true
+// ready reports whether every engine group had an owner and the links to all owners were up at the same time, or
+// linkGrace has passed. Without this wait, requests right after the start are refused with "no_backend". It stays true
 // afterwards: a gateway that loses its links still serves plain services.
 func (dp *dispatcherPicker) ready() (ok bool, reason string) {
 	if dp.linksReady.Load() {
@@ -62,11 +68,14 @@
 
 // missingLink returns the name of a dispatcher that owns engines and has no link; ok is true if there is none.
 func (dp *dispatcherPicker) missingLink() (name string, ok bool) {
-	owners := dp.owners.Load()
-	if owners == nil {
+	owned := dp.ownership.Load()
+	if owned == nil {
 		return "any dispatcher", false
 	}
-	for _, targets := range *owners {
+	if owned.unowned != "" {
+		return "any dispatcher for engine group " + owned.unowned, false
+	}
+	for _, targets := range owned.byModel {
 		for _, t := range targets {
 			if _, up := dp.g.client.Peer(t.host); !up {
 				return "the dispatcher of " + string(t.host), false
@@ -83,19 +92,24 @@
 	if s == nil {
 		return
 	}
-	candidates := dp.g.view.Dispatchers()
-	owners := map[ident.Model][]ownerDispatcher{}
+	dp.ownership.Store(dp.assignGroups(s, dp.g.view.Dispatchers()))
+}
+
+// assignGroups assigns the engine groups of the region to dispatchers.
+func (dp *dispatcherPicker) assignGroups(s *view.Snapshot, candidates []owner.Candidate) *ownership {
+	owned := &ownership{byModel: map[ident.Model][]ownerDispatcher{}}
 	for _, group := range s.Groups {
 		if group.Region != dp.g.cfg.Settings.Region {
 			continue
 		}
 		host, ok := owner.Of(group, candidates)
 		if !ok {
+			owned.unowned = group.Name
 			continue
 		}
-		dp.addGroup(owners, host, candidates, s.Group(group.Name))
+		dp.addGroup(owned.byModel, host, candidates, s.Group(group.Name))
 	}
-	dp.owners.Store(&owners)
+	return owned
 }
 
 func (dp *dispatcherPicker) addGroup(owners map[ident.Model][]ownerDispatcher, host ident.HostID, candidates []owner.Candidate, engines []view.Backend) {
@@ -158,17 +172,18 @@
 // leaving out excluded ones. Among dispatchers with equal delay, such as those of one zone, it takes the one
 // with the fewest outstanding attempts of this gateway relative to its memory.
 func (dp *dispatcherPicker) pick(model ident.Model, tokens int, excluded map[ident.HostID]bool) (*link.Peer, bool) {
-	owners := dp.owners.Load()
-	if owners == nil {
+	owned := dp.ownership.Load()
+	if owned == nil {
 		return nil, false
 	}
+	owners := owned.byModel[model]
 	outstanding := dp.g.routes.outstanding()
 	var best *link.Peer
 	var bestDelay time.Duration
 	var bestLoad float64
-	offset := rand.IntN(len((*owners)[model]) + 1)
-	for i := range (*owners)[model] {
-		t := &(*owners)[model][(i+offset)%len((*owners)[model])]
+	offset := rand.IntN(len(owners) + 1)
+	for i := range owners {
+		t := &owners[(i+offset)%len(owners)]
 		if excluded[t.host] || t.largestGroup < tokens {
 			continue
 		}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -122,6 +122,36 @@
 	f.Assert(err, qt.ErrorMatches, "404.*")
 }
 
+// Guards against a report that still counts the memory of a session whose client has read the end of the stream.
+func TestMemoryIsFreeWhenTheEndIsRead(t *testing.T) {
+	f := start(t, fast)
+	e := f.e
+	s, err := newSession(backendapi.SessionRequest{Session: "a", Prompt: "lot 7", MaxOutputTokens: 1})
+	f.Assert(err, qt.IsNil)
+	f.Assert(e.admit(s), qt.IsNil)
+	usedAtEnd := -1
+	w := &recordingWriter{ResponseRecorder: httptest.NewRecorder(), onEnd: func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		usedAtEnd = e.usedTokens
+	}}
+	e.stream(w, httptest.NewRequest(http.MethodPost, "/", nil), s)
+	f.Assert(usedAtEnd, qt.Equals, 0)
+}
+
+// recordingWriter calls onEnd when the line that ends a stream is written.
+type recordingWriter struct {
+	*httptest.ResponseRecorder
+	onEnd func()
+}
+
+func (w *recordingWriter) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte(`"end":true`)) {
+		w.onEnd()
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
 // Guards against a stand-in that hides leaks: a session must keep its memory after its client has
 // disconnected, until a cancel request gets through.
 func TestSessionOutlivesItsClient(t *testing.T) {
--- a/standin/engine/session.go
+++ b/standin/engine/session.go
@@ -169,10 +169,12 @@
 		select {
 		case n, more := <-s.tokens:
 			if !more {
-				out.write(backendapi.StreamLine{End: true, Count: s.nextToken - 1, KV: s.handle})
+				end := backendapi.StreamLine{End: true, Count: s.nextToken - 1, KV: s.handle}
+				// Released before the end is written, so that a client that has read it finds the memory free.
 				e.mu.Lock()
 				e.release(s)
 				e.mu.Unlock()
+				out.write(end)
 				return
 			}
 			out.write(backendapi.StreamLine{N: n, Text: s.answer.Token(n)})
