Divide the engines of large fleets among their hosts

Besides, all hosts of a large fleet chose among all engines and collided on the one that looked best to each of them.

Change: core/partition cuts hosts and engines, in the order of their availability zones, into partitions of at least 32 engines. core/peers keeps the peers: near ones (same partition) get every report, far ones in turn, each report says how long it is valid, and a change of readiness goes to everybody at once. Load on engines of another partition goes to the hosts there. Whole reports no longer list every engine that a host has ever used. Address lists name at most 64 hosts, near ones first. node/entry/peers.go is parted into peers, loadreports, addresses and statetransfer.

The load report has a new field, so hosts of the build before do not read it.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -100,6 +100,7 @@
 	ID       ident.BackendID
 	Service  string
 	Address  string // ip:port
+	Zone     string // availability zone
 	Slots    int
 	State    ServerState
 	Revision uint64 // revision of the store at the entry's last change
--- /dev/null
+++ b/core/partition/main_test.go
@@ -0,0 +1,9 @@
+package partition
+
+import (
+	"testing"
+
+	"github.com/rosemaryhill/rosemaryhill/core/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, nil) }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -306,3 +306,20 @@
 	_, ok := p.Choose(0, servers, func(ident.BackendID) ServerHealth { return ServerHealth{Excluded: true} }, 0)
 	c.Assert(ok, qt.IsFalse)
 }
+
+// Guards against reports that list every engine that a host has ever used, and against a peer that goes on counting a
+// load whose end was lost once.
+func TestWholeReportDropsEndedLoad(t *testing.T) {
+	c := qt.New(t)
+	tb := table(2)
+	_, placed := place(c, tb, 0, short())
+	c.Assert(tb.TakeUpdate(true).Loads, qt.HasLen, 1)
+	tb.End(0, placed)
+	for range maxEmptyReports {
+		loads := tb.TakeUpdate(true).Loads
+		c.Assert(loads, qt.HasLen, 1)
+		c.Assert(loads[0].Load.Classes, qt.HasLen, 0)
+	}
+	tb.TakeUpdate(true)
+	c.Assert(tb.TakeUpdate(true).Loads, qt.HasLen, 0)
+}
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -41,8 +41,13 @@
 	loads     map[Owner]*Load
 	total     Load
 	slowness  float64 // smoothed ratio of observed to predicted pass times
+	// emptyReports is the number of whole reports since the own load became empty.
+	emptyReports int
 }
 
+// maxEmptyReports is the number of whole reports that repeat an empty load, in case the first was lost.
+const maxEmptyReports = 2
+
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
@@ -99,6 +104,9 @@
 
 // loadOf returns the load of an owner, for modification, and creates it if necessary.
 func (e *engine) loadOf(o Owner) *Load {
+	if o == self {
+		e.emptyReports = 0
+	}
 	l := e.loads[o]
 	if l == nil {
 		l = &Load{}
@@ -188,6 +196,7 @@
 	t.prefills = nil
 	if all {
 		u.Loads = t.OwnLoads()
+		t.dropEmptyLoads()
 	} else {
 		for key, e := range t.dirty {
 			var l Load
@@ -212,6 +221,29 @@
 	return out
 }
 
+// dropEmptyLoads removes own loads that have been reported as empty often enough.
+func (t *Table) dropEmptyLoads() {
+	for _, e := range t.engines {
+		l := e.loads[self]
+		switch {
+		case l == nil:
+		case len(l.Classes) > 0 || l.Tokens != 0:
+		case e.emptyReports >= maxEmptyReports:
+			delete(e.loads, self)
+		default:
+			e.emptyReports++
+		}
+	}
+}
+
+// EngineID returns the id of the engine that a key stands for, empty if it is not known.
+func (t *Table) EngineID(k Key) ident.BackendID {
+	if e := t.byKey[k]; e != nil {
+		return e.id
+	}
+	return ""
+}
+
 // slownessWeight is the weight of one observation; about ten events are enough to detect a slow engine.
 const slownessWeight = 0.15
 
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -28,13 +28,39 @@
 	c.Assert(reflect.DeepEqual(once.Kinds, Run(p, placementPolicy{queue: true}, 4).Kinds), qt.IsFalse)
 }
 
+// maxLargeLengthS limits the simulated time of large fleets in tests, in seconds.
+const maxLargeLengthS = 12
+
+// Guards against partitions that serve the callers of a large fleet worse than hosts that all know the load of each
+// other and choose among all engines, at the delay that their messages have.
+func TestPartitionsServeNoWorse(t *testing.T) {
+	c := qt.New(t)
+	divided := load(c, "kernhof-large")
+	divided.LengthS = maxLargeLengthS
+	whole := *divided
+	whole.Name, whole.Partitions = "whole", 1
+	results := Compare([]*Profile{divided, &whole}, []Policy{placementPolicy{queue: true}}, Seeds(1, 2), 3)
+	worth := map[string]float64{}
+	for _, g := range mergeSeeds(results) {
+		worth[g.Profile] = g.Worth
+	}
+	c.Assert(worth[divided.Name] >= worth[whole.Name], qt.IsTrue, qt.Commentf("%.3f, undivided %.3f", worth[divided.Name], worth[whole.Name]))
+	for _, r := range results {
+		c.Check(r.LeakedTokens, qt.Equals, 0)
+	}
+}
+
 // Guards against a placement that serves callers no better than hosts without knowledge of each other's load, and
 // against a simulation that loses requests or leaks memory.
 func TestPlacementBeatsBaselines(t *testing.T) {
 	c := qt.New(t)
 	var profiles []*Profile
 	for _, name := range BuiltinProfiles() {
-		profiles = append(profiles, load(c, name))
+		p := load(c, name)
+		if p.Partitions > 1 {
+			p.LengthS = maxLargeLengthS
+		}
+		profiles = append(profiles, p)
 	}
 	results := Compare(profiles, Policies(), Seeds(1, 2), 3)
 	worth := map[string]float64{}
--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -24,9 +24,10 @@
 	table               *placement.Table
 	queue               placement.Queue[*request]
 	policy              Policy
-	queueCheckScheduled bool // a check of the queue is pending
-	updateScheduled     bool // a message with the changes is pending
-	assigned            int  // number of placed requests, for round robin
+	queueCheckScheduled bool  // a check of the queue is pending
+	updateScheduled     bool  // a message with the changes is pending
+	assigned            int   // number of placed requests, for round robin
+	ownTokens           []int // prompt tokens of own requests in progress, by engine index
 }
 
 // request is an arrival and its progress and outcome.
@@ -45,11 +46,14 @@
 }
 
 func newHost(w *world, i int, policy Policy) *host {
-	h := &host{w: w, index: i, table: placement.NewTable(), policy: policy}
-	h.table.SetEngines(service, w.runtime, w.servers)
+	h := &host{w: w, index: i, table: placement.NewTable(), policy: policy, ownTokens: make([]int, len(w.servers))}
+	h.table.SetEngines(service, w.runtime, w.serversOf(h.partition()))
 	return h
 }
 
+// partition returns the part of the fleet that the host places requests on.
+func (h *host) partition() int { return h.index * h.w.partitions() / h.w.profile.Hosts }
+
 func (h *host) owner() placement.Owner { return placement.Owner(fmt.Sprintf("h%d", h.index)) }
 
 // placementRequest returns the properties of a request that its placement depends on.
@@ -76,6 +80,7 @@
 	r.placed = h.table.Place(w.Now(), c)
 	h.scheduleUpdate()
 	r.engine = w.byID[c.Engine]
+	h.ownTokens[r.engine.index] += r.prompt
 	var helpers []*engine
 	for _, id := range c.Helpers {
 		helpers = append(helpers, w.byID[id])
@@ -113,6 +118,7 @@
 	j := r.job
 	r.job = nil
 	r.done = answered
+	h.ownTokens[r.engine.index] -= r.prompt
 	if !answered {
 		r.engine.cancel(j)
 	}
@@ -140,7 +146,7 @@
 func (h *host) sendUpdate(all bool) {
 	u := h.table.TakeUpdate(all)
 	for _, peer := range h.w.hosts {
-		if peer == h || h.w.rng.Float64() < h.w.profile.ExchangeLoss {
+		if peer == h || peer.partition() != h.partition() || h.w.rng.Float64() < h.w.profile.ExchangeLoss {
 			continue
 		}
 		h.w.After(h.w.network(), func() { peer.table.ApplyPeerUpdate(h.w.Now(), h.owner(), u) })
--- a/lab/fleet/policy.go
+++ b/lab/fleet/policy.go
@@ -80,12 +80,7 @@
 	best, fewest := 0, -1
 	for i := range h.w.servers {
 		n := (i + h.index*len(h.w.engines)/len(h.w.hosts)) % len(h.w.servers)
-		tokens := 0
-		for _, other := range h.w.requests {
-			if other.job != nil && other.host == h.index && other.engine.index == n {
-				tokens += other.prompt
-			}
-		}
+		tokens := h.ownTokens[n]
 		if fewest < 0 || tokens < fewest {
 			best, fewest = n, tokens
 		}
--- a/lab/fleet/profile.go
+++ b/lab/fleet/profile.go
@@ -22,6 +22,7 @@
 	Name         string  `toml:"name"`
 	Hosts        int     `toml:"hosts"`
 	Engines      int     `toml:"engines"`
+	Partitions   int     `toml:"partitions"`    // parts of the fleet whose hosts tell each other their load; 0 means 1
 	ExchangeMS   float64 `toml:"exchange_ms"`   // from a placement until its update is sent to other hosts
 	ExchangeLoss float64 `toml:"exchange_loss"` // fraction of the messages between hosts that are lost
 	NetworkMS    float64 `toml:"network_ms"`    // one way
--- a/lab/fleet/world.go
+++ b/lab/fleet/world.go
@@ -59,3 +59,11 @@
 }
 
 func (w *world) network() time.Duration { return fromMS(w.profile.NetworkMS) }
+
+func (w *world) partitions() int { return max(1, w.profile.Partitions) }
+
+// serversOf returns the engines of a partition.
+func (w *world) serversOf(partition int) []catalog.Server {
+	n, parts := len(w.servers), w.partitions()
+	return w.servers[partition*n/parts : (partition+1)*n/parts]
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
@@ -140,11 +139,9 @@
 		return Error.New("step=start peer=%s: %w", address, err)
 	}
 	h.state.mu.Lock()
-	h.state.seeds = h.seeds(h.settings.Peers)
-	h.state.self = h.gossip.Addr()
-	h.state.zone = uint32(xxhash.Sum64String(h.cfg.Settings.AvailabilityZone))
+	h.state.peers.SetSelf(h.gossip.Addr(), zoneHash(h.cfg.Settings.AvailabilityZone))
 	h.state.mu.Unlock()
-	h.gossip.Enqueue(member.Seeds{Seeds: h.state.seeds})
+	h.setSeeds(h.settings.Peers)
 	h.peerClient, err = control.NewClient(control.Config{DialTimeout: peerTimeout, CallTimeout: peerTimeout})
 	if err != nil {
 		return Error.Wrap(err)
@@ -155,19 +152,24 @@
 	return Error.Wrap(err)
 }
 
-// seeds converts the control addresses of peers to gossip seeds.
-func (h *Host) seeds(peers []string) []member.Seed {
-	var out []member.Seed
-	for _, p := range peers {
+// setSeeds makes the peers of the settings, given by their control addresses, the hosts to join through.
+func (h *Host) setSeeds(controlAddresses []string) {
+	var seeds []member.Seed
+	var addrs []member.Addr
+	for _, p := range controlAddresses {
 		if p == h.settings.ControlAddress {
 			continue
 		}
 		if ip, _, err := net.SplitHostPort(p); err == nil {
-			a := net.JoinHostPort(ip, strconv.Itoa(h.settings.GossipPort))
-			out = append(out, member.Seed{Addr: member.Addr(a), Zone: ident.Zone(h.cfg.Settings.Region)})
+			a := member.Addr(net.JoinHostPort(ip, strconv.Itoa(h.settings.GossipPort)))
+			addrs = append(addrs, a)
+			seeds = append(seeds, member.Seed{Addr: a, Zone: ident.Zone(h.cfg.Settings.Region)})
 		}
 	}
-	return out
+	h.state.mu.Lock()
+	h.state.peers.SetSeeds(h.now(), addrs)
+	h.state.mu.Unlock()
+	h.gossip.Enqueue(member.Seeds{Seeds: seeds})
 }
 
 // Run serves until the context ends, then shuts down gracefully.
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -116,10 +116,10 @@
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ownRank := readerRank(s.self)
+	ownRank := readerRank(s.peers.Self())
 	higher := 0
-	for addr, p := range s.peers {
-		if p.storeConnected && !p.leaving && p.zone == s.zone && now-p.lastReport < peerExpiry && readerRank(addr) > ownRank {
+	for _, p := range s.peers.Live(now) {
+		if p.StoreConnected && !p.Leaving && p.Zone == s.peers.Zone() && readerRank(p.Addr) > ownRank {
 			higher++
 		}
 	}
@@ -146,7 +146,7 @@
 	s := h.state
 	s.mu.Lock()
 	refused := change(s.catalog)
-	s.syncEngines()
+	s.syncEngines(h.now())
 	s.mu.Unlock()
 	h.logCatalog(refused, source)
 	h.requestReport()
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
@@ -30,6 +31,11 @@
 	return h
 }
 
+// observe records a report of a peer that is valid for the given time.
+func (h *Host) observe(from member.Addr, status peers.Status, validity time.Duration) {
+	h.state.peers.Observe(h.now(), from, peers.Report{Status: status, Validity: validity})
+}
+
 func addr(i int) member.Addr { return member.Addr(fmt.Sprintf("10.0.0.%d:7340", i)) }
 
 // Guards against an availability zone in which no host reads the store, and against all hosts of a large zone
@@ -40,13 +46,13 @@
 	readers := func(connected func(i int) bool) (n int) {
 		for self := range hosts {
 			h := testHost()
-			h.state.self, h.state.zone = addr(self), 7
+			h.state.peers.SetSelf(addr(self), 7)
 			for i := range hosts {
 				if i != self {
-					h.state.peers[addr(i)] = &peer{lastReport: h.now(), zone: 7, storeConnected: connected(i)}
+					h.observe(addr(i), peers.Status{Zone: 7, StoreConnected: connected(i)}, time.Minute)
 				}
 			}
-			h.state.peers["10.9.9.9:7340"] = &peer{lastReport: h.now(), zone: 8, storeConnected: true}
+			h.observe("10.9.9.9:7340", peers.Status{Zone: 8, StoreConnected: true}, time.Minute)
 			if h.isReader() {
 				n++
 			}
@@ -58,9 +64,9 @@
 
 	// A reader that has stopped reporting does not count.
 	h := testHost()
-	h.state.zone = 7
+	h.state.peers.SetSelf(addr(9), 7)
 	for i := range 5 {
-		h.state.peers[addr(i)] = &peer{lastReport: h.now() - peerExpiry, zone: 7, storeConnected: true}
+		h.observe(addr(i), peers.Status{Zone: 7, StoreConnected: true}, 0)
 	}
 	c.Assert(h.isReader(), qt.IsTrue)
 }
@@ -70,16 +76,16 @@
 func TestNewestPeer(t *testing.T) {
 	c := qt.New(t)
 	h := testHost()
-	h.state.zone = 7
+	h.state.peers.SetSelf(addr(1), 7)
 	h.state.catalog.Replace(0, catalog.Snapshot{Revision: 10, Config: &catalog.Config{Version: 3}})
 	_, _, ok := h.newestPeer()
 	c.Assert(ok, qt.IsFalse)
-	h.state.peers[addr(2)] = &peer{lastReport: h.now(), zone: 7, revision: 10, config: 3}
+	h.observe(addr(2), peers.Status{Zone: 7, Revision: 10, Config: 3}, time.Minute)
 	_, _, ok = h.newestPeer()
 	c.Assert(ok, qt.IsFalse)
-	h.state.peers[addr(3)] = &peer{lastReport: h.now(), zone: 8, revision: 15}
-	h.state.peers[addr(4)] = &peer{lastReport: h.now(), zone: 7, revision: 12}
-	h.state.peers[addr(5)] = &peer{lastReport: h.now() - peerExpiry, zone: 7, revision: 20}
+	h.observe(addr(3), peers.Status{Zone: 8, Revision: 15}, time.Minute)
+	h.observe(addr(4), peers.Status{Zone: 7, Revision: 12}, time.Minute)
+	h.observe(addr(5), peers.Status{Zone: 7, Revision: 20}, 0)
 	address, req, ok := h.newestPeer()
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(address, qt.Equals, "10.0.0.4:83")
--- /dev/null
+++ b/node/entry/loadreports.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
+	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
+)
+
+const (
+	// reportSpacing is the minimum time between two load reports of a host. Hosts that do not know of a placement
+	// choose the same engine, so a longer time costs on-time answers.
+	reportSpacing = 5 * time.Millisecond
+	// fullReportEvery is the number of report intervals after which the full load is sent again.
+	fullReportEvery = 3
+)
+
+// OnLoad implements gossip.LoadHandler.
+func (g *gossipHandler) OnLoad(from member.Addr, r gossip.LoadReport) {
+	h := (*Host)(g)
+	now := h.now()
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owner := placement.Owner(from)
+	if s.peers.Observe(now, from, peers.Report{Status: r.Status, Validity: r.Validity, Known: r.KnownAddrs}) {
+		s.engines.RemovePeer(owner)
+		h.requestReport()
+	}
+	s.engines.ApplyPeerUpdate(now, owner, r.Update)
+	if r.Revision > s.catalog.Revision() {
+		signal(h.peerAhead)
+	}
+}
+
+// requestReport requests that a load report is sent soon.
+func (h *Host) requestReport() { signal(h.reportNeeded) }
+
+// reportReason says why a report is sent.
+type reportReason int
+
+const (
+	reportOnChange   reportReason = iota // something has changed
+	reportOnInterval                     // a report interval has passed
+	reportWhole                          // the same, and the full load is due
+)
+
+// outgoing is a load report with its receivers.
+type outgoing struct {
+	to     []member.Addr
+	report gossip.LoadReport
+}
+
+// report sends a load report.
+func (h *Host) report(reason reportReason) {
+	s := h.state
+	s.mu.Lock()
+	out := h.reportsLocked(reason)
+	s.mu.Unlock()
+	for _, o := range out {
+		h.gossip.SendLoad(o.to, o.report)
+	}
+}
+
+// reportsLocked returns the reports that are due. Near peers get the changes of load. Hosts that have just started get
+// the full load and the addresses of the peers that this host knows: with probes alone it would take seconds until all
+// hosts know each other, and until then they would all place their requests on the same engines. The state must be
+// locked.
+func (h *Host) reportsLocked(reason reportReason) []outgoing {
+	s := h.state
+	status := h.statusLocked()
+	targets := s.peers.ChangeTargets(status)
+	if reason != reportOnChange {
+		targets = s.peers.IntervalTargets(status)
+	}
+	full := reason == reportWhole || s.fullReportNeeded
+	s.fullReportNeeded = false
+	own, shared := s.splitUpdate(s.engines.TakeUpdate(full))
+	near := gossip.LoadReport{Status: status, Validity: peers.NearValidity, Update: own}
+	far := gossip.LoadReport{Status: status, Validity: targets.FarValidity}
+	out := []outgoing{{targets.Near, near}, {targets.Far, far}}
+	now := h.now()
+	for part, update := range shared {
+		report := far
+		report.Update = update
+		out = append(out, outgoing{s.peers.FarSharing(now, part), report})
+	}
+	if started := s.peers.TakeNew(); len(started) > 0 {
+		introduction := far
+		introduction.Update.Loads = s.engines.OwnLoads()
+		introduction.KnownAddrs = s.peers.Sample(gossip.MaxKnownAddrs)
+		out = append(out, outgoing{started, introduction})
+	}
+	return out
+}
+
+// statusLocked returns what this host tells its peers about itself. The state must be locked.
+func (h *Host) statusLocked() peers.Status {
+	s := h.state
+	status := peers.Status{
+		Incarnation: h.incarnation, Ready: h.readyLocked(), Leaving: h.stopping.Load(), StoreConnected: s.storeConnected,
+		Zone: s.peers.Zone(), Revision: s.catalog.Revision(),
+	}
+	if c := s.catalog.Config(); c != nil {
+		status.Config = c.Version
+	}
+	return status
+}
+
+// splitUpdate divides an update into the part for near peers and those for the far peers that place requests on the
+// same engines, by partition. A host has load in another partition only while requests run that it placed before the
+// partitions changed.
+func (s *state) splitUpdate(u placement.Update) (own placement.Update, shared map[int]placement.Update) {
+	if s.peers.Partitions() == 1 {
+		return u, nil
+	}
+	shared = map[int]placement.Update{}
+	deal := func(key placement.Key, add func(*placement.Update)) {
+		part := s.peers.PartitionOf(s.engines.EngineID(key))
+		if s.peers.OwnsPartition(part) {
+			add(&own)
+		}
+		if part != s.peers.Partition() {
+			x := shared[part]
+			add(&x)
+			shared[part] = x
+		}
+	}
+	for _, l := range u.Loads {
+		deal(l.Engine, func(x *placement.Update) { x.Loads = append(x.Loads, l) })
+	}
+	for _, p := range u.Prefills {
+		deal(p.Engine, func(x *placement.Update) { x.Prefills = append(x.Prefills, p) })
+	}
+	return own, shared
+}
--- a/node/entry/queue_test.go
+++ b/node/entry/queue_test.go
@@ -31,7 +31,7 @@
 		}}}},
 		Servers: []catalog.Server{{ID: "e1", Service: "models", Address: "10.0.0.9:1", Slots: engineSlots}},
 	})
-	h.state.syncEngines()
+	h.state.syncEngines(0)
 	var placed []*placement.PlacedRequest
 	for range engineSlots {
 		choice, ok := h.state.engines.Choose(0, "models", placement.Request{PromptTokens: 5000, OutputTokens: 1600, MaxPause: 250 * time.Millisecond})
@@ -106,7 +106,7 @@
 	snapshot.Config = &config
 	snapshot.Servers = append(snapshot.Servers, catalog.Server{ID: "e2", Service: "other", Address: "10.0.0.9:2", Slots: engineSlots})
 	h.state.catalog.Replace(h.now(), snapshot)
-	h.state.syncEngines()
+	h.state.syncEngines(0)
 	c.Assert(h.offerQueue(), qt.Equals, 1)
 	c.Assert(h.state.queue("models").Len(), qt.Equals, 1)
 }
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -5,7 +5,6 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -43,14 +42,7 @@
 		h.log.WithField("error", err.Error()).Error("settings not reloaded")
 		return
 	}
-	seeds := h.seeds(s.Entry.Peers)
-	h.state.mu.Lock()
-	h.state.seeds = seeds
-	for _, seed := range seeds {
-		h.state.unconfirmedPeers[seed.Addr] = h.now() + unconfirmedPeerTTL
-	}
-	h.state.mu.Unlock()
-	h.gossip.Enqueue(member.Seeds{Seeds: seeds})
+	h.setSeeds(s.Entry.Peers)
 	h.requestReport()
 	h.log.WithField("peers", len(s.Entry.Peers)).Info("settings reloaded")
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -8,7 +8,8 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/health"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
-	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/partition"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/core/retry"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
@@ -25,63 +26,50 @@
 	health       *health.Tracker
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
-	peers        map[member.Addr]*peer
-	// unconfirmedPeers are hosts that other peers named but that have not sent a report yet. Each gets load
-	// reports until the given time.
-	unconfirmedPeers map[member.Addr]time.Duration
-	seeds            []member.Seed // peers from the settings
-	// newPeers are peers whose first report has just arrived. They are sent the addresses of the peers that
-	// this host knows.
-	newPeers []member.Addr
+	peers        *peers.Table
+	// fullReportNeeded is set when the next load report has to carry the full load.
+	fullReportNeeded bool
 	// storeConnected is set while this host reads the store itself and the store answers.
 	storeConnected bool
-	zone           uint32 // hash of this host's availability zone
-	self           member.Addr
-}
-
-// peer is the state of another entry host according to its last load report.
-type peer struct {
-	lastReport     time.Duration
-	incarnation    ident.Incarnation
-	ready          bool
-	leaving        bool
-	storeConnected bool
-	zone           uint32 // hash of the availability zone
-	config         ident.Version
-	revision       uint64
 }
 
 func newState(set settings.Entry, rng *rand.Rand) *state {
 	return &state{
-		settings:         set,
-		rng:              rng,
-		catalog:          catalog.NewTable(),
-		engines:          placement.NewTable(),
-		health:           health.NewTracker(health.Config{}),
-		queues:           map[string]*placement.Queue[queueEntry]{},
-		loadBalancer:     placement.NewLoadBalancer(),
-		budgets:          map[string]*retry.FleetBudget{},
-		peers:            map[member.Addr]*peer{},
-		unconfirmedPeers: map[member.Addr]time.Duration{},
+		settings:     set,
+		rng:          rng,
+		catalog:      catalog.NewTable(),
+		engines:      placement.NewTable(),
+		health:       health.NewTracker(health.Config{}),
+		queues:       map[string]*placement.Queue[queueEntry]{},
+		loadBalancer: placement.NewLoadBalancer(),
+		budgets:      map[string]*retry.FleetBudget{},
+		peers:        peers.NewTable(),
 	}
 }
 
-// syncEngines updates engines, health and load balancing from the catalog. Call it after each change of the
-// catalog.
-func (s *state) syncEngines() {
+// syncEngines updates partitions, engines, health and load balancing from the catalog. Call it after each change of
+// the catalog or of the partitions.
+func (s *state) syncEngines(now time.Duration) {
 	c := s.catalog.Config()
 	if c == nil {
 		return
 	}
 	listed := map[ident.BackendID]bool{}
+	engines := map[string][]partition.Node{}
 	for i := range c.Services {
 		svc := &c.Services[i]
-		usable := s.catalog.Usable(svc.Name)
-		for _, srv := range usable {
+		for _, srv := range s.catalog.Usable(svc.Name) {
 			listed[srv.ID] = true
+			if svc.Runtime != nil {
+				engines[svc.Name] = append(engines[svc.Name], partition.Node{ID: string(srv.ID), Zone: zoneHash(srv.Zone)})
+			}
 		}
-		if svc.Runtime != nil {
-			s.engines.SetEngines(svc.Name, svc.Runtime, usable)
+	}
+	s.peers.SetServices(engines)
+	s.replan(now)
+	for i := range c.Services {
+		if svc := &c.Services[i]; svc.Runtime != nil {
+			s.engines.SetEngines(svc.Name, svc.Runtime, s.ownEngines(svc.Name))
 		}
 	}
 	keep := func(id ident.BackendID) bool { return listed[id] }
@@ -89,6 +77,31 @@
 	s.loadBalancer.Retain(keep)
 }
 
+// replan recomputes the partitions and reports whether they have changed.
+func (s *state) replan(now time.Duration) (changed bool) {
+	changed = s.peers.Replan(now)
+	if changed {
+		// Hosts that have got other engines do not know the load of this one on them.
+		s.fullReportNeeded = true
+	}
+	return changed
+}
+
+// ownEngines returns the engines of a service that this host places requests on.
+func (s *state) ownEngines(service string) []catalog.Server {
+	usable := s.catalog.Usable(service)
+	if s.peers.Partitions() == 1 {
+		return usable
+	}
+	var own []catalog.Server
+	for _, srv := range usable {
+		if s.peers.OwnsPartition(s.peers.PartitionOf(srv.ID)) {
+			own = append(own, srv)
+		}
+	}
+	return own
+}
+
 // queue returns the queue of a service and creates it on first use.
 func (s *state) queue(service string) *placement.Queue[queueEntry] {
 	q := s.queues[service]
@@ -113,5 +126,5 @@
 // allowRetry takes one retry to a service from the retry budget. Peers that have stopped reporting still count
 // as budget holders: they may only be partitioned from this host and still spend their share.
 func (s *state) allowRetry(now time.Duration, service string) bool {
-	return s.budget(service).Allow(now, 1+len(s.peers))
+	return s.budget(service).Allow(now, 1+s.peers.Len())
 }
--- a/transport/gossip/load.go
+++ b/transport/gossip/load.go
@@ -6,21 +6,18 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
 )
 
-// LoadReport is sent by an entry host directly to all others. It shows that the host is alive, which configuration
+// LoadReport is sent by an entry host directly to others. It shows that the host is alive, which configuration
 // and store revision it has, and what load it has placed on engines. Reports do not depend on each other, so a
 // lost one is not sent again.
 type LoadReport struct {
-	Incarnation    ident.Incarnation
-	Ready          bool // accepts new connections
-	Leaving        bool
-	StoreConnected bool          // has its own connection to the platform's store
-	ZoneHash       uint32        // hash of the availability zone name
-	Config         ident.Version // version in use
-	Revision       uint64        // latest store revision that the host has seen
+	peers.Status
+	// Validity is how long the sender counts as alive without another report.
+	Validity time.Duration
 	// KnownAddrs are gossip addresses of other hosts, sent to a host that has just started.
 	KnownAddrs []member.Addr
 	Update     placement.Update
@@ -43,7 +40,7 @@
 const maxLoadsPerDatagram = 24
 
 // reportFields is the number of fields of a load report.
-const reportFields = 10
+const reportFields = 11
 
 // SendLoad sends a report to the addresses and splits a long report into several datagrams.
 func (s *Service) SendLoad(to []member.Addr, r LoadReport) {
@@ -78,9 +75,10 @@
 	w.Bool(r.Ready)
 	w.Bool(r.Leaving)
 	w.Bool(r.StoreConnected)
-	w.Uint(uint64(r.ZoneHash))
+	w.Uint(uint64(r.Zone))
 	w.Uint(uint64(r.Config))
 	w.Uint(r.Revision)
+	w.Uint(uint64(r.Validity.Milliseconds()))
 	w.Array(len(r.KnownAddrs))
 	for _, a := range r.KnownAddrs {
 		w.Str(string(a))
@@ -111,6 +109,7 @@
 	maxLoadTokens  = 1 << 40
 	maxLoadStreams = 1 << 20
 	maxPauseMS     = 1 << 31
+	maxValidityMS  = 60_000
 )
 
 func decodeLoad(b []byte) (LoadReport, error) {
@@ -122,9 +121,10 @@
 	v.Ready = r.Bool()
 	v.Leaving = r.Bool()
 	v.StoreConnected = r.Bool()
-	v.ZoneHash = uint32(r.Uint(math.MaxUint32))
+	v.Zone = uint32(r.Uint(math.MaxUint32))
 	v.Config = ident.Version(r.Uint(math.MaxUint64))
 	v.Revision = r.Uint(math.MaxUint64)
+	v.Validity = time.Duration(r.Uint(maxValidityMS)) * time.Millisecond
 	for range r.Array(maxList) {
 		v.KnownAddrs = append(v.KnownAddrs, member.Addr(r.Str(maxString)))
 	}
--- a/transport/gossip/load_test.go
+++ b/transport/gossip/load_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
 )
@@ -32,7 +33,7 @@
 		return s
 	}
 	from, to := listen("a/entry", loadRecorder{}), listen("b/entry", recorder)
-	r := LoadReport{Incarnation: 7, Ready: true, Config: 3, Revision: 9}
+	r := LoadReport{Status: peers.Status{Incarnation: 7, Ready: true, Config: 3, Revision: 9}}
 	for i := range 70 {
 		r.Update.Loads = append(r.Update.Loads, placement.EngineLoad{Engine: placement.Key(i), Load: placement.Load{
 			Tokens: 1 << 20, Classes: []placement.Class{{MaxPause: time.Second, Streams: 9, Worth: 4.5}, {MaxPause: 2 * time.Second, Streams: 1, Worth: 1}},
@@ -62,7 +63,10 @@
 		_, _ = decodeLoad(b)
 	})
 	rapid.Check(t, func(t *rapid.T) {
-		r := LoadReport{Incarnation: 1, Ready: rapid.Bool().Draw(t, "ready"), Revision: rapid.Uint64().Draw(t, "revision")}
+		r := LoadReport{
+			Status:   peers.Status{Incarnation: 1, Ready: rapid.Bool().Draw(t, "ready"), Revision: rapid.Uint64().Draw(t, "revision")},
+			Validity: time.Duration(rapid.IntRange(0, maxValidityMS).Draw(t, "validity")) * time.Millisecond,
+		}
 		for range rapid.IntRange(0, 5).Draw(t, "loads") {
 			r.Update.Loads = append(r.Update.Loads, placement.EngineLoad{
 				Engine: placement.Key(rapid.Uint32().Draw(t, "engine")), Load: placement.Load{Tokens: rapid.IntRange(0, 1<<30).Draw(t, "tokens")},
