Believe only whole answers that name the request, bound bodies and heads, answer every request at a stop

Change: an answer is checked before anything that it says counts; heads are bounded at 64 KiB, events at 128 KiB, and the bodies of all requests in progress at an eighth of the memory limit; only events with a new id are progress; a host empties its backlog and waits for every request that has arrived; calls to services and engines have a connection of their own.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -59,6 +59,7 @@
 	incarnation    ident.Incarnation
 	client         *http.Client // for requests to backend servers
 	state          *state
+	bodies         *bodyMemory
 	store          Store
 	gossip         *gossip.Service
 	control        *control.Server
@@ -75,6 +76,9 @@
 	cancel         context.CancelFunc
 	servers        []*http.Server
 	callerServer   *http.Server
+	listeners      []*drainingListener
+	callerListener *drainingListener
+	connections    *connections // of callers
 }
 
 // Start starts a host and its listeners. Requests are refused until the configuration is known.
@@ -95,6 +99,8 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.client = newClient()
+	h.bodies = newBodyMemory(s.Entry.MemoryMB)
+	h.connections = newConnections()
 	h.store = cfg.OpenStore(o.Log)
 	h.state = newState(s.Entry, rand.New(rand.NewSource(int64(h.incarnation))))
 	if err := h.startPeers(); err != nil {
@@ -183,6 +189,9 @@
 	h.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	for _, l := range h.listeners {
+		_ = l.TCPListener.Close() // at once: what is in the backlog has not been read
+	}
 	for _, s := range h.servers {
 		_ = s.Close()
 	}
--- a/node/entry/events.go
+++ b/node/entry/events.go
@@ -9,7 +9,7 @@
 )
 
 // maxEvent is the maximum size of a stream event in bytes.
-const maxEvent = 1 << 20
+const maxEvent = 128 << 10
 
 // eventReader reads a stream of server-sent events. It returns complete events only.
 type eventReader struct {
--- /dev/null
+++ b/node/entry/memory.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// bodyMemoryShare is the share of the process's memory limit that the bodies of all requests and answers in progress
+	// may take together. Reading a body takes up to twice its size while its buffer grows.
+	bodyMemoryShare = 0.125
+	// defaultBodyMemory is that limit in bytes for a process without a memory limit.
+	defaultBodyMemory = 64 << 20
+)
+
+// errBodyMemory reports that the bodies in progress have used up the memory for them.
+var errBodyMemory = Error.New("the bodies of requests in progress take all of the memory for them")
+
+// bodyMemory bounds the bytes of bodies that a host holds at the same time, so that many slow callers or servers with
+// endless answers do not exceed the memory limit of the process.
+type bodyMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func newBodyMemory(limitMB int64) *bodyMemory {
+	if limitMB <= 0 {
+		return &bodyMemory{limit: defaultBodyMemory}
+	}
+	return &bodyMemory{limit: int64(bodyMemoryShare * float64(limitMB<<20))}
+}
+
+// share is the part of the memory that one request holds. A request is served by one goroutine.
+type share struct {
+	memory    *bodyMemory
+	bytes     int64
+	exhausted bool // a read has failed for lack of memory
+}
+
+// body returns a body whose bytes, when read, count towards the share until it is released. Reading returns
+// errBodyMemory when there is no memory left.
+func (s *share) body(b io.ReadCloser) io.ReadCloser { return &countedBody{b, s} }
+
+// release gives back the whole share.
+func (s *share) release() {
+	s.memory.used.Add(-s.bytes)
+	s.bytes = 0
+}
+
+type countedBody struct {
+	io.ReadCloser
+	s *share
+}
+
+// Read implements io.Reader.
+func (c *countedBody) Read(p []byte) (int, error) {
+	n, err := c.ReadCloser.Read(p)
+	c.s.bytes += int64(n)
+	if c.s.memory.used.Add(int64(n)) > c.s.memory.limit {
+		c.s.exhausted = true
+		return 0, errBodyMemory
+	}
+	return n, err
+}
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -162,14 +162,17 @@
 		return nil, h.sendFailed(ctx, q, srv.ID, ran, err)
 	}
 	defer s.resp.Body.Close()
+	q.attempts++
+	if err := s.check(q); err != nil {
+		q.mayHaveRun = true
+		return nil, h.invalidResponse(ctx, srv.ID, err)
+	}
 	if s.reply.NotRun {
-		q.attempts++
 		return nil, h.rejected(q, srv.ID, s)
 	}
-	q.attempts++
 	q.mayHaveRun = true
-	body, err := readResponse(s.resp)
-	if err != nil || !s.matches(q) {
+	body, err := readResponse(q, s.resp)
+	if err != nil {
 		return nil, h.invalidResponse(ctx, srv.ID, err)
 	}
 	return h.checkResponse(q, srv.ID, s, body, h.now()-began)
@@ -241,11 +244,10 @@
 	return e
 }
 
+// invalidResponse handles a response that is not a complete answer to the request. What it cost the host's memory says
+// nothing about the server.
 func (h *Host) invalidResponse(ctx context.Context, id ident.BackendID, err error) *outcome.Error {
-	if err == nil {
-		err = Error.New("answer to another request")
-	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, errBodyMemory) {
 		h.state.mu.Lock()
 		h.state.health.RecordFailure(id)
 		h.state.mu.Unlock()
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -42,6 +42,7 @@
 	priority    int           // of the team or, if it has none, of the route; 0 is the most urgent
 	config      ident.Version // configuration version that determined the route and the team
 	body        []byte
+	memory      share // of the host's memory for bodies
 	arrived     time.Duration
 	deadline    time.Duration  // on the clock of Host.now
 	attempts    int            // servers that the request was sent to
@@ -70,7 +71,8 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now()}
+	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now(), memory: share{memory: h.bodies}}
+	defer q.memory.release()
 	ctx, span := h.startRequestSpan(q)
 	// The span ends with this error when a panic aborts a stream that has already begun.
 	e := outcome.Fail(stepAnswer, "", outcome.BackendLost, nil)
@@ -146,7 +148,12 @@
 	}
 	h.state.mu.Unlock()
 	var e *outcome.Error
+	q.http.Body = q.memory.body(q.http.Body)
 	q.body, e = httpend.ReadBody(w, q.http, limit, min(within, q.timeLeft(h.now())))
+	if e != nil && q.memory.exhausted {
+		e = outcome.Refuse("read_body", outcome.Overload, errBodyMemory.Error())
+		e.RetryAfter = noBackendRetry
+	}
 	return e
 }
 
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
 const (
@@ -48,6 +49,8 @@
 		DialContext:        d.DialContext,
 		DisableCompression: true,
 		DisableKeepAlives:  true,
+		// The default of 10 MiB for each endless header would exceed the memory of a small host.
+		MaxResponseHeaderBytes: maxHeader,
 		// Responses are relayed event by event, so small buffers suffice.
 		ReadBufferSize:  2 << 10,
 		WriteBufferSize: 2 << 10,
@@ -103,12 +106,19 @@
 	return backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}, true, nil
 }
 
-// matches reports whether a response belongs to this request and was not re-encoded on the way.
-func (s *backendResponse) matches(q *request) bool {
-	if s.reply.ID != "" && s.reply.ID != q.call.ID {
-		return false
+// check returns an error unless the response names this request, has a known end and was not re-encoded on the way.
+// Nothing that a response says counts before this check, not even a refusal: a late or misdirected response must not
+// make a request look as if it has not run.
+func (s *backendResponse) check(q *request) error {
+	switch {
+	case s.reply.ID != q.call.ID:
+		return Error.New("answer to another request")
+	case !httpcall.HasKnownEnd(s.resp):
+		return Error.New("answer without length or chunks")
+	case s.resp.Header.Get("Content-Encoding") != "":
+		return Error.New("answer with a content encoding")
 	}
-	return s.resp.Header.Get("Content-Encoding") == ""
+	return nil
 }
 
 // hopHeaders are the hop-by-hop headers, which apply to a single connection.
@@ -141,12 +151,9 @@
 const maxResponseBytes = 8 << 20
 
 // readResponse reads a complete response body. It returns an error if the body was truncated.
-func readResponse(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = Error.New("answer of more than %d bytes", maxResponseBytes)
-	}
-	return body, err
+func readResponse(q *request, resp *http.Response) ([]byte, error) {
+	resp.Body = q.memory.body(resp.Body)
+	return httpcall.ReadWhole(resp, maxResponseBytes)
 }
 
 // backendError returns the error for a request that its server failed to answer.
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -30,15 +30,17 @@
 func (h *Host) startServers() error {
 	d := h.cfg.Dialect
 	h.callerServer = h.newServer(h)
+	h.callerServer.ConnState = h.connections.observe
 	directory := h.newServer(d.Directory(h.addresses, settings.MS(h.settings.AddressTTLMS)))
 	readiness := h.newServer(d.Readiness(h.ready))
-	if err := h.serve(h.callerServer, h.settings.HTTPAddress); err != nil {
+	var err error
+	if h.callerListener, err = h.serve(h.callerServer, h.settings.HTTPAddress); err != nil {
 		return err
 	}
-	if err := h.serve(directory, h.settings.DirectoryAddress); err != nil {
+	if _, err = h.serve(directory, h.settings.DirectoryAddress); err != nil {
 		return err
 	}
-	if err := h.serve(readiness, h.settings.ReadyAddress); err != nil {
+	if _, err = h.serve(readiness, h.settings.ReadyAddress); err != nil {
 		return err
 	}
 	h.startMetrics()
@@ -55,7 +57,7 @@
 	mux.Handle("GET /metrics", h.obs.MetricsHandler())
 	ip, _, _ := net.SplitHostPort(h.settings.HTTPAddress)
 	address := net.JoinHostPort(ip, strconv.Itoa(h.settings.AdminPort))
-	if err := h.serve(h.newServer(mux), address); err != nil {
+	if _, err := h.serve(h.newServer(mux), address); err != nil {
 		h.log.WithFields(fields{"address": address, "error": err.Error()}).Error("metrics not served")
 	}
 }
@@ -67,7 +69,8 @@
 	}
 }
 
-func (h *Host) serve(s *http.Server, address string) error {
+// serve opens a listener and serves its connections in the background.
+func (h *Host) serve(s *http.Server, address string) (*drainingListener, error) {
 	lc := net.ListenConfig{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -76,19 +79,22 @@
 	}
 	ln, err := lc.Listen(h.ctx, "tcp", address)
 	if err != nil {
-		return Error.New("step=listen peer=%s: %w", address, err)
+		return nil, Error.New("step=listen peer=%s: %w", address, err)
 	}
 	h.servers = append(h.servers, s)
+	draining := newDrainingListener(ln.(*net.TCPListener))
+	h.listeners = append(h.listeners, draining)
 	go func() {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		defer close(draining.done)
+		if err := s.Serve(draining); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			h.log.WithFields(fields{"address": address, "error": err.Error()}).Error("listener ended")
 		}
 	}()
-	return nil
+	return draining, nil
 }
 
-// Shutdown removes this host from the address lists, keeps serving for as long as callers may use old lists,
-// and returns when no request runs any more or the shutdown time has passed.
+// Shutdown removes this host from the address lists, keeps serving for as long as callers may use old lists, answers
+// every request that has arrived by then, and returns when no request runs any more or the shutdown time has passed.
 func (h *Host) Shutdown() error {
 	began := time.Now()
 	h.stopping.Store(true)
@@ -98,6 +104,8 @@
 	sleep(h.ctx, addressTTLFactor*settings.MS(h.settings.AddressTTLMS))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	h.callerListener.drain(ctx)
+	h.connections.wait(ctx)
 	err := h.callerServer.Shutdown(ctx)
 	for h.running.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -158,6 +158,11 @@
 	}
 	defer received.resp.Body.Close()
 	q.attempts++
+	if err := received.check(q); err != nil {
+		q.mayHaveRun = true
+		st.failed[srv.ID] = true
+		return h.invalidResponse(ctx, srv.ID, err)
+	}
 	if received.reply.NotRun {
 		st.recordRefusal(srv.ID, received.reply.AtFault)
 		return h.rejected(q, srv.ID, received)
@@ -166,9 +171,9 @@
 	if received.resp.StatusCode != http.StatusOK {
 		return st.handleNonStream(ctx, srv.ID, received, began)
 	}
-	if !received.matches(q) || !received.reply.Signed {
+	if !received.reply.Signed {
 		st.failed[srv.ID] = true
-		return h.invalidResponse(ctx, srv.ID, nil)
+		return h.invalidResponse(ctx, srv.ID, Error.New("stream without the server's signature"))
 	}
 	if err := st.relay(received, srv.ID, placed, stall, began); err != nil {
 		st.failed[srv.ID] = true
@@ -261,8 +266,8 @@
 func (st *stream) handleNonStream(ctx context.Context, id ident.BackendID, s backendResponse, began time.Duration) *outcome.Error {
 	h, q := st.host, st.q
 	st.failed[id] = true
-	body, err := readResponse(s.resp)
-	if err != nil || !s.matches(q) {
+	body, err := readResponse(q, s.resp)
+	if err != nil {
 		return h.invalidResponse(ctx, id, err)
 	}
 	a, e := h.checkResponse(q, id, s, body, h.now()-began)
@@ -281,14 +286,33 @@
 	h := st.host
 	events := newEventReader(s.resp.Body)
 	last := time.Duration(0)
+	var early []byte // what came before the first event of this server
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return st.finish(s)
+			return st.finish(s, early)
 		}
 		if err != nil {
 			return err
 		}
+		if ev.id < 0 {
+			// Comments and events without an id are no progress: a server that sends only these is as good as silent.
+			if last != 0 {
+				err = st.write(s, ev.raw)
+			} else if early = append(early, ev.raw...); len(early) > maxEvent {
+				err = Error.New("more than %d bytes before the first event", maxEvent)
+			}
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		if ev.id <= st.lastID {
+			continue // the caller already has this event
+		}
+		if st.lastID >= 0 && ev.id != st.lastID+1 {
+			return Error.New("event %d follows event %d", ev.id, st.lastID)
+		}
 		now := h.now()
 		passTime := st.recordPause(id, now, last)
 		stall.extend(passTime)
@@ -304,15 +328,11 @@
 			st.q.placement.longestPause = max(st.q.placement.longestPause, now-last)
 		}
 		last = now
-		if ev.id >= 0 && ev.id <= st.lastID {
-			continue // the caller already has this event
-		}
-		if ev.id >= 0 && st.lastID >= 0 && ev.id != st.lastID+1 {
-			return Error.New("event %d follows event %d", ev.id, st.lastID)
-		}
-		if err := st.write(s, ev); err != nil {
+		if err := st.write(s, append(early, ev.raw...)); err != nil {
 			return err
 		}
+		early = nil
+		st.lastID = ev.id
 	}
 }
 
@@ -328,26 +348,27 @@
 	return passTime
 }
 
-// write forwards one event. The response header of the first event's server is sent before it and applies to
-// the whole stream.
-func (st *stream) write(s backendResponse, ev event) error {
+// write forwards bytes of the stream. The response header of the first event's server is sent before them and applies
+// to the whole stream.
+func (st *stream) write(s backendResponse, raw []byte) error {
 	if !st.headerWritten {
 		copyHeader(st.w.Header(), s.resp.Header)
 		st.w.Header().Del("Content-Length")
 		st.w.WriteHeader(s.resp.StatusCode)
 		st.headerWritten = true
 	}
-	if _, err := st.w.Write(ev.raw); err != nil {
+	if _, err := st.w.Write(raw); err != nil {
 		return err
 	}
-	if ev.id >= 0 {
-		st.lastID = ev.id
-	}
 	return st.flush.Flush()
 }
 
-// finish completes a stream that its server has ended normally, also if no event was relayed.
-func (st *stream) finish(s backendResponse) error {
+// finish completes a stream that its server has ended normally, also if no event was relayed. rest is what came after
+// the last event that was relayed.
+func (st *stream) finish(s backendResponse, rest []byte) error {
+	if len(rest) > 0 {
+		return st.write(s, rest)
+	}
 	if st.headerWritten {
 		return nil
 	}
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -19,9 +19,9 @@
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 )
 
-// MaxIdlePerPeer bounds the idle connections per peer. With the default of net/http, two, nearly every call
-// under load would open a new connection.
-const MaxIdlePerPeer = 64
+// maxResponseHeader bounds the header of a response in bytes. The default of net/http, 10 MiB, would let a few calls
+// with endless headers use up the memory of a host.
+const maxResponseHeader = 64 << 10
 
 // BaseURL returns address as a URL without trailing slash; a bare host:port gets the http scheme.
 func BaseURL(address string) string {
@@ -31,17 +31,19 @@
 	return strings.TrimRight(address, "/")
 }
 
-// Transport returns a keep-alive HTTP/1.1 transport that ignores proxy settings of the environment.
+// Transport returns an HTTP/1.1 transport that ignores proxy settings of the environment. Each call has a connection of
+// its own: on a reused one, a second copy of an earlier response that arrives late would be taken for the response to
+// the call.
 func Transport(dialTimeout time.Duration) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
 	http1 := new(http.Protocols)
 	http1.SetHTTP1(true)
 	return &http.Transport{
-		Protocols:           http1,
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: MaxIdlePerPeer,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		Protocols:              http1,
+		DialContext:            d.DialContext,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxResponseHeader,
+		DisableCompression:     true,
 	}
 }
 
@@ -125,8 +127,26 @@
 // ErrTooLarge is the error of a response body that exceeds its size limit.
 var ErrTooLarge = errors.New("answer exceeds its size bound")
 
-// ReadBounded reads r to its end and fails with ErrTooLarge if it has more than limit bytes.
-func ReadBounded(r io.Reader, limit int64) ([]byte, error) {
+// ErrNoEnd is the error of a response that has neither a length nor chunks.
+var ErrNoEnd = errors.New("answer without length or chunks")
+
+// HasKnownEnd reports whether a response has a length or chunks. The body of any other response ends with its
+// connection, so a lost one can't be told from a complete body.
+func HasKnownEnd(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// ReadWhole reads the body of a response to its end. It fails with ErrTooLarge if the body has more than limit bytes, and
+// with ErrNoEnd if its end is not known.
+func ReadWhole(resp *http.Response, limit int64) ([]byte, error) {
+	if !HasKnownEnd(resp) {
+		return nil, ErrNoEnd
+	}
+	return readBounded(resp.Body, limit)
+}
+
+// readBounded reads r to its end and fails with ErrTooLarge if it has more than limit bytes.
+func readBounded(r io.Reader, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(b)) > limit {
 		return nil, ErrTooLarge
@@ -137,7 +157,7 @@
 // DecodeJSON decodes a JSON response body of at most limit bytes into v and closes the body.
 func (c *Call) DecodeJSON(ctx context.Context, resp *http.Response, limit int64, v any) error {
 	defer resp.Body.Close()
-	b, err := ReadBounded(resp.Body, limit)
+	b, err := readBounded(resp.Body, limit)
 	if err != nil {
 		return c.TransportError(ctx, err)
 	}
--- a/node/servicehttp/post.go
+++ b/node/servicehttp/post.go
@@ -41,7 +41,7 @@
 		return nil, c.postError(ctx, gate.close(), err)
 	}
 	defer resp.Body.Close()
-	body, err := httpcall.ReadBounded(resp.Body, c.cfg.MaxResponseBytes)
+	body, err := httpcall.ReadWhole(resp, c.cfg.MaxResponseBytes)
 	if err != nil {
 		return nil, c.postError(ctx, gate.close(), err)
 	}
--- a/node/servicehttp/servicehttp.go
+++ b/node/servicehttp/servicehttp.go
@@ -1,5 +1,5 @@
-// Package servicehttp is the HTTP client for plain services. Idempotent calls (lookups) share keep-alive
-// connections; a non-idempotent call (posting) uses a new connection and is written at most once.
+// Package servicehttp is the HTTP client for plain services. Each call uses a new connection. A
+// non-idempotent call (posting) is written at most once.
 package servicehttp
 
 import (
@@ -46,7 +46,7 @@
 type Client struct {
 	cfg       Config
 	base      string
-	keepAlive *http.Transport
+	transport *http.Transport
 }
 
 // New returns a client.
@@ -57,11 +57,11 @@
 	if cfg.MaxResponseBytes == 0 {
 		cfg.MaxResponseBytes = 1 << 20
 	}
-	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), keepAlive: httpcall.Transport(cfg.DialTimeout)}
+	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), transport: httpcall.Transport(cfg.DialTimeout)}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.keepAlive.CloseIdleConnections() }
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Lookup sends an idempotent call. It doesn't retry and follows no redirect. A failure before the connection is
 // established is NotRun, any later failure is MayHaveRun.
@@ -71,12 +71,12 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.keepAlive.RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return nil, hc.TransportError(ctx, err)
 	}
 	defer resp.Body.Close()
-	body, err := httpcall.ReadBounded(resp.Body, c.cfg.MaxResponseBytes)
+	body, err := httpcall.ReadWhole(resp, c.cfg.MaxResponseBytes)
 	if err != nil {
 		return nil, hc.TransportError(ctx, err)
 	}
@@ -91,7 +91,7 @@
 	if err != nil {
 		return r, err
 	}
-	resp, err := c.keepAlive.RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return r, hc.TransportError(ctx, err)
 	}
