Part node/entry/stream.go by duty: choose, relay, stall

Cause: one file held placing, sending, relaying and stall detection. Conclusion: each file has the duty that its name says.

--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -16,14 +13,6 @@
 )
 
 const (
-	// minStall and maxStall bound the time beyond the prediction after which a silent engine counts as lost.
-	// Between them it is twice the objective. Callers of short requests abandon a stream after 2 s without an
-	// event, those of long ones after 6 s or more. If an engine is wrongly taken for lost, another one repeats
-	// the prefill, which is costly for a long prompt.
-	minStall = 900 * time.Millisecond
-	maxStall = 3 * time.Second
-	// stallFactor adds a share of the predicted time, since predictions are less accurate for long waits.
-	stallFactor = 0.5
 	// maxReserveFailures is the number of failed memory reservations after which a request is placed again
 	// without using the retry budget. Each further failure counts as a retry.
 	maxReserveFailures = 2
@@ -82,48 +71,6 @@
 	return last
 }
 
-// choose returns the best placement at this time. The state must be locked.
-func (st *stream) choose(now time.Duration) (attempt, *outcome.Error) {
-	q := st.q
-	s := st.host.state
-	req := placement.Request{
-		PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens,
-		Objective:    placement.ObjectiveLeft(now, q.arrived, q.route.Objective),
-		MaxPause:     q.route.MaxPause,
-		TimeLeft:     q.timeLeft(now),
-		Returned:     q.hasReturned(),
-		Excluded:     func(id ident.BackendID) bool { return st.failed[id] || s.health.Excluded(now, id) },
-	}
-	choice, ok := s.engines.Choose(now, q.service, req)
-	if !ok {
-		req.Excluded = func(id ident.BackendID) bool { return st.failed[id] }
-		choice, ok = s.engines.Choose(now, q.service, req)
-	}
-	if !ok {
-		e := outcome.Refuse("place", outcome.Overload, "no engine has room")
-		e.RetryAfter = noBackendRetry
-		return attempt{}, e
-	}
-	if !q.mayHaveRun && !s.engines.MayWait(choice) {
-		if v := s.engines.Admit(now, q.service, choice); !v.Admit {
-			e := outcome.Refuse("admit", outcome.Overload, fmt.Sprintf(
-				"reading costs others %.1f, earns %.1f; backlog %d ms, first event after %d ms",
-				v.Cost, v.Gain, v.Backlog.Milliseconds(), choice.TimeToFirstEvent.Milliseconds()))
-			e.RetryAfter = v.RetryAfter
-			return attempt{}, e
-		}
-	}
-	for _, srv := range s.catalog.Usable(q.service) {
-		if srv.ID == choice.Engine {
-			return attempt{choice: choice, server: srv}, nil
-		}
-	}
-	e := outcome.Refuse("place", outcome.NoBackend, "the engine has left")
-	e.RetryAfter = noBackendRetry
-	return attempt{}, e
-}
-
 // runAttempt runs a placed attempt until the stream ends or the engine fails.
 func (st *stream) runAttempt(ctx context.Context, a attempt) (failed *outcome.Error) {
 	h, q := st.host, st.q
@@ -241,28 +188,6 @@
 	return f
 }
 
-// Engines take urgencies from 0 to 9. Each priority has three of them, by latency objective.
-const (
-	urgenciesPerPriority = 3
-	maxUrgency           = 9
-	shortObjective       = 500 * time.Millisecond
-	mediumObjective      = 2 * time.Second
-)
-
-// urgency returns the urgency of a request for an engine's admission: by the priority of the team or route,
-// then shorter objectives first.
-func urgency(priority int, objective time.Duration) int {
-	u := priority * urgenciesPerPriority
-	switch {
-	case objective <= shortObjective:
-	case objective <= mediumObjective:
-		u++
-	default:
-		u += 2
-	}
-	return min(maxUrgency, max(0, u))
-}
-
 // handleNonStream handles a complete response that is not a stream.
 func (st *stream) handleNonStream(ctx context.Context, id ident.BackendID, s backendResponse, began time.Duration) *outcome.Error {
 	h, q := st.host, st.q
@@ -281,146 +206,3 @@
 	writeResponse(st.w, a)
 	return nil
 }
-
-// relay forwards complete events in order, each exactly once.
-func (st *stream) relay(s backendResponse, id ident.BackendID, placed *placement.PlacedRequest, stall *stallTimer, began time.Duration) error {
-	h := st.host
-	events := newEventReader(s.resp.Body)
-	last := time.Duration(0)
-	var early []byte // what came before the first event of this server
-	for {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			return st.finish(s, early)
-		}
-		if err != nil {
-			return err
-		}
-		if ev.id < 0 {
-			// Comments and events without an id are no progress: a server that sends only these is as good as silent.
-			if last != 0 {
-				err = st.write(s, ev.raw)
-			} else if early = append(early, ev.raw...); len(early) > maxEvent {
-				err = Error.New("more than %d bytes before the first event", maxEvent)
-			}
-			if err != nil {
-				return err
-			}
-			continue
-		}
-		if ev.id <= st.lastID {
-			continue // the caller already has this event
-		}
-		if st.lastID >= 0 && ev.id != st.lastID+1 {
-			return Error.New("event %d follows event %d", ev.id, st.lastID)
-		}
-		now := h.now()
-		passTime := st.recordPause(id, now, last)
-		stall.extend(passTime)
-		if last == 0 {
-			h.metrics.recordFirstEvent(st.q, now-st.q.arrived)
-			st.q.placement.firstEvent = now - began
-			h.state.mu.Lock()
-			h.state.health.RecordSuccess(id, now-began)
-			h.state.engines.MarkStarted(placed)
-			h.state.mu.Unlock()
-		}
-		if last != 0 {
-			st.q.placement.longestPause = max(st.q.placement.longestPause, now-last)
-		}
-		last = now
-		if err := st.write(s, append(early, ev.raw...)); err != nil {
-			return err
-		}
-		early = nil
-		st.lastID = ev.id
-	}
-}
-
-// recordPause compares a pause with its prediction and returns the prediction for the next one.
-func (st *stream) recordPause(id ident.BackendID, now, last time.Duration) time.Duration {
-	s := st.host.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	passTime := s.engines.PassTime(now, id)
-	if last != 0 {
-		s.engines.Observe(id, passTime, now-last)
-	}
-	return passTime
-}
-
-// write forwards bytes of the stream. The response header of the first event's server is sent before them and applies
-// to the whole stream.
-func (st *stream) write(s backendResponse, raw []byte) error {
-	if !st.headerWritten {
-		copyHeader(st.w.Header(), s.resp.Header)
-		st.w.Header().Del("Content-Length")
-		st.w.WriteHeader(s.resp.StatusCode)
-		st.headerWritten = true
-	}
-	if _, err := st.w.Write(raw); err != nil {
-		return err
-	}
-	return st.flush.Flush()
-}
-
-// finish completes a stream that its server has ended normally, also if no event was relayed. rest is what came after
-// the last event that was relayed.
-func (st *stream) finish(s backendResponse, rest []byte) error {
-	if len(rest) > 0 {
-		return st.write(s, rest)
-	}
-	if st.headerWritten {
-		return nil
-	}
-	// A stream without events: the caller already had all of them.
-	copyHeader(st.w.Header(), s.resp.Header)
-	st.w.WriteHeader(s.resp.StatusCode)
-	st.headerWritten = true
-	return nil
-}
-
-// stallTimer cancels an attempt whose engine sends no event for too long.
-type stallTimer struct {
-	timer   *time.Timer
-	active  bool
-	slack   time.Duration
-	stalled atomic.Bool
-}
-
-// errHelperUnusable is the reason for excluding an engine that another one reported as unusable.
-var errHelperUnusable = Error.New("another engine reported it as unusable as a helper")
-
-// errStalled replaces the error of an attempt that a stallTimer has cancelled.
-var errStalled = Error.New("no event within the time that the engine's load explains")
-
-// newStallTimer starts a timer for the first event. For streams that may not be retried it never cancels, since
-// they have no other server to go to.
-func (st *stream) newStallTimer(cancel context.CancelFunc, predicted time.Duration) *stallTimer {
-	g := &stallTimer{
-		active: st.q.route.Repeatable() && st.q.attempts+1 < st.q.route.MaxAttempts,
-		slack:  min(maxStall, max(minStall, 2*st.q.route.Objective)),
-	}
-	g.timer = time.AfterFunc(g.timeout(predicted), func() {
-		if g.active {
-			g.stalled.Store(true)
-			cancel()
-		}
-	})
-	return g
-}
-
-func (g *stallTimer) timeout(predicted time.Duration) time.Duration {
-	return g.slack + predicted + time.Duration(stallFactor*float64(predicted))
-}
-
-func (g *stallTimer) extend(predicted time.Duration) { g.timer.Reset(g.timeout(predicted)) }
-func (g *stallTimer) stop()                          { g.timer.Stop() }
-func (g *stallTimer) fired() bool                    { return g.stalled.Load() }
-
-func (g *stallTimer) cause(err error) error {
-	if g.fired() {
-		return errStalled
-	}
-	return err
-}
