Stop the gateway as the entry role does: answer every request that has arrived

Change: node/internal/httpdrain holds the listener and the tracking of connections of the entry role, unchanged; the gateway uses it too.

Conclusion: one copy for both roles. Not run: a whole gateway under load during its stop.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -22,6 +22,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
@@ -78,9 +79,9 @@
 	cancel          context.CancelFunc
 	servers         []*http.Server
 	callerServer    *http.Server
-	listeners       []*drainingListener
-	callerListener  *drainingListener
-	connections     *connections // of callers
+	listeners       []*httpdrain.Listener
+	callerListener  *httpdrain.Listener
+	connections     *httpdrain.Connections // of callers
 }
 
 // Start starts a host and its listeners. Requests are refused until the configuration is known.
@@ -102,7 +103,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.client = newClient()
 	h.bodies = newBodyMemory(s.Entry.MemoryMB)
-	h.connections = newConnections()
+	h.connections = httpdrain.NewConnections()
 	h.store = cfg.OpenStore(o.Log)
 	h.state = newState(s.Entry, rand.New(rand.NewSource(int64(h.incarnation))))
 	if err := h.startPeers(); err != nil {
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -30,7 +30,7 @@
 func (h *Host) startServers() error {
 	d := h.cfg.Dialect
 	h.callerServer = h.newServer(h)
-	h.callerServer.ConnState = h.connections.observe
+	h.callerServer.ConnState = h.connections.Observe
 	directory := h.newServer(d.Directory(h.addresses, settings.MS(h.settings.AddressTTLMS)))
 	readiness := h.newServer(d.Readiness(h.ready))
 	var err error
@@ -70,7 +70,7 @@
 }
 
 // serve opens a listener and serves its connections in the background.
-func (h *Host) serve(s *http.Server, address string) (*drainingListener, error) {
+func (h *Host) serve(s *http.Server, address string) (*httpdrain.Listener, error) {
 	lc := net.ListenConfig{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -82,11 +82,10 @@
 		return nil, Error.New("step=listen peer=%s: %w", address, err)
 	}
 	h.servers = append(h.servers, s)
-	draining := newDrainingListener(ln.(*net.TCPListener))
+	draining := httpdrain.NewListener(ln.(*net.TCPListener))
 	h.listeners = append(h.listeners, draining)
 	go func() {
-		defer close(draining.done)
-		if err := s.Serve(draining); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := draining.Serve(s); err != nil {
 			h.log.WithFields(fields{"address": address, "error": err.Error()}).Error("listener ended")
 		}
 	}()
@@ -104,8 +103,8 @@
 	sleep(h.ctx, addressTTLFactor*settings.MS(h.settings.AddressTTLMS))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	h.callerListener.drain(ctx)
-	h.connections.wait(ctx)
+	h.callerListener.Drain(ctx)
+	h.connections.Wait(ctx)
 	err := h.callerServer.Shutdown(ctx)
 	for h.running.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/limits"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/ticket"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/node/view"
@@ -49,8 +50,9 @@
 	dispatchers *dispatcherPicker
 	services    *services
 
-	listener net.Listener
-	server   *http.Server
+	listener    *httpdrain.Listener
+	connections *httpdrain.Connections
+	server      *http.Server
 
 	limitsMu sync.Mutex
 	limits   *limits.TeamLimiter
@@ -110,11 +112,14 @@
 	}
 	g.dispatchers = newDispatcherPicker(g)
 	g.view.RequireReady(g.dispatchers.ready)
-	if g.listener, err = net.Listen("tcp", cfg.Settings.Gateway.HTTPAddress); err != nil {
+	ln, err := net.Listen("tcp", cfg.Settings.Gateway.HTTPAddress)
+	if err != nil {
 		return nil, errs.Combine(Error.New("listen on %s: %w", cfg.Settings.Gateway.HTTPAddress, err), g.client.Close(g.ctx))
 	}
+	g.listener, g.connections = httpdrain.NewListener(ln.(*net.TCPListener)), httpdrain.NewConnections()
 	g.server = &http.Server{
 		Handler:           g.handler(),
+		ConnState:         g.connections.Observe,
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       90 * time.Second,
 		MaxHeaderBytes:    16 << 10,
@@ -122,7 +127,11 @@
 	}
 	g.registerGauges()
 	g.background.Go(g.followView)
-	g.background.Go(func() { _ = g.server.Serve(g.listener) })
+	g.background.Go(func() {
+		if err := g.listener.Serve(g.server); err != nil {
+			g.log.WithField("error", err.Error()).Error("listener ended")
+		}
+	})
 	return g, nil
 }
 
@@ -228,6 +237,8 @@
 			case drain.Refuse:
 				g.log.Info("no longer accepting requests")
 			case drain.Exit:
+				g.listener.Drain(ctx)
+				g.connections.Wait(ctx)
 				return g.Close()
 			}
 		}
@@ -269,6 +280,7 @@
 // Kill closes all connections abruptly, as a crash of the process would. The caller must still call Close.
 func (g *Gateway) Kill() {
 	g.cancel()
+	_ = g.listener.TCPListener.Close() // at once, without draining
 	_ = g.server.Close()
 }
 
--- a/node/entry/connections.go
+++ b/node/internal/httpdrain/connections.go
@@ -1,4 +1,4 @@
-package entry
+package httpdrain
 
 import (
 	"context"
@@ -6,15 +6,19 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
 // newConnectionGrace is how long a stopping host waits for the first request on a connection. Callers send it as soon as
 // the connection is established.
 const newConnectionGrace = time.Second
 
-// connections tracks which connections of callers have a request that is not answered yet. http.Server.Shutdown is no
-// substitute: it closes connections whose request it has just read.
-type connections struct {
+// pollInterval is the interval at which Wait checks for connections with requests.
+const pollInterval = 20 * time.Millisecond
+
+// Connections tracks which connections of a server have a request that is not answered yet.
+type Connections struct {
 	mu   sync.Mutex
 	busy map[net.Conn]connection
 }
@@ -24,10 +28,11 @@
 	since time.Time
 }
 
-func newConnections() *connections { return &connections{busy: map[net.Conn]connection{}} }
+// NewConnections returns a tracker without connections.
+func NewConnections() *Connections { return &Connections{busy: map[net.Conn]connection{}} }
 
-// observe implements the ConnState hook of http.Server.
-func (x *connections) observe(c net.Conn, state http.ConnState) {
+// Observe implements the ConnState hook of http.Server.
+func (x *Connections) Observe(c net.Conn, state http.ConnState) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch state {
@@ -39,7 +44,7 @@
 }
 
 // waiting returns the number of connections with a request, or on which the first request may still arrive.
-func (x *connections) waiting(now time.Time) (n int) {
+func (x *Connections) waiting(now time.Time) (n int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, c := range x.busy {
@@ -50,9 +55,9 @@
 	return n
 }
 
-// wait blocks until every request that has arrived is answered, or the context ends.
-func (x *connections) wait(ctx context.Context) {
+// Wait blocks until every request that has arrived is answered, or the context ends.
+func (x *Connections) Wait(ctx context.Context) {
 	for x.waiting(time.Now()) > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		ctxtime.Sleep(ctx, pollInterval)
 	}
 }
--- a/node/entry/listener.go
+++ b/node/internal/httpdrain/listener.go
@@ -1,9 +1,13 @@
-package entry
+// Package httpdrain stops an HTTP server without cutting off requests that have arrived: it empties the backlog of the
+// listener, and waits until every connection with a request has its answer. http.Server.Shutdown does neither: it resets
+// what is in the backlog, and closes connections whose request it has just read.
+package httpdrain
 
 import (
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -17,20 +21,21 @@
 	maxDrainTime = 200 * time.Millisecond
 )
 
-// drainingListener accepts what is in the backlog of the kernel before it closes. A plain close resets these
+// Listener accepts what is in the backlog of the kernel before it closes. A plain close resets these
 // connections, on which callers have sent their requests already.
-type drainingListener struct {
+type Listener struct {
 	*net.TCPListener
 	closeBy atomic.Pointer[time.Time] // when to close at the latest; nil while the listener is open
 	done    chan struct{}             // closed when connections are no longer accepted
 }
 
-func newDrainingListener(l *net.TCPListener) *drainingListener {
-	return &drainingListener{TCPListener: l, done: make(chan struct{})}
+// NewListener returns a listener that accepts the connections of l. Serve must run its accept loop.
+func NewListener(l *net.TCPListener) *Listener {
+	return &Listener{TCPListener: l, done: make(chan struct{})}
 }
 
-// drain closes the listener and waits until the backlog is accepted or the context ends.
-func (l *drainingListener) drain(ctx context.Context) {
+// Drain closes the listener and waits until the backlog is accepted or the context ends.
+func (l *Listener) Drain(ctx context.Context) {
 	_ = l.Close() // fails only if the listener is closed already
 	select {
 	case <-l.done:
@@ -39,7 +44,7 @@
 }
 
 // Accept implements net.Listener. While the listener drains, it returns net.ErrClosed when the backlog is empty.
-func (l *drainingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	if by := l.closeBy.Load(); by != nil {
 		_ = l.SetDeadline(nextDrainDeadline(*by)) // fails only if the listener is closed, as Accept then reports
 	}
@@ -51,7 +56,7 @@
 }
 
 // Close implements net.Listener. It lets Accept empty the backlog and close the listener.
-func (l *drainingListener) Close() error {
+func (l *Listener) Close() error {
 	by := time.Now().Add(maxDrainTime)
 	l.closeBy.Store(&by)
 	return l.SetDeadline(nextDrainDeadline(by))
@@ -64,3 +69,13 @@
 	}
 	return next
 }
+
+// Serve serves connections until the listener is closed. It returns nil after a Drain or a Close.
+func (l *Listener) Serve(s *http.Server) error {
+	defer close(l.done)
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
