--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -159,9 +159,6 @@
 	return expired
 }
 
-// Peer returns a peer, nil if it has not reported.
-func (t *Table) Peer(addr member.Addr) *Peer { return t.peers[addr] }
-
 // Len returns the number of peers that have reported lately, dead ones included: they may only be cut off from this
 // host and still serve callers.
 func (t *Table) Len() int { return len(t.peers) }
@@ -237,16 +234,17 @@
 	}
 	far := map[member.Addr]bool{}
 	for addr := range t.peers {
-		far[addr] = !near[addr]
+		far[addr] = true
 	}
 	for _, addr := range t.members {
-		// A member that has not reported may be starting; without partitions everybody is near.
-		if t.plan.Count() == 1 && addr != t.self {
-			near[addr] = true
+		far[addr] = true
+		if t.plan.Count() == 1 {
+			near[addr] = true // it has not reported, as it may be starting; without partitions everybody is near
 		}
-		far[addr] = !near[addr] && addr != t.self
 	}
-	maps.DeleteFunc(far, func(addr member.Addr, is bool) bool { return !is || near[addr] })
+	delete(near, t.self)
+	delete(far, t.self)
+	maps.DeleteFunc(far, func(addr member.Addr, _ bool) bool { return near[addr] })
 	t.near = slices.Sorted(maps.Keys(near))
 	t.far = slices.Sorted(maps.Keys(far))
 }
@@ -260,11 +258,6 @@
 // Partitions returns the number of partitions.
 func (t *Table) Partitions() int { return t.plan.Count() }
 
-// OwnsEngine reports whether this host places requests on an engine.
-func (t *Table) OwnsEngine(id ident.BackendID) bool {
-	return t.plan.HasEngine(t.Partition(), string(id))
-}
-
 // OwnsPartition reports whether this host places requests on the engines of a partition.
 func (t *Table) OwnsPartition(part int) bool {
 	return part == t.Partition() || part == partition.Undivided
