Use one transport, one sleep and one rule of ownership; compute targets and partitions once

The client of the entry role repeated httpcall.Transport; node/entry had a copy of ctxtime.Sleep; the rule which partition owns an engine stood three times; each interval report chose its receivers twice; a change of partitions computed them twice; reports without receivers were encoded; and since every call has a connection of its own, three Close methods and two lines of servicehttp did nothing.

Change: each of these once or gone. The tests keep their assertions; they lose only calls of the removed methods.

Conclusion: behaviour stays as it was.

--- a/cmd/rosectl/config.go
+++ b/cmd/rosectl/config.go
@@ -43,7 +43,6 @@
 		return nil, usageError.New("--platform is missing, for example --platform 127.0.0.1:7100")
 	}
 	client := platform.New(platform.Config{ConfigAddress: address, ReadsPerS: 50, Burst: 50})
-	defer client.Close()
 	fold := config.NewFold()
 	for after := uint64(0); ; {
 		got, err := client.Entries(ctx, after)
--- a/core/partition/partition.go
+++ b/core/partition/partition.go
@@ -111,10 +111,13 @@
 
 // HasEngine reports whether the hosts of a partition place requests on an engine.
 func (p Plan) HasEngine(part int, id string) bool {
-	of := p.OfEngine(id)
-	return of == Undivided || of == part
+	return Owns(part, p.OfEngine(id))
 }
 
+// Owns reports whether the hosts of a partition place requests on the engines of another one, which may be the same or
+// Undivided.
+func Owns(part, engines int) bool { return engines == Undivided || engines == part }
+
 // Equal reports whether both plans assign the same hosts and engines to the same partitions.
 func (p Plan) Equal(o Plan) bool {
 	return maps.Equal(p.hosts, o.hosts) && maps.Equal(p.engines, o.engines)
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -53,7 +53,7 @@
 type Peer struct {
 	Status
 	Addr       member.Addr
-	LastReport time.Duration
+	lastReport time.Duration
 	validUntil time.Duration // the peer counts as alive until then
 	expired    bool          // its expiry has been returned by Expire
 }
@@ -133,7 +133,7 @@
 	for _, addr := range r.Known {
 		t.addCandidate(now, addr)
 	}
-	p.Status, p.LastReport, p.validUntil, p.expired = r.Status, now, now+r.Validity, false
+	p.Status, p.lastReport, p.validUntil, p.expired = r.Status, now, now+r.Validity, false
 	return restarted
 }
 
@@ -152,7 +152,7 @@
 			p.expired = true
 			expired = append(expired, addr)
 		}
-		if now-p.LastReport > forgetAfter && !p.Alive(now) {
+		if now-p.lastReport > forgetAfter && !p.Alive(now) {
 			delete(t.peers, addr)
 		}
 	}
@@ -260,7 +260,7 @@
 
 // OwnsPartition reports whether this host places requests on the engines of a partition.
 func (t *Table) OwnsPartition(part int) bool {
-	return part == t.Partition() || part == partition.Undivided
+	return partition.Owns(t.Partition(), part)
 }
 
 // PartitionOf returns the partition of an engine, or Undivided.
@@ -272,7 +272,7 @@
 	var out []member.Addr
 	for _, addr := range t.far {
 		p := t.peers[addr]
-		if p != nil && p.Alive(now) && (part == partition.Undivided || t.PartitionOfHost(addr) == part) {
+		if p != nil && p.Alive(now) && partition.Owns(t.PartitionOfHost(addr), part) {
 			out = append(out, addr)
 		}
 	}
--- a/lab/load/faults.go
+++ b/lab/load/faults.go
@@ -42,7 +42,6 @@
 	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
 	defer cancel()
 	c := serviceClient(f.Target, address)
-	defer c.Close()
 	resp, err := c.Lookup(ctx, servicehttp.Call{Method: http.MethodPost, Path: "/faults", Body: []byte(f.Body)})
 	fields := logrus.Fields{"target": f.Target, "at_s": f.AtS, "body": f.Body}
 	switch {
--- a/lab/load/final.go
+++ b/lab/load/final.go
@@ -53,7 +53,6 @@
 // tokens still in use, or -1 when the engine doesn't report.
 func waitMemoryReleased(ctx context.Context, id, address string, until time.Time) int {
 	c := enginehttp.New(enginehttp.Config{Peer: id, Address: address})
-	defer c.Close()
 	for {
 		report, err := c.Report(ctx)
 		if err == nil && report.UsedTokens == 0 {
@@ -75,7 +74,6 @@
 	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
 	defer cancel()
 	c := serviceClient(name, address)
-	defer c.Close()
 	resp, err := c.Lookup(ctx, servicehttp.Call{Method: http.MethodGet, Path: "/executions"})
 	got := map[string]int{}
 	if err == nil {
--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -149,7 +149,6 @@
 
 func (e *engine) close() {
 	e.stop()
-	e.client.Close()
 }
 
 // reportsPerCacheRead is the number of report reads per read of cache events. Cache events are only hints,
--- a/node/enginehttp/enginehttp.go
+++ b/node/enginehttp/enginehttp.go
@@ -55,9 +55,6 @@
 	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), tr: httpcall.Transport(cfg.DialTimeout)}
 }
 
-// Close closes idle connections. Open streams are not affected.
-func (c *Client) Close() { c.tr.CloseIdleConnections() }
-
 // Cancel ends a session and returns the memory that the engine released. Cancelling an unknown session
 // releases nothing and is not an error.
 func (c *Client) Cancel(ctx context.Context, session string) (backendapi.Cancelled, error) {
--- a/node/enginehttp/enginehttp_test.go
+++ b/node/enginehttp/enginehttp_test.go
@@ -20,9 +20,7 @@
 func newClient(c *qt.C, h http.HandlerFunc) *Client {
 	srv := httptest.NewServer(h)
 	c.Cleanup(srv.Close)
-	client := New(Config{Peer: "engine-1", Address: srv.URL, RequestTimeout: 200 * time.Millisecond})
-	c.Cleanup(client.Close)
-	return client
+	return New(Config{Peer: "engine-1", Address: srv.URL, RequestTimeout: 200 * time.Millisecond})
 }
 
 // Guards against reporting an interrupted stream as complete and against losing the kind or reason of a
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
 const (
@@ -58,7 +59,7 @@
 			healthy = false
 			h.setStoreConnected(false, err)
 			h.fetchFromPeer(h.ctx)
-			sleep(h.ctx, h.jitter(pause))
+			ctxtime.Sleep(h.ctx, h.jitter(pause))
 			pause = min(2*pause, maxRetry)
 		}
 	}
@@ -182,7 +183,7 @@
 			select {
 			case <-h.resync:
 			case <-h.peerAhead:
-				sleep(ctx, peerAheadGrace)
+				ctxtime.Sleep(ctx, peerAheadGrace)
 				if _, _, behind := h.newestPeer(); !behind || ctx.Err() != nil {
 					continue
 				}
@@ -239,13 +240,3 @@
 		h.log.WithField("error", cause.Error()).Warn("store lost")
 	}
 }
-
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -71,8 +71,10 @@
 func (h *Host) reportsLocked(reason reportReason) []outgoing {
 	s := h.state
 	status := h.statusLocked()
-	targets := s.peers.ChangeTargets(status)
-	if reason != reportOnChange {
+	var targets peers.Targets
+	if reason == reportOnChange {
+		targets = s.peers.ChangeTargets(status)
+	} else {
 		targets = s.peers.IntervalTargets(status)
 	}
 	full := reason == reportWhole || s.fullReportNeeded
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -94,8 +94,8 @@
 		s.engines.RemovePeer(placement.Owner(addr))
 	}
 	s.peers.SetMembers(members)
-	if s.replan(now) {
-		s.syncEngines(now)
+	if c := s.catalog.Config(); s.replan(now) && c != nil {
+		s.setOwnEngines(c)
 	}
 	h.logPartition()
 }
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -8,6 +8,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
 // queueInterval is the mean interval between attempts to place the waiting requests. Across some twenty fully
@@ -103,7 +104,7 @@
 		}
 		for h.ctx.Err() == nil && h.offerQueue() > 0 {
 			// The jitter prevents hosts from all taking the same free slot.
-			sleep(h.ctx, queueInterval/2+rand.N(queueInterval))
+			ctxtime.Sleep(h.ctx, queueInterval/2+rand.N(queueInterval))
 		}
 	}
 }
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -28,7 +29,7 @@
 func (h *Host) watchSettings() {
 	last := fileFingerprint(h.cfg.SettingsFile)
 	for h.ctx.Err() == nil {
-		sleep(h.ctx, reloadInterval)
+		ctxtime.Sleep(h.ctx, reloadInterval)
 		if at := fileFingerprint(h.cfg.SettingsFile); at != last {
 			last = at
 			h.reload()
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -106,7 +107,7 @@
 	defer r.renewal.Done()
 	interval := r.lease / renewalsPerLease
 	for ctx.Err() == nil {
-		sleep(ctx, interval)
+		ctxtime.Sleep(ctx, interval)
 		sentAt := r.host.now()
 		failed, err := r.sendReservations(ctx)
 		switch {
@@ -149,7 +150,7 @@
 		if err == nil || h.ctx.Err() != nil {
 			return
 		}
-		sleep(h.ctx, releaseRetryDelay)
+		ctxtime.Sleep(h.ctx, releaseRetryDelay)
 	}
 	h.log.WithFields(fields{"server": x.engine, "reservation": x.ID, "error": err.Error()}).Warn("memory not released; it is freed when its lease expires")
 }
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -35,8 +35,6 @@
 // Each request gets a new connection. A reused connection may be dead without notice, may carry a late second
 // response, and makes net/http retry a request on its own. A new connection costs about 1 ms.
 func newClient() *http.Client {
-	http1 := new(http.Protocols)
-	http1.SetHTTP1(true)
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -44,17 +42,10 @@
 		},
 		Control: setUserTimeout,
 	}
-	t := &http.Transport{
-		Protocols:          http1,
-		DialContext:        d.DialContext,
-		DisableCompression: true,
-		DisableKeepAlives:  true,
-		// The default of 10 MiB for each endless header would exceed the memory of a small host.
-		MaxResponseHeaderBytes: maxHeader,
-		// Responses are relayed event by event, so small buffers suffice.
-		ReadBufferSize:  2 << 10,
-		WriteBufferSize: 2 << 10,
-	}
+	t := httpcall.Transport(dialTimeout)
+	t.DialContext = d.DialContext
+	// Responses are relayed event by event, so small buffers suffice.
+	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
@@ -100,14 +101,14 @@
 	h.log.WithField("running", h.running.Load()).Info("stopping")
 	h.requestReport()
 	deadline := began.Add(settings.MS(h.settings.ShutdownMS) - shutdownMargin)
-	sleep(h.ctx, addressTTLFactor*settings.MS(h.settings.AddressTTLMS))
+	ctxtime.Sleep(h.ctx, addressTTLFactor*settings.MS(h.settings.AddressTTLMS))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	h.callerListener.Drain(ctx)
 	h.connections.Wait(ctx)
 	err := h.callerServer.Shutdown(ctx)
 	for h.running.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		ctxtime.Sleep(ctx, drainPoll)
 	}
 	h.log.WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
 	h.Close()
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -48,7 +48,7 @@
 }
 
 // syncEngines updates partitions, engines, health and load balancing from the catalog. Call it after each change of
-// the catalog or of the partitions.
+// the catalog.
 func (s *state) syncEngines(now time.Duration) {
 	c := s.catalog.Config()
 	if c == nil {
@@ -67,14 +67,19 @@
 	}
 	s.peers.SetServices(engines)
 	s.replan(now)
+	s.setOwnEngines(c)
+	keep := func(id ident.BackendID) bool { return listed[id] }
+	s.health.Retain(keep)
+	s.loadBalancer.Retain(keep)
+}
+
+// setOwnEngines makes the engines of this host's partition those that it places requests on.
+func (s *state) setOwnEngines(c *catalog.Config) {
 	for i := range c.Services {
 		if svc := &c.Services[i]; svc.Runtime != nil {
 			s.engines.SetEngines(svc.Name, svc.Runtime, s.ownEngines(svc.Name))
 		}
 	}
-	keep := func(id ident.BackendID) bool { return listed[id] }
-	s.health.Retain(keep)
-	s.loadBalancer.Retain(keep)
 }
 
 // replan recomputes the partitions and reports whether they have changed.
--- a/node/gateway/services.go
+++ b/node/gateway/services.go
@@ -94,7 +94,6 @@
 
 func (in *instance) close() {
 	in.stop()
-	in.client.Close()
 }
 
 func (s *services) close() {
--- a/node/platform/bench_test.go
+++ b/node/platform/bench_test.go
@@ -59,7 +59,6 @@
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			client := New(Config{ConfigAddress: srv.URL, ReadsPerS: 1.9, Burst: 1}) // the defaults of a process
-			defer client.Close()
 			ctxtime.Sleep(ctx, rand.N(2*time.Second))
 			updates := 0
 			client.Follow(ctx, 0, func(u Update) {
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -75,9 +75,6 @@
 	}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.tr.CloseIdleConnections() }
-
 // Entries reads one page of entries with numbers above after. A snapshot in several parts is never returned
 // incomplete: its remaining parts are read as well, and if they can't be read or are not published yet, all
 // of its parts are left out.
--- a/node/servicehttp/late_test.go
+++ b/node/servicehttp/late_test.go
@@ -20,7 +20,6 @@
 	defer ln.Close()
 	go serveWithLateCopies(ln)
 	client := New(Config{Peer: "ledger-1", Address: ln.Addr().String()})
-	defer client.Close()
 	for i := range 5 {
 		path := fmt.Sprintf("/lots/%d", i)
 		resp, err := client.Lookup(context.Background(), Call{Method: http.MethodGet, Path: path})
--- a/node/servicehttp/post.go
+++ b/node/servicehttp/post.go
@@ -35,7 +35,6 @@
 	}
 	gate := &sendGate{hook: beforeFirstByte}
 	tr := c.singleUseTransport(gate)
-	defer tr.CloseIdleConnections()
 	resp, err := tr.RoundTrip(req)
 	if err != nil {
 		return nil, c.postError(ctx, gate.close(), err)
@@ -53,7 +52,6 @@
 func (c *Client) singleUseTransport(gate *sendGate) *http.Transport {
 	tr := httpcall.Transport(c.cfg.DialTimeout)
 	dial := tr.DialContext
-	tr.DisableKeepAlives = true
 	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		if !gate.firstDial() {
 			return nil, errSecondDial
--- a/node/servicehttp/servicehttp.go
+++ b/node/servicehttp/servicehttp.go
@@ -60,9 +60,6 @@
 	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), transport: httpcall.Transport(cfg.DialTimeout)}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
-
 // Lookup sends an idempotent call. It doesn't retry and follows no redirect. A failure before the connection is
 // established is NotRun, any later failure is MayHaveRun.
 func (c *Client) Lookup(ctx context.Context, call Call) (*Response, error) {
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -131,11 +131,10 @@
 	}
 }
 
-// Close stops the background goroutines and closes the clients and the gossip service.
+// Close stops the background goroutines and closes the client for other processes and the gossip service.
 func (v *View) Close(ctx context.Context) error {
 	v.stop()
 	v.background.Wait()
-	v.platform.Close()
 	return errs.Combine(v.gossip.Close(ctx), v.control.Close())
 }
 
--- a/transport/gossip/load.go
+++ b/transport/gossip/load.go
@@ -44,6 +44,9 @@
 
 // SendLoad sends a report to the addresses and splits a long report into several datagrams.
 func (s *Service) SendLoad(to []member.Addr, r LoadReport) {
+	if len(to) == 0 {
+		return
+	}
 	w := pack.NewWriter()
 	for first := true; first || len(r.Update.Loads) > 0 || len(r.Update.Prefills) > 0; first = false {
 		part := r
