Try the dispatchers that membership takes for leaving before a generation fails

The reason comes from a dispatcher that owns no engine of the model, and a request ends with it only after all dispatchers that the gateway takes for owners have refused for a second. While membership lags behind, a dispatcher that has started again still counts as leaving at the gateway, and the one that it takes for the owner has given the engines back: the gateway has a link to the true owner and never asks it.

Change: pick falls back to the owners computed from all dispatchers with a link, whatever membership says of them. The ownership is computed again when a link comes up.

Conclusion: a stale view costs one refused attempt in place of the request.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -33,7 +33,9 @@
 // ownership holds the dispatchers that own the engine groups of the region.
 type ownership struct {
 	byModel map[ident.Model][]ownerDispatcher
-	unowned string // name of a group without an owner, because no dispatcher of the region is known yet; empty if none
+	// fallback holds the owners if the dispatchers that this process takes for leaving or dead are counted too.
+	fallback map[ident.Model][]ownerDispatcher
+	unowned  string // name of a group without an owner, because no dispatcher of the region is known yet; empty if none
 }
 
 // ownerDispatcher is a dispatcher with the engines of one model that it owns.
@@ -92,7 +94,23 @@
 	if s == nil {
 		return
 	}
-	dp.ownership.Store(dp.assignGroups(s, dp.g.view.Dispatchers()))
+	owned := dp.assignGroups(s, dp.g.view.Dispatchers())
+	owned.fallback = dp.assignGroups(s, dp.linkedDispatchers()).byModel
+	dp.ownership.Store(owned)
+}
+
+// linkedDispatchers returns the dispatchers of the region that this gateway has a link to, whatever their state in
+// membership.
+func (dp *dispatcherPicker) linkedDispatchers() (out []owner.Candidate) {
+	for _, p := range dp.g.view.Processes() {
+		if p.Role != settings.RoleDispatcher {
+			continue
+		}
+		if _, up := dp.g.client.Peer(p.Host); up {
+			out = append(out, owner.Candidate{Host: p.Host, Zone: p.Zone, Region: p.Region})
+		}
+	}
+	return out
 }
 
 // assignGroups assigns the engine groups of the region to dispatchers.
@@ -168,15 +186,23 @@
 	}
 }
 
-// pick returns the link to the dispatcher with the lowest predicted delay for a request of the given size,
-// leaving out excluded ones. Among dispatchers with equal delay, such as those of one zone, it takes the one
-// with the fewest outstanding attempts of this gateway relative to its memory.
+// pick returns the link to a dispatcher for a request of the given size, leaving out excluded ones.
 func (dp *dispatcherPicker) pick(model ident.Model, tokens int, excluded map[ident.HostID]bool) (*link.Peer, bool) {
 	owned := dp.ownership.Load()
 	if owned == nil {
 		return nil, false
 	}
-	owners := owned.byModel[model]
+	if peer, ok := dp.pickOwner(owned.byModel[model], model, tokens, excluded); ok {
+		return peer, true
+	}
+	// Membership may lag behind: a dispatcher that has just started again can still count as leaving here, while the
+	// others have already given its engines back.
+	return dp.pickOwner(owned.fallback[model], model, tokens, excluded)
+}
+
+// pickOwner returns the link to the owner with the lowest predicted delay. Among owners with equal delay, such as those
+// of one zone, it takes the one with the fewest outstanding attempts of this gateway relative to its memory.
+func (dp *dispatcherPicker) pickOwner(owners []ownerDispatcher, model ident.Model, tokens int, excluded map[ident.HostID]bool) (*link.Peer, bool) {
 	outstanding := dp.g.routes.outstanding()
 	var best *link.Peer
 	var bestDelay time.Duration
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -48,6 +48,7 @@
 	client      *link.Client
 	routes      *routes
 	dispatchers *dispatcherPicker
+	linkUp      chan struct{} // receives a value when a link has come up
 	services    *services
 
 	listener    *httpdrain.Listener
@@ -87,6 +88,7 @@
 		shutdown: drain.NewShutdown(settings.MS(cfg.Settings.Gateway.KeepMS)),
 		limits:   limits.NewTeamLimiter(limits.TeamLimiterConfig{Gateway: cfg.View.Host()}),
 		routes:   newRoutes(),
+		linkUp:   make(chan struct{}, 1),
 
 		requestsEnded: cfg.Obs.Counter("gateway_requests", "outcome", "Requests ended, by outcome or reason."),
 		firstToken:    cfg.Obs.Latency("gateway_first_token", "class", "Time from the request to its first token."),
@@ -182,6 +184,8 @@
 			return
 		case <-changes:
 			g.refresh()
+		case <-g.linkUp:
+			g.dispatchers.refresh()
 		case <-demand.C:
 			g.exchangeDemand()
 		}
--- a/node/gateway/routes.go
+++ b/node/gateway/routes.go
@@ -91,6 +91,10 @@
 // OnUp implements link.Handler.
 func (h *linkHandler) OnUp(p *link.Peer) {
 	h.log.WithFields(fields{"peer": p.String(), "incarnation": p.Incarnation().String()}).Info("link up")
+	select {
+	case h.linkUp <- struct{}{}:
+	default: // a signal is pending
+	}
 }
 
 // OnDown implements link.Handler.
