Spread platform state between hosts without saturating their links; send changes to new hosts at once

At 28.2 s the configuration grows to 1,090 routes. All 77 hosts without a reader of the store ask the one peer that reports first, in whatever zone; each reply is encoded anew (235 ms of processor for 80) and has 268 kB, while links have from 20 Mbit/s. No call ends within its 400 ms; all hosts ask the next peer together, and the readers' links are so full that their own calls to servers time out. Besides, a host just heard of got no changes of load or state until the next report interval (250 ms).

Change: replies are encoded once for all callers and compressed (klauspost/compress s2); hosts ask peers of their own zone, which has readers of its own, and only after 250 ms others; among several that are ahead the choice is random, and those that are leaving are left out. A new or newly named host is a near peer until the partitions are computed again.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -10,7 +10,6 @@
 package peers
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -107,6 +106,18 @@
 func (t *Table) addCandidate(now time.Duration, addr member.Addr) {
 	if t.peers[addr] == nil && addr != t.self {
 		t.candidates[addr] = now + candidateTTL
+		t.addNear(addr)
+	}
+}
+
+// addNear makes a host a near peer until the partitions are computed again. Without it, a host that has just been heard
+// of would get no changes of load or state for up to a report interval.
+func (t *Table) addNear(addr member.Addr) {
+	if i, listed := slices.BinarySearch(t.near, addr); !listed {
+		t.near = slices.Insert(t.near, i, addr)
+	}
+	if i, listed := slices.BinarySearch(t.far, addr); listed {
+		t.far = slices.Delete(t.far, i, i+1)
 	}
 }
 
@@ -125,6 +136,7 @@
 		p = &Peer{Addr: from}
 		t.peers[from] = p
 		delete(t.candidates, from)
+		t.addNear(from)
 	}
 	restarted = p.Incarnation != r.Incarnation
 	if restarted {
@@ -385,23 +397,13 @@
 	return all[:min(n, len(all))]
 }
 
-// Newest returns the live peer with the newest platform state, if it is newer than the given one. Peers in the own
-// availability zone are preferred: traffic between zones is slower and costs more.
-func (t *Table) Newest(now time.Duration, revision uint64, config ident.Version) (newest *Peer) {
-	for _, p := range t.Live(now) {
-		if p.Revision <= revision && p.Config <= config {
-			continue
+// Ahead returns the live peers with newer platform state than the given one, without those that are leaving. They are in
+// random order, so that a whole fleet that lacks the same change does not ask one of them.
+func (t *Table) Ahead(now time.Duration, revision uint64, config ident.Version) (ahead []*Peer) {
+	for _, p := range t.peers { // in random order
+		if p.Alive(now) && !p.Leaving && (p.Revision > revision || p.Config > config) {
+			ahead = append(ahead, p)
 		}
-		if newest == nil || t.prefers(p, newest) {
-			newest = p
-		}
-	}
-	return newest
-}
-
-func (t *Table) prefers(a, b *Peer) bool {
-	if a, b := a.Zone == t.zone, b.Zone == t.zone; a != b {
-		return a
 	}
-	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(b.Addr, a.Addr)) > 0
+	return ahead
 }
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -172,3 +172,20 @@
 	c.Assert(table.Observe(3*time.Second, "10.0.0.2:7", report), qt.IsFalse, qt.Commentf("the same incarnation"))
 	c.Assert(table.Ready(3*time.Second, 9), qt.HasLen, 1)
 }
+
+// Guards against a host that has just started, or of which another host has told, and that gets no changes until the next
+// report interval: meanwhile it places requests on engines that are taken.
+func TestNewHostGetsChangesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, members := range [][]member.Addr{nil, {"10.0.0.2:7"}} {
+		table := NewTable()
+		table.SetSelf("10.0.0.1:7", 1)
+		table.SetMembers(members)
+		table.Replan(0)
+		report := Report{Status: Status{Incarnation: 4, Zone: 1}, Validity: NearValidity, Known: []member.Addr{"10.0.0.3:7"}}
+		table.Observe(0, "10.0.0.2:7", report)
+		targets := table.ChangeTargets(Status{})
+		c.Assert(targets.Near, qt.DeepEquals, []member.Addr{"10.0.0.2:7", "10.0.0.3:7"})
+		c.Assert(targets.Far, qt.HasLen, 0)
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -70,6 +70,7 @@
 	watchCancelled atomic.Bool   // set when the host itself cancelled the last watch
 	// loggedPartition is the partition of this host and the number of partitions as logged last; used by tick only.
 	loggedPartition [2]int
+	stateReplies    stateReplies
 	peerAhead       chan struct{} // a peer reported a newer revision of the platform state
 	queueNonEmpty   chan struct{} // signals that requests wait for an engine
 	running         atomic.Int64  // requests and memory releases in progress
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -54,11 +54,11 @@
 			synced = false
 		case h.takeWatchCancelled():
 			healthy = false
-			h.fetchFromPeer(h.ctx)
+			h.fetchFromPeer(h.ctx, anyZone)
 		default:
 			healthy = false
 			h.setStoreConnected(false, err)
-			h.fetchFromPeer(h.ctx)
+			h.fetchFromPeer(h.ctx, anyZone)
 			ctxtime.Sleep(h.ctx, h.jitter(pause))
 			pause = min(2*pause, maxRetry)
 		}
@@ -95,19 +95,28 @@
 	return d/2 + time.Duration(h.state.rng.Int63n(int64(d/2)+1))
 }
 
-// standBy waits until a peer has newer state and fetches it.
+// standBy waits until a peer of the own availability zone has newer state and fetches it. If none has for an interval, it
+// fetches what peers of other zones have.
 func (h *Host) standBy() {
 	h.state.mu.Lock()
 	h.state.storeConnected = false
 	h.state.catalog.SourceRestored(h.now()) // other hosts read the store, so it is available
 	h.state.mu.Unlock()
-	select {
-	case <-h.peerAhead:
-	case <-time.After(standByInterval):
-	case <-h.ctx.Done():
-		return
+	interval := time.NewTimer(standByInterval)
+	defer interval.Stop()
+	for {
+		select {
+		case <-h.peerAhead:
+			if h.fetchFromPeer(h.ctx, ownZone) {
+				return
+			}
+		case <-interval.C:
+			h.fetchFromPeer(h.ctx, anyZone)
+			return
+		case <-h.ctx.Done():
+			return
+		}
 	}
-	h.fetchFromPeer(h.ctx)
 }
 
 // isReader reports whether this host has to read the store. That is the case if fewer than readersPerZone hosts
@@ -184,7 +193,7 @@
 			case <-h.resync:
 			case <-h.peerAhead:
 				ctxtime.Sleep(ctx, peerAheadGrace)
-				if _, _, behind := h.newestPeer(); !behind || ctx.Err() != nil {
+				if _, _, behind := h.peerAheadIn(anyZone); !behind || ctx.Err() != nil {
 					continue
 				}
 				h.log.Info("peers have a newer revision, watch cancelled")
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -19,6 +19,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
+	"github.com/rosemaryhill/rosemaryhill/transport/control"
 )
 
 func testHost() *Host {
@@ -72,26 +73,72 @@
 }
 
 // Guards against fetching state from a peer in another availability zone when one in the same zone is newer
-// too, and from a peer that has nothing newer.
-func TestNewestPeer(t *testing.T) {
+// too, from a peer that has nothing newer, and from one that is about to stop.
+func TestPeerAhead(t *testing.T) {
 	c := qt.New(t)
 	h := testHost()
 	h.state.peers.SetSelf(addr(1), 7)
 	h.state.catalog.Replace(0, catalog.Snapshot{Revision: 10, Config: &catalog.Config{Version: 3}})
-	_, _, ok := h.newestPeer()
+	_, _, ok := h.peerAheadIn(anyZone)
 	c.Assert(ok, qt.IsFalse)
 	h.observe(addr(2), peers.Status{Zone: 7, Revision: 10, Config: 3}, time.Minute)
-	_, _, ok = h.newestPeer()
+	h.observe(addr(6), peers.Status{Zone: 7, Revision: 30, Leaving: true}, time.Minute)
+	_, _, ok = h.peerAheadIn(anyZone)
 	c.Assert(ok, qt.IsFalse)
 	h.observe(addr(3), peers.Status{Zone: 8, Revision: 15}, time.Minute)
+	_, _, ok = h.peerAheadIn(ownZone)
+	c.Assert(ok, qt.IsFalse)
+	_, _, ok = h.peerAheadIn(anyZone)
+	c.Assert(ok, qt.IsTrue)
 	h.observe(addr(4), peers.Status{Zone: 7, Revision: 12}, time.Minute)
 	h.observe(addr(5), peers.Status{Zone: 7, Revision: 20}, 0)
-	address, req, ok := h.newestPeer()
+	address, req, ok := h.peerAheadIn(ownZone)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(address, qt.Equals, "10.0.0.4:83")
 	c.Assert(req.Revision, qt.Equals, uint64(10))
 }
 
+// Guards against a fleet whose hosts all ask the same peer for a change, which then answers none of them in time.
+func TestHostsAskDifferentPeers(t *testing.T) {
+	c := qt.New(t)
+	const ahead, calls = 20, 400
+	asked := map[string]int{}
+	h := testHost()
+	h.state.peers.SetSelf(addr(100), 7)
+	for i := range ahead {
+		h.observe(addr(i), peers.Status{Zone: 7, Revision: uint64(5 + i%3)}, time.Minute)
+	}
+	for range calls {
+		address, _, ok := h.peerAheadIn(ownZone)
+		c.Assert(ok, qt.IsTrue)
+		asked[address]++
+	}
+	for address, n := range asked {
+		c.Assert(n < calls/4, qt.IsTrue, qt.Commentf("%s was asked %d times", address, n))
+	}
+}
+
+// Guards against a large state that is encoded once for each of the hosts that ask for it, and against a reply that
+// lacks what has changed since.
+func TestStateIsEncodedOnceForAllHosts(t *testing.T) {
+	c := qt.New(t)
+	h := testHost()
+	h.state.catalog.Replace(0, catalog.Snapshot{Revision: 10, Config: &catalog.Config{Version: 3}})
+	ask := func(req control.StateRequest) *control.StateReply {
+		reply, err := peerHandler{host: h}.State(context.Background(), &req)
+		c.Assert(err, qt.IsNil)
+		return reply
+	}
+	behind := control.StateRequest{Revision: 4}
+	first := ask(behind)
+	c.Assert(first.State, qt.IsNotNil)
+	c.Assert(ask(behind), qt.Equals, first)
+	c.Assert(ask(control.StateRequest{Revision: 10, Config: 3}).State, qt.IsNil)
+	h.state.catalog.Apply(0, []catalog.Change{{Revision: 11, Server: &catalog.Server{ID: "i-1", Service: "s", Revision: 11}}})
+	c.Assert(ask(behind).Revision, qt.Equals, uint64(11))
+	c.Assert(ask(control.StateRequest{Revision: 10, Config: 3}).Changes, qt.HasLen, 1)
+}
+
 // Guards against a request of a less urgent team or route being admitted before a more urgent one.
 func TestUrgency(t *testing.T) {
 	c := qt.New(t)
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
@@ -19,39 +20,91 @@
 
 // State implements control.Handler.
 func (p peerHandler) State(_ context.Context, req *control.StateRequest) (*control.StateReply, error) {
-	s := p.host.state
+	return p.host.stateReplies.get(p.host, *req), nil
+}
+
+// stateReplies keeps the replies to other hosts for a short time. After a change all hosts of an availability zone ask
+// for the same, and encoding a large configuration for each of them would take longer than they wait.
+type stateReplies struct {
+	mu       sync.Mutex
+	revision uint64        // of the replies
+	expires  time.Duration // time until which the replies are used
+	replies  map[control.StateRequest]*control.StateReply
+}
+
+// replyLifetime is how long a reply is used again. It is limited because servers can lapse without a new revision.
+const replyLifetime = 500 * time.Millisecond
+
+// get returns the reply to a request. The replies are encoded one at a time, so that the first ones leave early.
+func (r *stateReplies) get(h *Host, req control.StateRequest) *control.StateReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, revision := h.now(), h.revision()
+	if revision != r.revision || now >= r.expires {
+		r.revision, r.expires = revision, now+replyLifetime
+		r.replies = map[control.StateRequest]*control.StateReply{}
+	}
+	if reply := r.replies[req]; reply != nil {
+		return reply
+	}
+	reply := h.stateReply(req)
+	reply.Encode()
+	r.replies[req] = reply
+	return reply
+}
+
+// revision returns the latest store revision that this host has seen.
+func (h *Host) revision() uint64 {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.state.catalog.Revision()
+}
+
+// stateReply returns what a peer lacks.
+func (h *Host) stateReply(req control.StateRequest) *control.StateReply {
+	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &control.StateReply{Revision: s.catalog.Revision()}
 	c := s.catalog.Config()
 	if c == nil || (c.Version <= req.Config && reply.Revision <= req.Revision) {
-		return reply, nil
+		return reply
 	}
 	changes, ok := s.catalog.Since(req.Revision)
 	if ok && req.Config != 0 {
 		reply.Changes = changes
-		return reply, nil
+		return reply
 	}
 	snapshot := s.catalog.Snapshot()
 	reply.State = &snapshot
-	return reply, nil
+	return reply
 }
 
-// fetchFromPeer fetches from the peer with the newest platform state what this host lacks.
-func (h *Host) fetchFromPeer(ctx context.Context) {
-	addr, req, ok := h.newestPeer()
+// peerScope says which peers a host fetches state from.
+type peerScope int
+
+const (
+	// ownZone spares the other availability zones the traffic of the whole fleet: each zone has readers of the store.
+	ownZone peerScope = iota
+	anyZone
+)
+
+// fetchFromPeer fetches what this host lacks from a peer with newer platform state. It reports whether a peer has
+// replied.
+func (h *Host) fetchFromPeer(ctx context.Context, scope peerScope) (replied bool) {
+	addr, req, ok := h.peerAheadIn(scope)
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	reply, err := h.peerClient.State(ctx, addr, &req)
 	if err != nil {
 		h.log.WithFields(fields{"peer": addr, "error": err.Error()}).Warn("peer state not read")
-		return
+		return false
 	}
 	if reply.State == nil && len(reply.Changes) == 0 {
-		return
+		return true
 	}
 	h.updateCatalog("peer "+addr, func(t *catalog.Table) bool {
 		if reply.State != nil {
@@ -61,11 +114,12 @@
 		t.Advance(reply.Revision)
 		return refused
 	})
+	return true
 }
 
-// newestPeer returns the control address of the peer with the newest platform state, if it is newer than this
-// host's.
-func (h *Host) newestPeer() (address string, req control.StateRequest, ok bool) {
+// peerAheadIn returns the control address of a peer with newer platform state than this host's, and the request to
+// send. ok is false if there is none.
+func (h *Host) peerAheadIn(scope peerScope) (address string, req control.StateRequest, ok bool) {
 	now := h.now()
 	s := h.state
 	s.mu.Lock()
@@ -74,9 +128,10 @@
 	if c := s.catalog.Config(); c != nil {
 		req.Config = c.Version
 	}
-	p := s.peers.Newest(now, req.Revision, req.Config)
-	if p == nil {
-		return "", req, false
+	for _, p := range s.peers.Ahead(now, req.Revision, req.Config) {
+		if scope == anyZone || p.Zone == s.peers.Zone() {
+			return withPort(string(p.Addr), h.settings.ControlAddress), req, true
+		}
 	}
-	return withPort(string(p.Addr), h.settings.ControlAddress), req, true
+	return "", req, false
 }
--- a/transport/control/bench_test.go
+++ b/transport/control/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
 	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
 )
@@ -27,3 +29,39 @@
 		})
 	}
 }
+
+// BenchmarkState measures the replies to all hosts of a large fleet after a change of a large configuration: with an
+// encoding for each host, and with one that all of them share.
+func BenchmarkState(b *testing.B) {
+	const hosts = 80
+	c := largeConfig()
+	for _, shared := range []bool{false, true} {
+		b.Run(fmt.Sprintf("shared=%t", shared), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				reply := &StateReply{Changes: []catalog.Change{{Revision: 9, Config: c}}, Revision: 9}
+				if shared {
+					reply.Encode()
+				}
+				for range hosts {
+					w := pack.NewWriter()
+					encodeBody(w, reply)
+					size = len(w.Buf)
+				}
+			}
+			b.ReportMetric(float64(size), "B/reply")
+		})
+	}
+}
+
+// largeConfig returns a configuration of 1,400 routes.
+func largeConfig() *catalog.Config {
+	c := &catalog.Config{Version: 48}
+	for i := range 1_400 {
+		c.Routes = append(c.Routes, catalog.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i%40), Prefix: fmt.Sprintf("/prefix-%x/", i*7919),
+			Timeout: 10 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 3, Split: []catalog.Share{{Service: "models", Weight: 1}},
+		})
+	}
+	return c
+}
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -12,7 +12,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/klauspost/compress/s2"
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
+	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
 	"go.uber.org/goleak"
 )
 
@@ -22,6 +25,7 @@
 type fakeHandler struct {
 	Unsupported
 	forward func(context.Context, *ForwardTicketRequest) (*ForwardTicketReply, error)
+	state   *StateReply
 	runs    atomic.Int64
 }
 
@@ -49,6 +53,9 @@
 func (h *fakeHandler) Hosts(context.Context, *HostsRequest) (*HostsReply, error) {
 	return &fakeHosts, nil
 }
+func (h *fakeHandler) State(context.Context, *StateRequest) (*StateReply, error) {
+	return h.state, nil
+}
 func (h *fakeHandler) Status(context.Context, *StatusRequest) (*StatusReply, error) {
 	return &fakeStatus, nil
 }
@@ -90,6 +97,25 @@
 	c.Assert(cl.conns, qt.HasLen, 1) // one connection carried all calls
 }
 
+// Guards against a change of a large configuration that a host with a link of 20 Mbit/s cannot send to 24 others before
+// their calls time out after 400 ms, and against a compressed value that fills the memory of the host that receives it.
+func TestStateFitsSlowLinks(t *testing.T) {
+	c := qt.New(t)
+	const hosts, linkBytes = 24, 20e6 / 8 * 0.4
+	reply := &StateReply{Changes: []catalog.Change{{Revision: 9, Config: largeConfig()}}, Revision: 9}
+	reply.Encode()
+	w := pack.NewWriter()
+	encodeBody(w, reply)
+	c.Assert(len(w.Buf)*hosts < linkBytes, qt.IsTrue, qt.Commentf("%d bytes for one host", len(w.Buf)))
+
+	s, cl := start(c, Config{}, "127.0.0.1:0", &fakeHandler{state: reply})
+	got, err := cl.State(context.Background(), s.Addr(), &StateRequest{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Changes, qt.DeepEquals, reply.Changes)
+
+	c.Assert(decompress(s2.Encode(nil, make([]byte, maxState+1)), new([]byte)), qt.ErrorMatches, ".*at most.*")
+}
+
 // Guards against a late reply that is delivered to another call, and against a handler that runs past the deadline.
 func TestLateReplyIsDropped(t *testing.T) {
 	c := qt.New(t)
--- a/transport/control/fields.go
+++ b/transport/control/fields.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"math"
 
+	"github.com/klauspost/compress/s2"
+
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
@@ -160,19 +162,44 @@
 	}
 }
 
-// encodeState writes the state and the changes as nested msgpack values, each empty if absent. After an encoding error
-// the reply lacks them, and the caller treats the peer as one that has nothing newer.
-func encodeState(w *pack.Writer, v *StateReply) {
-	w.Array(3)
-	var state, changes []byte
+// encodedState holds the state and the changes of a StateReply, each as a compressed msgpack value, or empty if absent.
+type encodedState struct{ state, changes []byte }
+
+// Encode encodes the reply, which must not be changed afterwards. Sending it to several callers then costs one encoding.
+func (v *StateReply) Encode() { v.encoded = v.encode() }
+
+// encode encodes the state and the changes. After an encoding error the reply lacks them, and the caller treats the peer
+// as one that has nothing newer.
+func (v *StateReply) encode() *encodedState {
+	e := &encodedState{}
 	if v.State != nil {
-		state, _ = msgpack.Marshal(v.State)
+		e.state = compressed(v.State)
 	}
 	if len(v.Changes) > 0 {
-		changes, _ = msgpack.Marshal(v.Changes)
+		e.changes = compressed(v.Changes)
 	}
-	w.Bytes(state)
-	w.Bytes(changes)
+	return e
+}
+
+// compressed returns the compressed encoding of a value. The routes of a configuration are much alike, and a host with a
+// slow network link has to send them to all others of its availability zone.
+func compressed(v any) []byte {
+	plain, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return s2.Encode(nil, plain)
+}
+
+// encodeState writes the state and the changes as nested values.
+func encodeState(w *pack.Writer, v *StateReply) {
+	e := v.encoded
+	if e == nil {
+		e = v.encode()
+	}
+	w.Array(3)
+	w.Bytes(e.state)
+	w.Bytes(e.changes)
 	w.Uint(v.Revision)
 }
 
@@ -182,17 +209,29 @@
 	v.Revision = r.Uint(math.MaxUint64)
 	if len(state) > 0 {
 		v.State = new(catalog.Snapshot)
-		if err := msgpack.Unmarshal(state, v.State); err != nil {
+		if err := decompress(state, v.State); err != nil {
 			r.Fail("state: %v", err)
 		}
 	}
 	if len(changes) > 0 {
-		if err := msgpack.Unmarshal(changes, &v.Changes); err != nil {
+		if err := decompress(changes, &v.Changes); err != nil {
 			r.Fail("changes: %v", err)
 		}
 	}
 }
 
+// decompress decodes a value encoded by compressed. It refuses one that takes more than maxState bytes of memory.
+func decompress(b []byte, v any) error {
+	if n, err := s2.DecodedLen(b); err != nil || n > maxState {
+		return ErrTooLarge.New("%d bytes, at most %d: %v", n, maxState, err)
+	}
+	plain, err := s2.Decode(nil, b)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(plain, v)
+}
+
 func encodeStatus(w *pack.Writer, v *StatusReply) {
 	w.Array(10)
 	putStrings(w, string(v.Host), v.Role, v.NotReady)
--- a/transport/control/messages.go
+++ b/transport/control/messages.go
@@ -71,6 +71,8 @@
 	Changes []catalog.Change
 	// Revision is the store revision of the host. The caller has reached it once it has applied the reply.
 	Revision uint64
+
+	encoded *encodedState // set by Encode
 }
 
 // StatusRequest asks a process for its status.
