Forget failed dispatchers when a stream makes progress

Cause: a stream keeps the dispatchers that failed it until no other is left. A stream of many minutes therefore passes over a dispatcher that failed long ago, for one in another zone. Change: a token clears the list, as it resets the time of the first failure.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -40,7 +40,7 @@
 	answer   answer.Stream
 	deadline *time.Timer
 
-	excluded       map[ident.HostID]bool // dispatchers that failed; cleared when no other is left
+	excluded       map[ident.HostID]bool // dispatchers that failed since the last token; cleared when no other is left
 	engineAttempts int                   // attempts that reached, or may have reached, an engine
 	lostAt         time.Duration         // time of the first failure since the last token; zero while the stream runs
 	failures       int                   // failed attempts since the last token
@@ -284,6 +284,7 @@
 		s.g.firstToken.Record(s.g.view.Now()-s.gen.started, s.gen.class.String())
 	}
 	s.lostAt, s.failures = 0, 0
+	clear(s.excluded)
 	s.g.tokens.Add(1, s.gen.class.String())
 	if err := s.out.token(m.N, m.Text, r.inbox.Len() == 0); err != nil {
 		s.cancel(r.peer, r.number, string(outcome.Cancelled))
