Try a failed renewal of a lease again while the lease lasts

Change: a failed renewal is repeated every 100 ms, each with at most the time that is left, until 200 ms before the lease ends. With an engine that stays silent the request still ends before its lease.

--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -18,6 +18,8 @@
 	// renewalsPerLease is how often a lease is renewed before it ends, so that a single lost renewal is
 	// harmless.
 	renewalsPerLease = 3
+	// renewRetryDelay is the time between two attempts to renew a lease.
+	renewRetryDelay = 100 * time.Millisecond
 	// leaseMargin is how long before the end of a lease that could not be renewed the request is cancelled.
 	leaseMargin = 200 * time.Millisecond
 	// orderTimeout bounds an order to an engine. Engines answer within a few ms.
@@ -101,28 +103,41 @@
 	return "", nil
 }
 
-// renew renews the leases until the attempt ends. An unconfirmed renewal may not have taken effect, so the
-// attempt is cancelled before the last confirmed lease ends.
+// renew renews the leases until the attempt ends. A renewal that fails is tried again while the last confirmed lease
+// lasts, since an engine may only be silent for a while. An unconfirmed renewal may not have taken effect, so the attempt
+// is cancelled before that lease ends.
 func (r *reservations) renew(ctx context.Context, confirmed time.Duration, cancelAttempt context.CancelFunc) {
 	defer r.renewal.Done()
-	interval := r.lease / renewalsPerLease
-	for ctx.Err() == nil {
-		ctxtime.Sleep(ctx, interval)
-		sentAt := r.host.now()
-		failed, err := r.sendReservations(ctx)
+	wait := r.lease / renewalsPerLease
+	for {
+		ctxtime.Sleep(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		sentAt, end := r.host.now(), confirmed+r.lease-leaseMargin
+		failed, err := r.sendRenewals(ctx, end-sentAt)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			confirmed = sentAt
-		case r.host.now()-confirmed > r.lease-leaseMargin-interval:
+			confirmed, wait = sentAt, r.lease/renewalsPerLease
+		case r.host.now()+renewRetryDelay >= end:
 			r.host.log.WithFields(fields{"server": failed, "error": err.Error()}).Warn("reservation lost")
 			cancelAttempt()
 			return
+		default:
+			wait = renewRetryDelay
 		}
 	}
 }
 
+// sendRenewals sends all reservations again within the given time.
+func (r *reservations) sendRenewals(ctx context.Context, within time.Duration) (failed ident.BackendID, err error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return r.sendReservations(ctx)
+}
+
 // release releases the memory in the background. An order without an answer is sent again.
 func (r *reservations) release() {
 	if r == nil {
