Keep the calls to a store in trouble from growing with the fleet

While a host waits it does not see what peers report. Change: the first two hosts of a zone by rank keep that pace; the others wait 0.7 s for each two hosts before them, at most 10 s. A host that waits fetches what peers report. Conclusion: each host still reads at once when the readers fail, so a zone whose first hosts are turned away is served by the others.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
@@ -20,9 +21,11 @@
 	watchGrace = 700 * time.Millisecond
 	// readTimeout bounds a read of the store. A healthy store answers within a few ms.
 	readTimeout = 1200 * time.Millisecond
-	// firstRetry and maxRetry bound the backoff after a failed read.
+	// firstRetry and maxRetry bound the backoff after a failed read, for the hosts that read first.
 	firstRetry = 60 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
+	// maxStandInRetry bounds the backoff of the others. They matter when the store turns away the hosts before them.
+	maxStandInRetry = 10 * time.Second
 	// readersPerZone is the number of hosts per availability zone that read the store. With two, updates
 	// continue when one is lost or frozen.
 	readersPerZone = 2
@@ -36,7 +39,7 @@
 // store, and the other hosts fetch updates from them. A host without a configuration, or one that gets reports
 // from too few readers, reads the store itself.
 func (h *Host) followStore() {
-	pause := firstRetry
+	failures := 0
 	synced, healthy := false, true
 	for h.ctx.Err() == nil {
 		if h.hasConfig() && !h.isReader() {
@@ -48,7 +51,7 @@
 		case err == nil:
 			h.setStoreConnected(true, nil)
 			synced, healthy = true, true
-			pause = firstRetry
+			failures = 0
 		case ErrCompacted.Has(err):
 			h.log.Info("store history compacted, reading a snapshot")
 			synced = false
@@ -59,12 +62,21 @@
 			healthy = false
 			h.setStoreConnected(false, err)
 			h.fetchFromPeer(h.ctx, anyZone)
-			ctxtime.Sleep(h.ctx, h.jitter(pause))
-			pause = min(2*pause, maxRetry)
+			h.followPeers(h.jitter(retryPause(failures, h.hostsBefore())), anyZone)
+			failures++
 		}
 	}
 }
 
+// retryPause returns the time to wait after a number of failed reads. The more hosts of the zone read before this one, the
+// longer it waits, so that the calls to a store that is down hardly grow with the fleet.
+func retryPause(failures, hostsBefore int) time.Duration {
+	if hostsBefore < readersPerZone {
+		return min(firstRetry<<min(failures, 10), maxRetry)
+	}
+	return min(maxRetry*time.Duration(1+hostsBefore/readersPerZone), maxStandInRetry)
+}
+
 // readStore reads once. After a failure it asks for changes without waiting, since a store that is still
 // unresponsive would never answer a watch.
 func (h *Host) readStore(synced, healthy bool) error {
@@ -95,22 +107,25 @@
 	return d/2 + time.Duration(h.state.rng.Int63n(int64(d/2)+1))
 }
 
-// standBy waits until a peer of the own availability zone has newer state and fetches it. If none has for an interval, it
-// fetches what peers of other zones have.
+// standBy follows peers of the own availability zone for an interval.
 func (h *Host) standBy() {
 	h.state.mu.Lock()
 	h.state.storeConnected = false
 	h.state.catalog.SourceRestored(h.now()) // other hosts read the store, so it is available
 	h.state.mu.Unlock()
-	interval := time.NewTimer(standByInterval)
-	defer interval.Stop()
+	h.followPeers(standByInterval, ownZone)
+}
+
+// followPeers fetches what peers have as soon as they report it, and returns after the given time. What peers outside the
+// scope have is fetched at the end.
+func (h *Host) followPeers(d time.Duration, scope peerScope) {
+	end := time.NewTimer(d)
+	defer end.Stop()
 	for {
 		select {
 		case <-h.peerAhead:
-			if h.fetchFromPeer(h.ctx, ownZone) {
-				return
-			}
-		case <-interval.C:
+			h.fetchFromPeer(h.ctx, scope)
+		case <-end.C:
 			h.fetchFromPeer(h.ctx, anyZone)
 			return
 		case <-h.ctx.Done():
@@ -122,18 +137,27 @@
 // isReader reports whether this host has to read the store. That is the case if fewer than readersPerZone hosts
 // of its zone with a higher rank report that they read it.
 func (h *Host) isReader() bool {
+	return h.countHigherRanked(func(p *peers.Peer) bool { return p.StoreConnected }) < readersPerZone
+}
+
+// hostsBefore returns the number of hosts of the own zone that read the store before this one.
+func (h *Host) hostsBefore() int {
+	return h.countHigherRanked(func(*peers.Peer) bool { return true })
+}
+
+// countHigherRanked counts the live hosts of the own zone with a higher rank that satisfy the condition.
+func (h *Host) countHigherRanked(counts func(*peers.Peer) bool) (n int) {
 	now := h.now()
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ownRank := readerRank(s.peers.Self())
-	higher := 0
 	for _, p := range s.peers.Live(now) {
-		if p.StoreConnected && !p.Leaving && p.Zone == s.peers.Zone() && readerRank(p.Addr) > ownRank {
-			higher++
+		if !p.Leaving && p.Zone == s.peers.Zone() && readerRank(p.Addr) > ownRank && counts(p) {
+			n++
 		}
 	}
-	return higher < readersPerZone
+	return n
 }
 
 // readerRank ranks hosts by a hash, so that the readers of a zone are spread over its hosts.
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,6 +74,53 @@
 	c.Assert(h.isReader(), qt.IsTrue)
 }
 
+// failingStore counts the calls of a host and answers none.
+type failingStore struct {
+	Store
+	calls atomic.Int64
+}
+
+func (s *failingStore) Snapshot(context.Context) (catalog.Snapshot, error) {
+	s.calls.Add(1)
+	return catalog.Snapshot{}, io.ErrUnexpectedEOF
+}
+
+// Guards against calls to a store in trouble that grow with the number of hosts, and against a zone that stops reading it.
+func TestCallsDuringOutageDoNotGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	const outage = 4 * time.Second
+	callsOf := func(hosts int) (calls int64) {
+		var stores []*failingStore
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for self := range hosts {
+			h := testHost()
+			h.log, h.ctx, h.peerAhead = h.obs.Log, ctx, make(chan struct{}, 1)
+			h.state.peers.SetSelf(addr(self), 7)
+			for i := range hosts {
+				if i != self {
+					h.observe(addr(i), peers.Status{Zone: 7}, time.Minute)
+				}
+			}
+			store := &failingStore{}
+			h.store = store
+			stores = append(stores, store)
+			running.Go(h.followStore)
+		}
+		time.Sleep(outage)
+		stop()
+		running.Wait()
+		for _, s := range stores {
+			c.Check(s.calls.Load() >= 1, qt.IsTrue, qt.Commentf("a host that never reads the store"))
+			calls += s.calls.Load()
+		}
+		return calls
+	}
+	few, many := callsOf(5), callsOf(40)
+	c.Logf("%d calls of 5 hosts, %d of 40", few, many)
+	c.Assert(many < 4*few, qt.IsTrue, qt.Commentf("%d calls of 5 hosts, %d of 40", few, many))
+}
+
 // Guards against fetching state from a peer in another availability zone when one in the same zone is newer
 // too, from a peer that has nothing newer, and from one that is about to stop.
 func TestPeerAhead(t *testing.T) {
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -89,22 +89,21 @@
 	anyZone
 )
 
-// fetchFromPeer fetches what this host lacks from a peer with newer platform state. It reports whether a peer has
-// replied.
-func (h *Host) fetchFromPeer(ctx context.Context, scope peerScope) (replied bool) {
+// fetchFromPeer fetches what this host lacks from a peer with newer platform state.
+func (h *Host) fetchFromPeer(ctx context.Context, scope peerScope) {
 	addr, req, ok := h.peerAheadIn(scope)
 	if !ok {
-		return false
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	reply, err := h.peerClient.State(ctx, addr, &req)
 	if err != nil {
 		h.log.WithFields(fields{"peer": addr, "error": err.Error()}).Warn("peer state not read")
-		return false
+		return
 	}
 	if reply.State == nil && len(reply.Changes) == 0 {
-		return true
+		return
 	}
 	h.updateCatalog("peer "+addr, func(t *catalog.Table) bool {
 		if reply.State != nil {
@@ -114,7 +113,6 @@
 		t.Advance(reply.Revision)
 		return refused
 	})
-	return true
 }
 
 // peerAheadIn returns the control address of a peer with newer platform state than this host's, and the request to
