--- a/core/member/main_test.go
+++ b/core/member/main_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/rosemaryhill/rosemaryhill/core/internal/proptest"
+	"github.com/rosemaryhill/rosemaryhill/core/proptest"
 )
 
 func TestMain(m *testing.M) { proptest.Main(m, nil) }
--- a/core/sched/main_test.go
+++ b/core/sched/main_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/rosemaryhill/rosemaryhill/core/internal/proptest"
+	"github.com/rosemaryhill/rosemaryhill/core/proptest"
 )
 
 // TestMain raises the number of random runs per property: 100 runs miss faults that need three
