--- a/cmd/rosectl/soak.go
+++ b/cmd/rosectl/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -46,7 +47,7 @@
 	sc.Float64(&o.minutes, "m", "minutes", "minutes during which faults are injected")
 	sc.Int(&o.hosts, "", "hosts", fmt.Sprintf("entry hosts, 2 to %d", soak.MaxHosts))
 	sc.Int(&o.port, "", "port", fmt.Sprintf("first of %d free ports on the loopback network", soak.PortCount))
-	sc.String(&o.program, "", "program", "path of the rosemaryhill binary; default: next to rosectl")
+	sc.String(&o.program, "", "program", "path of the rosemaryhill binary; default: next to rosectl, or built from the source tree")
 	sc.String(&o.dir, "d", "dir", "directory for settings and logs; default: a new temporary directory, which is kept")
 }
 
@@ -65,6 +66,9 @@
 		fmt.Fprintf(out, "%-15s %d\n", kind, res.Faults[kind])
 	}
 	fmt.Fprintf(out, "%d requests, %d served, %d broken promises\n", res.Requests, res.Served, len(res.Violations))
+	for _, cause := range res.Causes() {
+		fmt.Fprintf(out, "not served: %6d %s\n", res.Unserved[cause], cause)
+	}
 	for _, v := range res.Violations {
 		fmt.Fprintln(out, v)
 	}
@@ -95,13 +99,31 @@
 		}
 		cfg.Program = filepath.Join(filepath.Dir(self), "rosemaryhill")
 	}
-	if _, err := os.Stat(cfg.Program); err != nil {
-		return cfg, usageError.New("rosemaryhill binary not found: %v; build it and give its path with --program", err)
-	}
-	if cfg.Dir == "" {
-		dir, err := os.MkdirTemp("", "soak")
-		cfg.Dir = dir
+	if err := o.makeDir(&cfg); err != nil {
 		return cfg, err
 	}
-	return cfg, os.MkdirAll(cfg.Dir, 0o755)
+	_, err := os.Stat(cfg.Program)
+	if err == nil || o.program != "" {
+		return cfg, usageError.Wrap(err)
+	}
+	cfg.Program = filepath.Join(cfg.Dir, "rosemaryhill")
+	return cfg, buildProgram(cfg.Program)
+}
+
+func (o *soakOptions) makeDir(cfg *soak.Config) (err error) {
+	if cfg.Dir != "" {
+		return os.MkdirAll(cfg.Dir, 0o755)
+	}
+	cfg.Dir, err = os.MkdirTemp("", "soak")
+	return err
+}
+
+// buildProgram builds the rosemaryhill binary in the source tree of the working directory. rosectl has no binary next to
+// it when it is started by go run.
+func buildProgram(file string) error {
+	out, err := exec.Command("go", "build", "-o", file, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill").CombinedOutput()
+	if err != nil {
+		return usageError.New("no rosemaryhill binary next to rosectl, and building it failed: %v: %s; give its path with --program", err, out)
+	}
+	return nil
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -37,6 +37,7 @@
 // Result holds the counts and the violated guarantees of a run.
 type Result struct {
 	Requests, Served int
+	Unserved         map[string]int // by what the caller saw
 	Faults           map[string]int // by kind
 	Violations       []string       // guarantees to callers that were violated
 }
@@ -83,7 +84,7 @@
 
 // Run runs a soak. An error means that it could not run; violated guarantees are in the result.
 func Run(ctx context.Context, cfg Config) (res Result, err error) {
-	r := &run{cfg: cfg, result: Result{Faults: map[string]int{}}}
+	r := &run{cfg: cfg, result: Result{Faults: map[string]int{}, Unserved: map[string]int{}}}
 	defer func() { err = errors.Join(err, r.close()) }()
 	if err := r.start(ctx); err != nil {
 		return r.result, err
@@ -227,3 +228,10 @@
 
 // Kinds returns the kinds of injected faults, sorted.
 func (r *Result) Kinds() []string { return slices.Sorted(maps.Keys(r.Faults)) }
+
+// Causes returns the keys of Unserved, the most frequent first.
+func (r *Result) Causes() []string {
+	causes := slices.Sorted(maps.Keys(r.Unserved))
+	slices.SortStableFunc(causes, func(a, b string) int { return r.Unserved[b] - r.Unserved[a] })
+	return causes
+}
