Take the deletion of an unknown session or KV cache for done

Cause: the scheduler's contract counts 404 as released, but the engine client reported it as a malformed request, so a release whose answer was lost was repeated until a report of the engine showed the memory free. Change: 404 to a DELETE is success.

--- a/node/enginehttp/enginehttp.go
+++ b/node/enginehttp/enginehttp.go
@@ -63,7 +63,7 @@
 	return r, err
 }
 
-// DeleteKV deletes an exported KV cache.
+// DeleteKV deletes an exported KV cache. An unknown one is not an error.
 func (c *Client) DeleteKV(ctx context.Context, handle string) error {
 	return c.unary(ctx, "engine_delete_kv", http.MethodDelete, "/v1/kv/"+url.PathEscape(handle), nil, nil)
 }
@@ -116,6 +116,9 @@
 	if resp.StatusCode == http.StatusConflict {
 		return c.stale(ctx, hc, resp)
 	}
+	if resp.StatusCode == http.StatusNotFound && method == http.MethodDelete {
+		return resp.Body.Close() // it is gone, for example because the answer to an earlier call was lost
+	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		return hc.StatusError(resp)
--- a/node/enginehttp/enginehttp_test.go
+++ b/node/enginehttp/enginehttp_test.go
@@ -86,6 +86,17 @@
 	c.Assert(err, qt.ErrorAs, new(*StaleFenceError))
 }
 
+// Guards against a release that is repeated although an earlier one, whose answer was lost, has taken effect.
+func TestDeletingTwiceSucceeds(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(c, func(w http.ResponseWriter, r *http.Request) { http.NotFound(w, r) })
+	c.Assert(client.DeleteKV(context.Background(), "kv-1"), qt.IsNil)
+	_, err := client.Cancel(context.Background(), "session-1")
+	c.Assert(err, qt.IsNil)
+	_, err = client.Report(context.Background())
+	c.Assert(err, qt.IsNotNil)
+}
+
 // Guards against a report call that waits indefinitely for a hung engine.
 func TestUnaryTimesOut(t *testing.T) {
 	c := qt.New(t)
