--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -113,11 +113,12 @@
 // addNear makes a host a near peer until the partitions are computed again. Without it, a host that has just been heard
 // of would get no changes of load or state for up to a report interval.
 func (t *Table) addNear(addr member.Addr) {
+	// Targets hold these lists, so they are replaced rather than changed.
 	if i, listed := slices.BinarySearch(t.near, addr); !listed {
-		t.near = slices.Insert(t.near, i, addr)
+		t.near = slices.Insert(slices.Clone(t.near), i, addr)
 	}
 	if i, listed := slices.BinarySearch(t.far, addr); listed {
-		t.far = slices.Delete(t.far, i, i+1)
+		t.far = slices.Delete(slices.Clone(t.far), i, i+1)
 	}
 }
 
@@ -136,6 +137,8 @@
 		p = &Peer{Addr: from}
 		t.peers[from] = p
 		delete(t.candidates, from)
+	}
+	if !p.Alive(now) {
 		t.addNear(from)
 	}
 	restarted = p.Incarnation != r.Incarnation
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -187,5 +188,15 @@
 		targets := table.ChangeTargets(Status{})
 		c.Assert(targets.Near, qt.DeepEquals, []member.Addr{"10.0.0.2:7", "10.0.0.3:7"})
 		c.Assert(targets.Far, qt.HasLen, 0)
+
+		// Reports are sent to targets while others arrive.
+		table.Observe(0, "10.0.0.1:9", report)
+		c.Assert(targets.Near, qt.DeepEquals, []member.Addr{"10.0.0.2:7", "10.0.0.3:7"})
+
+		// A peer that was silent for long is new again.
+		const later = 2 * NearValidity
+		table.Replan(later)
+		table.Observe(later, "10.0.0.2:7", report)
+		c.Assert(slices.Contains(table.ChangeTargets(Status{}).Near, "10.0.0.2:7"), qt.IsTrue)
 	}
 }
