Apply settings that changed while a host started

Cause: the file is read first and its fingerprint taken later; a change in between was seen only with the next one. Change: the watch begins with a comparison of the peers, the only setting that a running process takes over.

--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
@@ -28,6 +29,9 @@
 // takes effect. An invalid file is ignored.
 func (h *Host) watchSettings() {
 	last := fileFingerprint(h.cfg.SettingsFile)
+	if s, err := h.loadSettings(); err == nil && !slices.Equal(s.Entry.Peers, h.settings.Peers) {
+		h.reload() // the file has changed since it was read at the start
+	}
 	for h.ctx.Err() == nil {
 		ctxtime.Sleep(h.ctx, reloadInterval)
 		if at := fileFingerprint(h.cfg.SettingsFile); at != last {
@@ -37,8 +41,12 @@
 	}
 }
 
+func (h *Host) loadSettings() (settings.Settings, error) {
+	return settings.Load(h.cfg.SettingsFile, settings.RoleEntry)
+}
+
 func (h *Host) reload() {
-	s, err := settings.Load(h.cfg.SettingsFile, settings.RoleEntry)
+	s, err := h.loadSettings()
 	if err != nil {
 		h.log.WithField("error", err.Error()).Error("settings not reloaded")
 		return
