--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h := &Host{obs: o, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1)))}
+	h := &Host{obs: o, log: o.Log, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1)))}
 	h.settings.HTTPAddress, h.settings.ControlAddress = "10.0.0.1:80", "10.0.0.1:83"
 	return h
 }
@@ -95,7 +95,7 @@
 		var running sync.WaitGroup
 		for self := range hosts {
 			h := testHost()
-			h.log, h.ctx, h.peerAhead = h.obs.Log, ctx, make(chan struct{}, 1)
+			h.ctx, h.peerAhead = ctx, make(chan struct{}, 1)
 			h.state.peers.SetSelf(addr(self), 7)
 			for i := range hosts {
 				if i != self {
--- a/node/entry/reserve_test.go
+++ b/node/entry/reserve_test.go
@@ -36,7 +36,6 @@
 		cancelled   bool
 	}{{lease * 3 / 4, false}, {time.Hour, true}} {
 		h := testHost()
-		h.log = h.obs.Log
 		engine := &silentEngine{created: time.Now(), from: lease / 10, until: test.silentUntil}
 		h.cfg.Dialect = engine
 		r := &reservations{host: h, lease: lease, held: []heldReservation{{engine: "i-1"}}}
