Return errors of encoding state instead of leaving them out

Cause: a reply whose state could not be encoded was sent without it, and the caller took the peer for one with nothing newer.

--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -20,7 +20,7 @@
 
 // State implements control.Handler.
 func (p peerHandler) State(_ context.Context, req *control.StateRequest) (*control.StateReply, error) {
-	return p.host.stateReplies.get(p.host, *req), nil
+	return p.host.stateReplies.get(p.host, *req)
 }
 
 // stateReplies keeps the replies to other hosts for a short time. After a change all hosts of an availability zone ask
@@ -36,7 +36,7 @@
 const replyLifetime = 500 * time.Millisecond
 
 // get returns the reply to a request. The replies are encoded one at a time, so that the first ones leave early.
-func (r *stateReplies) get(h *Host, req control.StateRequest) *control.StateReply {
+func (r *stateReplies) get(h *Host, req control.StateRequest) (*control.StateReply, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, revision := h.now(), h.revision()
@@ -45,12 +45,14 @@
 		r.replies = map[control.StateRequest]*control.StateReply{}
 	}
 	if reply := r.replies[req]; reply != nil {
-		return reply
+		return reply, nil
 	}
 	reply := h.stateReply(req)
-	reply.Encode()
+	if err := reply.Encode(); err != nil {
+		return nil, err
+	}
 	r.replies[req] = reply
-	return reply
+	return reply, nil
 }
 
 // revision returns the latest store revision that this host has seen.
--- a/transport/control/bench_test.go
+++ b/transport/control/bench_test.go
@@ -30,28 +30,23 @@
 	}
 }
 
-// BenchmarkState measures the replies to all hosts of a large fleet after a change of a large configuration: with an
-// encoding for each host, and with one that all of them share.
+// BenchmarkState measures the replies to all hosts of a large fleet after a change of a large configuration.
 func BenchmarkState(b *testing.B) {
 	const hosts = 80
 	c := largeConfig()
-	for _, shared := range []bool{false, true} {
-		b.Run(fmt.Sprintf("shared=%t", shared), func(b *testing.B) {
-			size := 0
-			for b.Loop() {
-				reply := &StateReply{Changes: []catalog.Change{{Revision: 9, Config: c}}, Revision: 9}
-				if shared {
-					reply.Encode()
-				}
-				for range hosts {
-					w := pack.NewWriter()
-					encodeBody(w, reply)
-					size = len(w.Buf)
-				}
-			}
-			b.ReportMetric(float64(size), "B/reply")
-		})
+	size := 0
+	for b.Loop() {
+		reply := &StateReply{Changes: []catalog.Change{{Revision: 9, Config: c}}, Revision: 9}
+		if err := reply.Encode(); err != nil {
+			b.Fatal(err)
+		}
+		for range hosts {
+			w := pack.NewWriter()
+			encodeBody(w, reply)
+			size = len(w.Buf)
+		}
 	}
+	b.ReportMetric(float64(size), "B/reply")
 }
 
 // largeConfig returns a configuration of 1,400 routes.
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -103,7 +103,7 @@
 	c := qt.New(t)
 	const hosts, linkBytes = 24, 20e6 / 8 * 0.4
 	reply := &StateReply{Changes: []catalog.Change{{Revision: 9, Config: largeConfig()}}, Revision: 9}
-	reply.Encode()
+	c.Assert(reply.Encode(), qt.IsNil)
 	w := pack.NewWriter()
 	encodeBody(w, reply)
 	c.Assert(len(w.Buf)*hosts < linkBytes, qt.IsTrue, qt.Commentf("%d bytes for one host", len(w.Buf)))
--- a/transport/control/fields.go
+++ b/transport/control/fields.go
@@ -165,41 +165,35 @@
 // encodedState holds the state and the changes of a StateReply, each as a compressed msgpack value, or empty if absent.
 type encodedState struct{ state, changes []byte }
 
-// Encode encodes the reply, which must not be changed afterwards. Sending it to several callers then costs one encoding.
-func (v *StateReply) Encode() { v.encoded = v.encode() }
-
-// encode encodes the state and the changes. After an encoding error the reply lacks them, and the caller treats the peer
-// as one that has nothing newer.
-func (v *StateReply) encode() *encodedState {
-	e := &encodedState{}
+// Encode prepares the reply for sending. It must be called once, after the last change of the reply; sending it to several
+// callers then costs one encoding.
+func (v *StateReply) Encode() (err error) {
 	if v.State != nil {
-		e.state = compressed(v.State)
+		if v.encoded.state, err = compress(v.State); err != nil {
+			return err
+		}
 	}
 	if len(v.Changes) > 0 {
-		e.changes = compressed(v.Changes)
+		v.encoded.changes, err = compress(v.Changes)
 	}
-	return e
+	return err
 }
 
-// compressed returns the compressed encoding of a value. The routes of a configuration are much alike, and a host with a
-// slow network link has to send them to all others of its availability zone.
-func compressed(v any) []byte {
+// compress returns the compressed encoding of a value. The routes of a configuration are much alike, and a host with a slow
+// network link has to send them to all others of its availability zone.
+func compress(v any) ([]byte, error) {
 	plain, err := msgpack.Marshal(v)
 	if err != nil {
-		return nil
+		return nil, ErrMessage.Wrap(err)
 	}
-	return s2.Encode(nil, plain)
+	return s2.Encode(nil, plain), nil
 }
 
 // encodeState writes the state and the changes as nested values.
 func encodeState(w *pack.Writer, v *StateReply) {
-	e := v.encoded
-	if e == nil {
-		e = v.encode()
-	}
 	w.Array(3)
-	w.Bytes(e.state)
-	w.Bytes(e.changes)
+	w.Bytes(v.encoded.state)
+	w.Bytes(v.encoded.changes)
 	w.Uint(v.Revision)
 }
 
@@ -220,7 +214,7 @@
 	}
 }
 
-// decompress decodes a value encoded by compressed. It refuses one that takes more than maxState bytes of memory.
+// decompress decodes a value encoded by compress. It refuses one that takes more than maxState bytes of memory.
 func decompress(b []byte, v any) error {
 	if n, err := s2.DecodedLen(b); err != nil || n > maxState {
 		return ErrTooLarge.New("%d bytes, at most %d: %v", n, maxState, err)
--- a/transport/control/messages.go
+++ b/transport/control/messages.go
@@ -65,14 +65,14 @@
 }
 
 // StateReply holds what the caller lacks: the changes, or the whole state for a caller that is too far behind. It
-// is empty when the host has nothing newer.
+// is empty when the host has nothing newer. A handler must call Encode before it returns one.
 type StateReply struct {
 	State   *catalog.Snapshot
 	Changes []catalog.Change
 	// Revision is the store revision of the host. The caller has reached it once it has applied the reply.
 	Revision uint64
 
-	encoded *encodedState // set by Encode
+	encoded encodedState // set by Encode
 }
 
 // StatusRequest asks a process for its status.
