Wait for the rest of a burst of changes before the next call to the store

Cause: a watch returns with the first change, so each of the changes that come together costs every reader a call. Change: after a change a reader waits 100 ms before it asks again. Conclusion: a change that follows another one within 100 ms arrives up to 100 ms later; the bounds are 2 s and more.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -21,6 +21,9 @@
 	watchGrace = 700 * time.Millisecond
 	// readTimeout bounds a read of the store. A healthy store answers within a few ms.
 	readTimeout = 1200 * time.Millisecond
+	// burstTime is the time between a change and the next call. Servers often come and go together, and each change that is
+	// read alone costs every reader a call.
+	burstTime = 100 * time.Millisecond
 	// firstRetry and maxRetry bound the backoff after a failed read, for the hosts that read first.
 	firstRetry = 60 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
@@ -204,6 +207,9 @@
 	s.mu.Lock()
 	s.catalog.Advance(at)
 	s.mu.Unlock()
+	if len(changes) > 0 {
+		ctxtime.Sleep(h.ctx, burstTime)
+	}
 	return nil
 }
 
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
@@ -121,6 +122,50 @@
 	c.Assert(many < 4*few, qt.IsTrue, qt.Commentf("%d calls of 5 hosts, %d of 40", few, many))
 }
 
+// burstStore publishes a change every 10 ms from its creation until end, and then none.
+type burstStore struct {
+	Store
+	created time.Time
+	end     uint64 // revision of the last change
+	calls   atomic.Int64
+}
+
+func (s *burstStore) revision() uint64 {
+	return min(s.end, uint64(time.Since(s.created)/(10*time.Millisecond)))
+}
+
+func (s *burstStore) Snapshot(context.Context) (catalog.Snapshot, error) {
+	return catalog.Snapshot{Config: &catalog.Config{Version: 1}}, nil
+}
+
+func (s *burstStore) Changes(ctx context.Context, after uint64, _ time.Duration) (changes []catalog.Change, at uint64, err error) {
+	s.calls.Add(1)
+	for s.revision() <= after && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	for r := after + 1; r <= s.revision(); r++ {
+		changes = append(changes, catalog.Change{Revision: r, Server: &catalog.Server{ID: ident.BackendID(fmt.Sprint(r)), Revision: r}})
+	}
+	return changes, s.revision(), ctx.Err()
+}
+
+// Guards against a call of every reader for each of the servers that a deployment starts or ends together.
+func TestBurstOfChangesTakesFewCalls(t *testing.T) {
+	c := qt.New(t)
+	h := testHost()
+	ctx, stop := context.WithCancel(context.Background())
+	h.ctx, h.peerAhead, h.resync = ctx, make(chan struct{}, 1), make(chan struct{}, 1)
+	store := &burstStore{created: time.Now(), end: 40}
+	h.store = store
+	var running sync.WaitGroup
+	running.Go(h.followStore)
+	time.Sleep(time.Second)
+	stop()
+	running.Wait()
+	c.Assert(h.revision(), qt.Equals, store.end)
+	c.Assert(store.calls.Load() <= 10, qt.IsTrue, qt.Commentf("%d calls for %d changes", store.calls.Load(), store.end))
+}
+
 // Guards against fetching state from a peer in another availability zone when one in the same zone is newer
 // too, from a peer that has nothing newer, and from one that is about to stop.
 func TestPeerAhead(t *testing.T) {
