Ask the kernel for pending connections before a stop closes its listener

A draining listener waits 5 ms for a further connection by a deadline of Accept. On a busy machine the runtime handles the deadline before it polls the network, so Accept reports that the time is over while the backlog holds a connection, and the close resets it. Change: the draining listener polls the backlog itself and closes only when the kernel has no pending connection for 5 ms, or after 500 ms (200 before) of connections that keep arriving.

--- a/node/internal/httpdrain/httpdrain_test.go
+++ b/node/internal/httpdrain/httpdrain_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // Guards against a stop that cuts off requests which have just arrived: those on connections in the backlog, and those
@@ -72,3 +74,34 @@
 	}
 	return true, resp.Body.Close() == nil
 }
+
+// Guards against a connection in the backlog that is reset because the runtime notices the end of the wait for it before
+// it notices the connection, as on a busy machine.
+func TestBusyRuntimeEmptiesBacklog(t *testing.T) {
+	c := qt.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener := NewListener(ln.(*net.TCPListener))
+	accepted := make(chan int)
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				accepted <- n
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	time.Sleep(20 * time.Millisecond) // Accept waits for a connection
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	c.Assert(err, qt.IsNil)
+	defer unix.Close(socket)
+	c.Assert(listener.Close(), qt.IsNil)
+	// A system call that blocks and a loop keep the runtime from polling the network.
+	c.Assert(unix.Connect(socket, &unix.SockaddrInet4{Port: ln.Addr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	for busy := time.Now().Add(8 * time.Millisecond); time.Now().Before(busy); {
+	}
+	c.Assert(<-accepted, qt.Equals, 1)
+}
--- a/node/internal/httpdrain/listener.go
+++ b/node/internal/httpdrain/listener.go
@@ -11,14 +11,20 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// drainPause is how long a closing listener waits for a further connection. Connections that are established but not
 	// yet accepted are in the backlog of the kernel, so each of them is accepted at once.
 	drainPause = 5 * time.Millisecond
+	// drainPoll is the interval at which the backlog is checked meanwhile.
+	drainPoll = time.Millisecond
 	// maxDrainTime bounds the time for that when new connections keep arriving.
-	maxDrainTime = 200 * time.Millisecond
+	maxDrainTime = 500 * time.Millisecond
+	// acceptTimeout bounds the wait for a pending connection that its caller closes before it is accepted.
+	acceptTimeout = time.Second
 )
 
 // Listener accepts what is in the backlog of the kernel before it closes. A plain close resets these
@@ -46,28 +52,55 @@
 // Accept implements net.Listener. While the listener drains, it returns net.ErrClosed when the backlog is empty.
 func (l *Listener) Accept() (net.Conn, error) {
 	if by := l.closeBy.Load(); by != nil {
-		_ = l.SetDeadline(nextDrainDeadline(*by)) // fails only if the listener is closed, as Accept then reports
+		return l.acceptBacklog(*by)
 	}
 	conn, err := l.TCPListener.Accept()
-	if l.closeBy.Load() != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
+	if by := l.closeBy.Load(); by != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		return l.acceptBacklog(*by)
 	}
 	return conn, err
 }
 
+// acceptBacklog returns the next connection of the backlog. It closes the listener when none arrives for drainPause, and at
+// the given time.
+//
+// It asks the kernel for pending connections, since Accept can report that its deadline has passed while there are some: on
+// a busy machine the runtime notices the deadline first.
+func (l *Listener) acceptBacklog(by time.Time) (net.Conn, error) {
+	last := time.Now().Add(drainPause)
+	for !l.pending() {
+		if time.Now().After(last) {
+			return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
+		}
+		time.Sleep(drainPoll)
+	}
+	if time.Now().After(by) {
+		return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
+	}
+	if err := l.SetDeadline(time.Now().Add(acceptTimeout)); err != nil {
+		return nil, err
+	}
+	return l.TCPListener.Accept()
+}
+
+// pending reports whether the backlog holds a connection.
+func (l *Listener) pending() (ok bool) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false // the listener is closed
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only if the listener is closed
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		ok = err == nil && n > 0
+	})
+	return ok
+}
+
 // Close implements net.Listener. It lets Accept empty the backlog and close the listener.
 func (l *Listener) Close() error {
 	by := time.Now().Add(maxDrainTime)
 	l.closeBy.Store(&by)
-	return l.SetDeadline(nextDrainDeadline(by))
-}
-
-func nextDrainDeadline(by time.Time) time.Time {
-	next := time.Now().Add(drainPause)
-	if next.After(by) {
-		return by
-	}
-	return next
+	return l.SetDeadline(time.Now()) // wakes Accept
 }
 
 // Serve serves connections until the listener is closed. It returns nil after a Drain or a Close.
