Choose the peer to fetch state from with equal chances

The choice relied on the order of a map, which is not uniform. Change: the host's random source chooses among the peers that are ahead.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -400,10 +400,10 @@
 	return all[:min(n, len(all))]
 }
 
-// Ahead returns the live peers with newer platform state than the given one, without those that are leaving. They are in
-// random order, so that a whole fleet that lacks the same change does not ask one of them.
+// Ahead returns the live peers with newer platform state than the given one in no particular order, without those that are
+// leaving.
 func (t *Table) Ahead(now time.Duration, revision uint64, config ident.Version) (ahead []*Peer) {
-	for _, p := range t.peers { // in random order
+	for _, p := range t.peers {
 		if p.Alive(now) && !p.Leaving && (p.Revision > revision || p.Config > config) {
 			ahead = append(ahead, p)
 		}
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
 )
 
@@ -118,7 +120,8 @@
 }
 
 // peerAheadIn returns the control address of a peer with newer platform state than this host's, and the request to
-// send. ok is false if there is none.
+// send. It chooses at random, so that a fleet that lacks the same change does not ask one peer. ok is false if there is
+// none.
 func (h *Host) peerAheadIn(scope peerScope) (address string, req control.StateRequest, ok bool) {
 	now := h.now()
 	s := h.state
@@ -128,10 +131,13 @@
 	if c := s.catalog.Config(); c != nil {
 		req.Config = c.Version
 	}
-	for _, p := range s.peers.Ahead(now, req.Revision, req.Config) {
-		if scope == anyZone || p.Zone == s.peers.Zone() {
-			return withPort(string(p.Addr), h.settings.ControlAddress), req, true
-		}
+	ahead := s.peers.Ahead(now, req.Revision, req.Config)
+	if scope == ownZone {
+		ahead = slices.DeleteFunc(ahead, func(p *peers.Peer) bool { return p.Zone != s.peers.Zone() })
+	}
+	if len(ahead) == 0 {
+		return "", req, false
 	}
-	return "", req, false
+	p := ahead[s.rng.Intn(len(ahead))]
+	return withPort(string(p.Addr), h.settings.ControlAddress), req, true
 }
