--- a/node/internal/httpdrain/httpdrain_test.go
+++ b/node/internal/httpdrain/httpdrain_test.go
@@ -45,7 +45,9 @@
 				}
 			})
 		}
-		time.Sleep(30 * time.Millisecond)
+		for end := time.Now().Add(5 * time.Second); answered.Load() <= callers && time.Now().Before(end); {
+			time.Sleep(30 * time.Millisecond)
+		}
 		ended.Store(true) // callers finish the request that they are about to send
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		listener.Drain(ctx)
