--- a/cmd/rosectl/soak.go
+++ b/cmd/rosectl/soak.go
@@ -92,25 +92,19 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = time.Now().UnixNano()
 	}
-	if cfg.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return cfg, err
+	if cfg.Program != "" {
+		if _, err := os.Stat(cfg.Program); err != nil {
+			return cfg, usageError.New("rosemaryhill binary not found: %v; build it and give its path with --program", err)
 		}
-		cfg.Program = filepath.Join(filepath.Dir(self), "rosemaryhill")
 	}
-	if err := o.makeDir(&cfg); err != nil {
-		return cfg, err
+	err := makeDir(&cfg)
+	if err == nil && cfg.Program == "" {
+		err = findProgram(&cfg)
 	}
-	_, err := os.Stat(cfg.Program)
-	if err == nil || o.program != "" {
-		return cfg, usageError.Wrap(err)
-	}
-	cfg.Program = filepath.Join(cfg.Dir, "rosemaryhill")
-	return cfg, buildProgram(cfg.Program)
+	return cfg, err
 }
 
-func (o *soakOptions) makeDir(cfg *soak.Config) (err error) {
+func makeDir(cfg *soak.Config) (err error) {
 	if cfg.Dir != "" {
 		return os.MkdirAll(cfg.Dir, 0o755)
 	}
@@ -118,10 +112,19 @@
 	return err
 }
 
-// buildProgram builds the rosemaryhill binary in the source tree of the working directory. rosectl has no binary next to
-// it when it is started by go run.
-func buildProgram(file string) error {
-	out, err := exec.Command("go", "build", "-o", file, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill").CombinedOutput()
+// findProgram sets the program to the binary next to rosectl. If there is none, as with go run, it builds the binary from
+// the source tree of the working directory.
+func findProgram(cfg *soak.Config) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cfg.Program = filepath.Join(filepath.Dir(self), "rosemaryhill")
+	if _, err := os.Stat(cfg.Program); err == nil {
+		return nil
+	}
+	cfg.Program = filepath.Join(cfg.Dir, "rosemaryhill")
+	out, err := exec.Command("go", "build", "-o", cfg.Program, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill").CombinedOutput()
 	if err != nil {
 		return usageError.New("no rosemaryhill binary next to rosectl, and building it failed: %v: %s; give its path with --program", err, out)
 	}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -206,13 +206,14 @@
 	for _, p := range live {
 		hosts = append(hosts, partition.Node{ID: string(p.Addr), Zone: p.Zone})
 	}
-	before := t.plan
 	if key := hashOf(hosts); !t.planned || key != t.plannedFor {
+		before := t.plan
 		t.plan = partition.New(hosts, t.services)
 		t.planned, t.plannedFor = true, key
+		changed = !t.plan.Equal(before)
 	}
 	t.splitPeers(live)
-	return !t.plan.Equal(before)
+	return changed
 }
 
 // hashOf returns a hash of a set of hosts that does not depend on their order.
--- a/node/dispatcher/engines.go
+++ b/node/dispatcher/engines.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if old != nil {
-		old.close()
+		old.stop()
 	}
 	ctx, cancel := context.WithCancel(s.d.callCtx)
 	e := &engine{
@@ -121,7 +121,7 @@
 		e.owned = slices.ContainsFunc(owned, func(o sched.Engine) bool { return o.ID == id })
 		configured := slices.ContainsFunc(snap.Engines, func(b view.Backend) bool { return b.ID == id })
 		if !configured {
-			e.close()
+			e.stop()
 			delete(s.engines, id)
 			removed = append(removed, id)
 		}
@@ -136,21 +136,17 @@
 		if e.owned || slices.ContainsFunc(st.Engines, func(x sched.EngineStatus) bool { return x.ID == id && (x.Sessions > 0 || x.OwnTokens > 0) }) {
 			continue
 		}
-		e.close()
+		e.stop()
 		delete(s.engines, id)
 	}
 }
 
 func (s *engineSet) close() {
 	for _, e := range s.engines {
-		e.close()
+		e.stop()
 	}
 }
 
-func (e *engine) close() {
-	e.stop()
-}
-
 // reportsPerCacheRead is the number of report reads per read of cache events. Cache events are only hints,
 // so they are read less often.
 const reportsPerCacheRead = 2
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -191,13 +191,10 @@
 
 func (h *Host) readChanges(wait, timeout time.Duration) error {
 	s := h.state
-	s.mu.Lock()
-	after := s.catalog.Revision()
-	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	defer h.cancelOnResync(ctx, cancel)()
-	changes, at, err := h.store.Changes(ctx, after, wait)
+	changes, at, err := h.store.Changes(ctx, h.revision(), wait)
 	if err != nil {
 		return err
 	}
--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -7,7 +7,7 @@
 
 const (
 	// bodyMemoryShare is the share of the process's memory limit that the bodies of all requests and answers in progress
-	// may take together. Reading a body takes up to twice its size while its buffer grows.
+	// may take together. Reading a body takes up to twice its size while its buffers grow or are joined.
 	bodyMemoryShare = 0.125
 	// defaultBodyMemory is that limit in bytes for a process without a memory limit.
 	defaultBodyMemory = 64 << 20
--- a/node/entry/stall.go
+++ b/node/entry/stall.go
@@ -25,9 +25,6 @@
 	stalled atomic.Bool
 }
 
-// errHelperUnusable is the reason for excluding an engine that another one reported as unusable.
-var errHelperUnusable = Error.New("another engine reported it as unusable as a helper")
-
 // errStalled replaces the error of an attempt that a stallTimer has cancelled.
 var errStalled = Error.New("no event within the time that the engine's load explains")
 
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -155,6 +155,9 @@
 	}
 }
 
+// errHelperUnusable is the reason for excluding an engine that another one reported as unusable.
+var errHelperUnusable = Error.New("another engine reported it as unusable as a helper")
+
 // recordRefusal excludes the engine that made an attempt fail: the one that refused it, or a helper that it
 // names by ID or address. A helper at fault is also excluded for other requests.
 func (st *stream) recordRefusal(refused ident.BackendID, atFault string) {
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		if _, up := dp.g.client.Peer(p.Host); up {
-			out = append(out, owner.Candidate{Host: p.Host, Zone: p.Zone, Region: p.Region})
+			out = append(out, p.Candidate())
 		}
 	}
 	return out
--- a/node/gateway/services.go
+++ b/node/gateway/services.go
@@ -65,7 +65,7 @@
 	}
 	for id, in := range s.byID {
 		if !wanted[id] {
-			in.close()
+			in.stop()
 			delete(s.byID, id)
 		}
 	}
@@ -77,7 +77,7 @@
 		return
 	}
 	if old != nil {
-		old.close()
+		old.stop()
 	}
 	ctx, cancel := context.WithCancel(s.g.ctx)
 	in := &instance{
@@ -92,15 +92,11 @@
 	s.g.background.Go(func() { s.readReports(ctx, in) })
 }
 
-func (in *instance) close() {
-	in.stop()
-}
-
 func (s *services) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, in := range s.byID {
-		in.close()
+		in.stop()
 	}
 }
 
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -177,6 +177,7 @@
 }
 
 // readSegment fills the buffer from r. The error is that of r, if it has ended or failed before the buffer is full.
+// io.ReadFull would report the end as io.ErrUnexpectedEOF, which is how a truncated body fails.
 func readSegment(r io.Reader, buf []byte) (read []byte, err error) {
 	n := 0
 	for n < len(buf) && err == nil {
--- a/node/view/members.go
+++ b/node/view/members.go
@@ -33,6 +33,11 @@
 // Usable reports whether new requests may be sent to the process.
 func (p *Process) Usable() bool { return p.State != member.Dead && !p.Leaving }
 
+// Candidate returns the process as a candidate for responsibilities.
+func (p *Process) Candidate() owner.Candidate {
+	return owner.Candidate{Host: p.Host, Zone: p.Zone, Region: p.Region}
+}
+
 // gossipHandler implements gossip.Handler, to keep its methods out of View's API.
 type gossipHandler View
 
@@ -147,7 +152,7 @@
 	var out []owner.Candidate
 	for _, p := range v.Processes() {
 		if p.Role == role && p.Usable() {
-			out = append(out, owner.Candidate{Host: p.Host, Zone: p.Zone, Region: p.Region})
+			out = append(out, p.Candidate())
 		}
 	}
 	return out
