Log and count each failed attempt at a server with its cause

Cause: a request's last line tells only how its last attempt ended. Whether an earlier one was given up because its server was silent, refused, or broke off can't be told, so the hypotheses on cut requests can't be told apart. Change: a decision line "attempt failed" and rosemaryhill_entry_attempts_failed{cause} for each attempt without a complete answer, with the events before it and the time of silence. Conclusion: a stream that was cut now names the silent server and how long it was silent.

--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -14,15 +14,18 @@
 	sent       obs.Counter
 	duration   obs.Latency
 	firstEvent obs.Latency
+	// attemptsFailed counts attempts at servers that gave no complete answer.
+	attemptsFailed obs.Counter
 }
 
 func newMetrics(o *obs.Obs) metrics {
 	return metrics{
-		requests:   o.Counter("rosemaryhill_entry_requests", "end", "requests by kind of end and reason"),
-		rejected:   o.Counter("rosemaryhill_entry_rejections", "service", "requests that a backend server refused before running"),
-		sent:       o.Counter("rosemaryhill_entry_sent", "zone", "requests sent to backend servers, by whether the server is in the zone of this host"),
-		duration:   o.Latency("rosemaryhill_entry_request_seconds", "kind", "time to the end of a request"),
-		firstEvent: o.Latency("rosemaryhill_entry_first_event_seconds", "kind", "time to the first event of a stream"),
+		requests:       o.Counter("rosemaryhill_entry_requests", "end", "requests by kind of end and reason"),
+		rejected:       o.Counter("rosemaryhill_entry_rejections", "service", "requests that a backend server refused before running"),
+		sent:           o.Counter("rosemaryhill_entry_sent", "zone", "requests sent to backend servers, by whether the server is in the zone of this host"),
+		duration:       o.Latency("rosemaryhill_entry_request_seconds", "kind", "time to the end of a request"),
+		firstEvent:     o.Latency("rosemaryhill_entry_first_event_seconds", "kind", "time to the first event of a stream"),
+		attemptsFailed: o.Counter("rosemaryhill_entry_attempts_failed", "cause", "attempts at backend servers that gave no complete answer"),
 	}
 }
 
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -150,12 +150,17 @@
 	began := h.now()
 	ctx, span := h.startStepSpan(ctx, stepSend, srv.ID)
 	defer func() { endSpan(span, e) }()
+	request := ctx
 	ctx, cancel := h.withServerTimeout(ctx, q, srv.ID)
 	defer cancel()
 	defer func() {
 		h.state.mu.Lock()
 		h.state.loadBalancer.End(srv.ID)
 		h.state.mu.Unlock()
+		if e != nil {
+			silent := ctx.Err() != nil && request.Err() == nil
+			h.recordFailedAttempt(q, e, attemptCause(e, silent, request.Err() != nil), 0, h.now()-began)
+		}
 	}()
 	s, ran, err := h.send(ctx, q, srv, Forward{})
 	if err != nil {
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -42,6 +42,8 @@
 			return Error.New("event %d follows event %d", ev.id, st.lastID)
 		}
 		now := h.now()
+		st.lastProgress = now
+		st.events++
 		passTime := st.recordPause(id, now, last)
 		stall.extend(passTime)
 		if last == 0 {
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -28,6 +28,8 @@
 	q             *request
 	headerWritten bool // the response header has been written
 	lastID        int64
+	lastProgress  time.Duration // when the current attempt was sent or received its last event
+	events        int           // events of the current attempt
 	failed        map[ident.BackendID]bool
 	// reserveFailures is the number of placements whose memory could not be reserved.
 	reserveFailures int
@@ -94,6 +96,12 @@
 	defer stall.stop()
 	f := st.buildForward(choice, held)
 	began := h.now()
+	st.lastProgress, st.events = began, 0
+	defer func() {
+		if failed != nil {
+			h.recordFailedAttempt(q, failed, attemptCause(failed, stall.fired(), ctx.Err() != nil), st.events, h.now()-st.lastProgress)
+		}
+	}()
 	ctx, span := h.startStepSpan(ctx, stepSend, srv.ID)
 	defer func() { endSpan(span, failed) }()
 	received, ran, err := h.send(ctx, q, srv, f)
