Keep a silent server's attempt until another server has begun to answer

Callers saw: a stream whose sound server sent nothing for a second was cut without an end, or ended with 502 before its head; an idempotent request ended with 502. Cause: the stall timer and the server timeout cancelled the attempt first and looked for another server then. If there was none, if it refused or broke off, or if the retry budget was used up, nothing was left to answer the request. Class: giving up what works before its replacement is known to work. Change: attempts run in goroutines of their own and report to the goroutine of the request. A silence starts another attempt beside the silent one, on a server that nothing speaks against, within the route's attempts and the retry budget. core/hedge, a pure state machine, decides: the attempt that continues the answer first wins, the others are cancelled. A complete 5xx response to a stream is passed on only after the other attempts, as for plain services, and takes one retry of the budget, not two. Conclusion: an attempt ends only by its own failure, by a complete answer, by the end of the time, or by one that goes on.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -1,26 +1,179 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
+// engineAttempt is an attempt of a stream at an engine. Its goroutine sends the stream what the engine answers; all fields
+// after stream belong to the goroutine of the request.
+type engineAttempt struct {
+	attempt
+	stream *stream
+
+	id           hedge.Attempt
+	resumeAfter  string // last event that the caller has, empty for none
+	cancel       context.CancelFunc
+	began        time.Duration
+	lastProgress time.Duration // when the request was sent or the last event was received
+	events       int
+	early        []byte // what came before the first event
+}
+
+// attemptMessage is an event of an attempt, or its end.
+type attemptMessage struct {
+	from     *engineAttempt
+	received backendResponse // with an event
+	event    event
+	end      *attemptEnd
+}
+
+// attemptEnd says how an attempt has ended.
+type attemptEnd struct {
+	step       string
+	received   *backendResponse // nil without a response
+	body       []byte           // of a complete response that is not a stream
+	memory     share            // of the body
+	err        error            // nil for a complete response
+	invalid    bool             // the response is no answer to the request
+	contextErr error            // of the attempt, when it failed
+}
+
+// run runs the attempt until the stream ends or the engine fails.
+func (x *engineAttempt) run(ctx context.Context) {
+	defer x.cancel()
+	end := x.exchange(ctx)
+	end.contextErr = ctx.Err()
+	x.stream.host.endPlacement(x.placed)
+	select {
+	case x.stream.messages <- attemptMessage{from: x, end: &end}:
+	case <-x.stream.done:
+		end.memory.release()
+	}
+}
+
+// exchange reserves memory, sends the request and relays the response.
+func (x *engineAttempt) exchange(ctx context.Context) (end attemptEnd) {
+	h, q := x.stream.host, x.stream.q
+	held, err := x.reserve(ctx)
+	if err != nil {
+		return attemptEnd{step: stepReserve, err: err}
+	}
+	defer held.release()
+	ctx, span := h.startStepSpan(ctx, stepSend, x.server.ID)
+	defer func() { obs.EndSpan(span, failureOf(end.err)) }()
+	received, ran, err := h.send(ctx, q, x.server, x.forward(held))
+	if err != nil {
+		return attemptEnd{step: sendStep(ran), err: err}
+	}
+	defer received.resp.Body.Close()
+	if err := received.check(q); err != nil {
+		return attemptEnd{step: stepAnswer, received: &received, err: err, invalid: true}
+	}
+	switch {
+	case received.reply.NotRun:
+		return attemptEnd{step: stepSend, received: &received}
+	case received.resp.StatusCode != http.StatusOK:
+		end = attemptEnd{step: stepAnswer, received: &received, invalid: true, memory: share{memory: h.bodies}}
+		end.body, end.err = readResponse(&end.memory, received.resp)
+		return end
+	case !received.reply.Signed:
+		return attemptEnd{step: stepAnswer, received: &received, err: Error.New("stream without the server's signature"), invalid: true}
+	}
+	return attemptEnd{step: stepAnswer, received: &received, err: x.relay(ctx, received)}
+}
+
+// failureOf returns the status of a span that ended with an error.
+func failureOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return string(outcome.BackendLost)
+}
+
+// sendStep returns the step at which a request without a response has failed. ran is false if nothing has reached the server.
+func sendStep(ran bool) string {
+	if ran {
+		return stepSend
+	}
+	return stepDial
+}
+
+// reserve reserves the memory that the choice needs on its helpers. If it fails, the request has not been sent.
+func (x *engineAttempt) reserve(ctx context.Context) (held *reservations, err error) {
+	if len(x.choice.Reservations) == 0 {
+		return nil, nil
+	}
+	h := x.stream.host
+	ctx, span := h.startStepSpan(ctx, stepReserve, "")
+	defer func() { obs.EndSpan(span, failureOf(err)) }()
+	return h.reserve(ctx, x.choice, x.cancel)
+}
+
+// forward returns the information that is sent to the engine along with the caller's header.
+func (x *engineAttempt) forward(reserved *reservations) Forward {
+	q := x.stream.q
+	f := Forward{Engine: true, Urgency: urgency(q.priority, q.route.Objective), ResumeAfter: x.resumeAfter}
+	s := x.stream.host.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range x.choice.Helpers {
+		if a, ok := s.engines.Address(id); ok {
+			f.Helpers = append(f.Helpers, Helper{Address: a, Reservation: reserved.idFor(id)})
+		}
+	}
+	return f
+}
+
+// relay sends the stream complete events until the response ends.
+func (x *engineAttempt) relay(ctx context.Context, received backendResponse) error {
+	events := newEventReader(received.resp.Body)
+	for {
+		ev, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		select {
+		case x.stream.messages <- attemptMessage{from: x, received: received, event: ev}:
+		case <-ctx.Done(): // cancelled, or the stream has ended
+			return ctx.Err()
+		}
+	}
+}
+
+// hold keeps what comes before the first event, or returns it if the attempt has events. Comments and events without an id
+// are no progress: a server that sends only these is as good as silent.
+func (x *engineAttempt) hold(raw []byte) (relayed []byte, err error) {
+	if x.events > 0 {
+		return raw, nil
+	}
+	if x.early = append(x.early, raw...); len(x.early) > maxEvent {
+		return nil, Error.New("more than %d bytes before the first event", maxEvent)
+	}
+	return nil, nil
+}
+
 // Causes of failed attempts, as named in logs and metrics.
 const (
 	causeUnreachable = "unreachable" // no connection
 	causeRefused     = "refused"     // the server states that it did not run the request
-	causeSilent      = "silent"      // given up because the server sent nothing for too long
 	causeCancelled   = "cancelled"   // the caller left, the time was over, or a lease was lost
 	causeBroken      = "broken"      // the server broke off or sent something else than an answer
 )
 
-// attemptCause returns the cause of a failed attempt. silent reports whether the host gave the server up, and ended whether
-// the context of the attempt had ended for another reason.
-func attemptCause(e *outcome.Error, silent, ended bool) string {
+// attemptCause returns the cause of a failed attempt. ended reports whether its context had ended.
+func attemptCause(e *outcome.Error, ended bool) string {
 	switch {
-	case silent:
-		return causeSilent
 	case e.Step == stepDial:
 		return causeUnreachable
 	case e.Kind == outcome.NotRun:
@@ -31,12 +184,22 @@
 	return causeBroken
 }
 
-// recordFailedAttempt logs and counts an attempt at a server that gave no complete answer. silence is the time since the
-// server was sent the request or sent its last event.
-func (h *Host) recordFailedAttempt(q *request, e *outcome.Error, cause string, events int, silence time.Duration) {
+// recordFailedAttempt logs and counts an attempt at a server that gave no complete answer. ended reports whether its
+// context had ended, and silence is the time since the server was sent the request or sent its last event.
+func (h *Host) recordFailedAttempt(q *request, e *outcome.Error, ended bool, events int, silence time.Duration) {
+	cause := attemptCause(e, ended)
 	h.metrics.attemptsFailed.Add(1, cause)
 	h.decisions.write(fields{
 		"request": q.call.ID, "server": e.Peer, "step": e.Step, "cause": cause, "events": events,
 		"silent_ms": silence.Milliseconds(), "attempts": q.attempts, "config": uint64(q.config), "error": e.Error(),
 	}, "attempt failed")
 }
+
+// recordSilent logs and counts a server that has been silent for longer than its load explains. taken says what the host
+// does about it.
+func (h *Host) recordSilent(q *request, server string, silence time.Duration, taken string) {
+	h.metrics.silences.Add(1, taken)
+	h.decisions.write(fields{
+		"request": q.call.ID, "server": server, "silent_ms": silence.Milliseconds(), "attempts": q.attempts, "action": taken,
+	}, "server silent")
+}
--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -11,26 +11,31 @@
 
 // choose returns the best placement at this time. The state must be locked.
 func (st *stream) choose(now time.Duration) (attempt, *outcome.Error) {
+	s := st.host.state
+	a, e := st.chooseAmong(now, func(id ident.BackendID) bool { return st.failed[id] || s.health.Excluded(now, id) })
+	if e != nil && e.Step == stepPlace {
+		// Ignore the exclusions, so that wrongly excluding every engine does not refuse all requests.
+		a, e = st.chooseAmong(now, func(id ident.BackendID) bool { return st.failed[id] })
+	}
+	return a, e
+}
+
+// chooseAmong returns the best placement on engines that are not excluded. The error's step is stepPlace if there is none.
+// The state must be locked.
+func (st *stream) chooseAmong(now time.Duration, excluded func(ident.BackendID) bool) (attempt, *outcome.Error) {
 	q := st.q
 	s := st.host.state
-	req := placement.Request{
+	choice, ok := s.engines.Choose(now, q.service, placement.Request{
 		PromptTokens: q.call.PromptTokens,
 		OutputTokens: q.call.OutputTokens,
 		Objective:    placement.ObjectiveLeft(now, q.arrived, q.route.Objective),
 		MaxPause:     q.route.MaxPause,
 		TimeLeft:     q.timeLeft(now),
 		Returned:     q.hasReturned(),
-		Excluded:     func(id ident.BackendID) bool { return st.failed[id] || s.health.Excluded(now, id) },
-	}
-	choice, ok := s.engines.Choose(now, q.service, req)
+		Excluded:     excluded,
+	})
 	if !ok {
-		req.Excluded = func(id ident.BackendID) bool { return st.failed[id] }
-		choice, ok = s.engines.Choose(now, q.service, req)
-	}
-	if !ok {
-		e := outcome.Refuse("place", outcome.Overload, "no engine has room")
-		e.RetryAfter = noBackendRetry
-		return attempt{}, e
+		return attempt{}, refusePlacement(outcome.Overload, "no engine has room")
 	}
 	if !q.mayHaveRun && !s.engines.MayWait(choice) {
 		if v := s.engines.Admit(now, q.service, choice); !v.Admit {
@@ -46,9 +51,13 @@
 			return attempt{choice: choice, server: srv}, nil
 		}
 	}
-	e := outcome.Refuse("place", outcome.NoBackend, "the engine has left")
+	return attempt{}, refusePlacement(outcome.NoBackend, "the engine has left")
+}
+
+func refusePlacement(r outcome.Reason, detail string) *outcome.Error {
+	e := outcome.Refuse(stepPlace, r, detail)
 	e.RetryAfter = noBackendRetry
-	return attempt{}, e
+	return e
 }
 
 // Engines take urgencies from 0 to 9. Each priority has three of them, by latency objective.
--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -30,7 +30,7 @@
 	return &bodyMemory{limit: int64(bodyMemoryShare * float64(limitMB<<20))}
 }
 
-// share is the part of the memory that one request holds. A request is served by one goroutine.
+// share is the part of the memory that one request, or an attempt of it, holds. It is used by one goroutine at a time.
 type share struct {
 	memory    *bodyMemory
 	bytes     int64
@@ -41,8 +41,14 @@
 // errBodyMemory when there is no memory left.
 func (s *share) body(b io.ReadCloser) io.ReadCloser { return &countedBody{b, s} }
 
+// absorb moves another share into this one.
+func (s *share) absorb(other share) { s.bytes += other.bytes }
+
 // release gives back the whole share.
 func (s *share) release() {
+	if s.bytes == 0 {
+		return
+	}
 	s.memory.used.Add(-s.bytes)
 	s.bytes = 0
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -16,6 +16,8 @@
 	firstEvent obs.Latency
 	// attemptsFailed counts attempts at servers that gave no complete answer.
 	attemptsFailed obs.Counter
+	// silences counts servers that were silent for too long, by what the host did about it.
+	silences obs.Counter
 }
 
 func newMetrics(o *obs.Obs) metrics {
@@ -26,6 +28,7 @@
 		duration:       o.Latency("rosemaryhill_entry_request_seconds", "kind", "time to the end of a request"),
 		firstEvent:     o.Latency("rosemaryhill_entry_first_event_seconds", "kind", "time to the first event of a stream"),
 		attemptsFailed: o.Counter("rosemaryhill_entry_attempts_failed", "cause", "attempts at backend servers that gave no complete answer"),
+		silences:       o.Counter("rosemaryhill_entry_silent_servers", "action", "times that a backend server was silent for longer than its load explains, by what the host did"),
 	}
 }
 
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -20,14 +19,6 @@
 	body   []byte
 }
 
-// The time that one server gets for an idempotent request before another one is tried is serverTimeoutFactor
-// times the server's usual response time, but at least minServerTimeout and at most maxServerTimeout.
-const (
-	serverTimeoutFactor = 6
-	minServerTimeout    = 350 * time.Millisecond
-	maxServerTimeout    = 1200 * time.Millisecond
-)
-
 // maxDials is the number of failed connection attempts after which a request fails. A host that reaches none of
 // three servers has probably lost its own network connection, and its callers are better served by another
 // host.
@@ -36,30 +27,17 @@
 // servePlain serves a request to a plain service, one without model engines. A non-idempotent request is sent
 // to a single server; another one is tried only if the request has certainly not run.
 func (h *Host) servePlain(ctx context.Context, w http.ResponseWriter, q *request) *outcome.Error {
-	tried := map[ident.BackendID]bool{}
-	var last *outcome.Error
-	var failedResponse *response // complete 5xx response, passed on if no other server succeeds
-	for {
-		srv, ok := h.choosePlain(q, tried)
-		if !ok {
-			break
-		}
-		tried[srv.ID] = true
-		a, e := h.tryPlain(ctx, q, srv)
-		if e == nil && a.status < http.StatusInternalServerError {
-			writeResponse(w, a)
-			return nil
-		}
-		if e == nil {
-			failedResponse = a
-		}
-		last = e
-		if !h.mayRetry(ctx, q, e) {
-			break
-		}
-	}
-	if failedResponse != nil {
-		writeResponse(w, failedResponse)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends attempts that have lost
+	r := h.newPlainRequest(ctx, q)
+	defer close(r.done)
+	defer r.silence.Stop()
+	a, last := r.serve()
+	if a == nil {
+		a = r.failedResponse
+	}
+	if a != nil {
+		writeResponse(w, a)
 		return nil
 	}
 	return h.finalError(ctx, q, last)
@@ -68,7 +46,7 @@
 // finalError turns the last failure of a request into the error that the caller gets.
 func (h *Host) finalError(ctx context.Context, q *request, last *outcome.Error) *outcome.Error {
 	if last == nil {
-		last = outcome.Refuse("place", outcome.NoBackend, "no server of "+q.service+" is usable")
+		last = outcome.Refuse(stepPlace, outcome.NoBackend, "no server of "+q.service+" is usable")
 		last.RetryAfter = noBackendRetry
 	}
 	switch {
@@ -109,35 +87,9 @@
 	return s.allowRetry(h.now(), q.service)
 }
 
-func (h *Host) choosePlain(q *request, tried map[ident.BackendID]bool) (catalog.Server, bool) {
-	now := h.now()
-	s := h.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	serverHealth := func(useExclusions bool) func(ident.BackendID) placement.ServerHealth {
-		return func(id ident.BackendID) placement.ServerHealth {
-			return placement.ServerHealth{
-				Excluded:    tried[id] || (useExclusions && s.health.Excluded(now, id)),
-				FailureRate: s.health.FailureRate(id),
-				AnswerTime:  s.health.AnswerTime(id),
-			}
-		}
-	}
-	usable := s.catalog.Usable(q.service)
-	srv, ok := s.loadBalancer.Choose(now, usable, serverHealth(true), s.rng.Float64())
-	if !ok {
-		// All servers are excluded or tried. Ignore the exclusions, so that wrongly excluding every server does
-		// not refuse all requests.
-		srv, ok = s.loadBalancer.Choose(now, usable, serverHealth(false), s.rng.Float64())
-	}
-	if ok {
-		s.loadBalancer.Begin(srv.ID)
-	}
-	return srv, ok
-}
-
 // Steps of a request, as named in errors and spans.
 const (
+	stepPlace   = "place"
 	stepQueue   = "queue"
 	stepDial    = "dial"
 	stepReserve = "reserve"
@@ -145,83 +97,33 @@
 	stepAnswer  = "answer"
 )
 
-// tryPlain sends a request to one server and reads the complete response.
-func (h *Host) tryPlain(ctx context.Context, q *request, srv catalog.Server) (a *response, e *outcome.Error) {
-	began := h.now()
-	ctx, span := h.startStepSpan(ctx, stepSend, srv.ID)
-	defer func() { endSpan(span, e) }()
-	request := ctx
-	ctx, cancel := h.withServerTimeout(ctx, q, srv.ID)
-	defer cancel()
-	defer func() {
-		h.state.mu.Lock()
-		h.state.loadBalancer.End(srv.ID)
-		h.state.mu.Unlock()
-		if e != nil {
-			silent := ctx.Err() != nil && request.Err() == nil
-			h.recordFailedAttempt(q, e, attemptCause(e, silent, request.Err() != nil), 0, h.now()-began)
-		}
-	}()
-	s, ran, err := h.send(ctx, q, srv, Forward{})
-	if err != nil {
-		return nil, h.sendFailed(ctx, q, srv.ID, ran, err)
-	}
-	defer s.resp.Body.Close()
-	q.attempts++
-	if err := s.check(q); err != nil {
-		q.mayHaveRun = true
-		return nil, h.invalidResponse(ctx, srv.ID, err)
-	}
-	if s.reply.NotRun {
-		return nil, h.rejected(q, srv.ID, s)
-	}
-	q.mayHaveRun = true
-	body, err := readResponse(q, s.resp)
-	if err != nil {
-		return nil, h.invalidResponse(ctx, srv.ID, err)
-	}
-	return h.checkResponse(q, srv.ID, s, body, h.now()-began)
-}
-
-// withServerTimeout bounds the time that one server gets for an idempotent request, so that time is left for
-// another one.
-func (h *Host) withServerTimeout(ctx context.Context, q *request, id ident.BackendID) (context.Context, context.CancelFunc) {
-	if !q.route.Repeatable() || q.attempts+1 >= q.route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	h.state.mu.Lock()
-	usual := h.state.health.AnswerTime(id)
-	h.state.mu.Unlock()
-	timeout := min(maxServerTimeout, max(minServerTimeout, serverTimeoutFactor*usual))
-	return context.WithTimeout(ctx, timeout)
-}
-
-// sendFailed handles a request that got no response at all.
-func (h *Host) sendFailed(ctx context.Context, q *request, id ident.BackendID, ran bool, err error) *outcome.Error {
-	step := stepDial
-	if ran {
-		step = stepSend
-		q.attempts++
-		q.mayHaveRun = true
-	}
-	h.recordSendFailure(ctx, id, step, err)
+// sendFailed handles a request that got no response at all. contextErr is the error of its context at the time.
+func (h *Host) sendFailed(contextErr error, q *request, id ident.BackendID, step string, err error) *outcome.Error {
+	ran := step != stepDial
+	q.mayHaveRun = q.mayHaveRun || ran
+	h.recordSendFailure(contextErr, id, step, err)
 	return backendError(step, id, ran, err)
 }
 
 // recordSendFailure records a failed send in the server's health. A timeout only counts as a failure and does
 // not exclude the server, since routes may have short timeouts. A cancellation by the caller is not counted.
-func (h *Host) recordSendFailure(ctx context.Context, id ident.BackendID, step string, err error) {
-	if ctx.Err() == nil {
+func (h *Host) recordSendFailure(contextErr error, id ident.BackendID, step string, err error) {
+	if contextErr == nil {
 		h.excludeServer(id, step, err)
 		return
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		h.state.mu.Lock()
-		h.state.health.RecordFailure(id)
-		h.state.mu.Unlock()
+	if errors.Is(contextErr, context.DeadlineExceeded) {
+		h.recordFailure(id)
 	}
 }
 
+// recordFailure records a failed answer in the server's health.
+func (h *Host) recordFailure(id ident.BackendID) {
+	h.state.mu.Lock()
+	h.state.health.RecordFailure(id)
+	h.state.mu.Unlock()
+}
+
 // excludeServer excludes a server that could not be reached or that aborted a response.
 func (h *Host) excludeServer(id ident.BackendID, step string, err error) {
 	now := h.now()
@@ -251,18 +153,16 @@
 
 // invalidResponse handles a response that is not a complete answer to the request. What it cost the host's memory says
 // nothing about the server.
-func (h *Host) invalidResponse(ctx context.Context, id ident.BackendID, err error) *outcome.Error {
-	if ctx.Err() == nil && !errors.Is(err, errBodyMemory) {
-		h.state.mu.Lock()
-		h.state.health.RecordFailure(id)
-		h.state.mu.Unlock()
+func (h *Host) invalidResponse(contextErr error, id ident.BackendID, err error) *outcome.Error {
+	if contextErr == nil && !errors.Is(err, errBodyMemory) {
+		h.recordFailure(id)
 	}
 	return backendError(stepAnswer, id, true, err)
 }
 
 // checkResponse records the result of a complete response and returns it, or an error if the response must not
 // be passed on.
-func (h *Host) checkResponse(q *request, id ident.BackendID, s backendResponse, body []byte, took time.Duration) (*response, *outcome.Error) {
+func (h *Host) checkResponse(id ident.BackendID, s backendResponse, body []byte, took time.Duration) (*response, *outcome.Error) {
 	status := s.resp.StatusCode
 	h.state.mu.Lock()
 	if status >= http.StatusInternalServerError {
--- a/node/entry/queue_test.go
+++ b/node/entry/queue_test.go
@@ -47,7 +47,7 @@
 		route: &catalog.Route{Kind: catalog.Streaming, Objective: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond},
 	}
 	q.call.PromptTokens, q.call.OutputTokens = 5000, 1600
-	return &stream{host: h, q: q, lastID: -1}
+	return h.newStream(context.Background(), httptest.NewRecorder(), q)
 }
 
 // Guards against a request that stays in the queue after its caller has cancelled it, and is then sent to an
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -1,110 +1,92 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
-	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 )
 
-// relay forwards complete events in order, each exactly once.
-func (st *stream) relay(s backendResponse, id ident.BackendID, placed *placement.PlacedRequest, stall *stallTimer, began time.Duration) error {
-	h := st.host
-	events := newEventReader(s.resp.Body)
-	last := time.Duration(0)
-	var early []byte // what came before the first event of this server
-	for {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			return st.finish(s, early)
-		}
-		if err != nil {
-			return err
-		}
-		if ev.id < 0 {
-			// Comments and events without an id are no progress: a server that sends only these is as good as silent.
-			if last != 0 {
-				err = st.write(s, ev.raw)
-			} else if early = append(early, ev.raw...); len(early) > maxEvent {
-				err = Error.New("more than %d bytes before the first event", maxEvent)
-			}
-			if err != nil {
-				return err
-			}
-			continue
-		}
-		if ev.id <= st.lastID {
-			continue // the caller already has this event
-		}
-		if st.lastID >= 0 && ev.id != st.lastID+1 {
-			return Error.New("event %d follows event %d", ev.id, st.lastID)
-		}
-		now := h.now()
-		st.lastProgress = now
-		st.events++
-		passTime := st.recordPause(id, now, last)
-		stall.extend(passTime)
-		if last == 0 {
-			h.metrics.recordFirstEvent(st.q, now-st.q.arrived)
-			st.q.placement.firstEvent = now - began
-			h.state.mu.Lock()
-			h.state.health.RecordSuccess(id, now-began)
-			h.state.engines.MarkStarted(placed)
-			h.state.mu.Unlock()
-		}
-		if last != 0 {
-			st.q.placement.longestPause = max(st.q.placement.longestPause, now-last)
-		}
-		last = now
-		if err := st.write(s, append(early, ev.raw...)); err != nil {
-			return err
-		}
-		early = nil
-		st.lastID = ev.id
+// accept decides about an event of a running attempt and returns what is to be relayed of it, nothing if the caller has it
+// already. Each event is relayed once and in order; the attempt whose event is relayed is the only one to go on.
+func (st *stream) accept(x *engineAttempt, ev event) (raw []byte, err error) {
+	before := st.race.Last()
+	verdict, losers := st.race.Event(x.id, ev.id)
+	switch verdict {
+	case hedge.Drop:
+		return nil, nil
+	case hedge.Gap:
+		return nil, Error.New("event %d follows event %d", ev.id, before)
 	}
+	st.cancelLosers(losers)
+	st.recordEvent(x)
+	raw, x.early = append(x.early, ev.raw...), nil
+	return raw, nil
+}
+
+// recordEvent records the time of an event that is relayed.
+func (st *stream) recordEvent(x *engineAttempt) {
+	h, now := st.host, st.host.now()
+	pause := now - x.lastProgress
+	first := x.events == 0
+	x.events++
+	x.lastProgress = now
+	st.watch(st.recordPause(x.server.ID, now, pause, first))
+	if !first {
+		st.q.placement.longestPause = max(st.q.placement.longestPause, pause)
+		return
+	}
+	st.q.placement.engine, st.q.placement.firstEvent = x.server.ID, now-x.began
+	h.metrics.recordFirstEvent(st.q, now-st.q.arrived)
+	h.state.mu.Lock()
+	h.state.health.RecordSuccess(x.server.ID, now-x.began)
+	h.state.engines.MarkStarted(x.placed)
+	h.state.mu.Unlock()
 }
 
 // recordPause compares a pause with its prediction and returns the prediction for the next one.
-func (st *stream) recordPause(id ident.BackendID, now, last time.Duration) time.Duration {
+func (st *stream) recordPause(id ident.BackendID, now, pause time.Duration, first bool) time.Duration {
 	s := st.host.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	passTime := s.engines.PassTime(now, id)
-	if last != 0 {
-		s.engines.Observe(id, passTime, now-last)
+	if !first {
+		s.engines.Observe(id, passTime, pause)
 	}
 	return passTime
 }
 
 // write forwards bytes of the stream. The response header of the first event's server is sent before them and applies
-// to the whole stream.
-func (st *stream) write(s backendResponse, raw []byte) error {
-	if !st.headerWritten {
-		copyHeader(st.w.Header(), s.resp.Header)
-		st.w.Header().Del("Content-Length")
-		st.w.WriteHeader(s.resp.StatusCode)
-		st.headerWritten = true
+// to the whole stream. It fails with outcome.Cancelled if the caller has left.
+func (st *stream) write(s backendResponse, raw []byte) *outcome.Error {
+	st.writeHeader(s)
+	_, err := st.w.Write(raw)
+	if err == nil {
+		err = st.flush.Flush()
 	}
-	if _, err := st.w.Write(raw); err != nil {
-		return err
+	if err != nil {
+		return outcome.Fail(stepAnswer, "", outcome.Cancelled, err)
 	}
-	return st.flush.Flush()
+	return nil
 }
 
-// finish completes a stream that its server has ended normally, also if no event was relayed. rest is what came after
-// the last event that was relayed.
-func (st *stream) finish(s backendResponse, rest []byte) error {
-	if len(rest) > 0 {
-		return st.write(s, rest)
-	}
+func (st *stream) writeHeader(s backendResponse) {
 	if st.headerWritten {
-		return nil
+		return
 	}
-	// A stream without events: the caller already had all of them.
 	copyHeader(st.w.Header(), s.resp.Header)
+	st.w.Header().Del("Content-Length")
 	st.w.WriteHeader(s.resp.StatusCode)
 	st.headerWritten = true
+}
+
+// finish completes a stream that its server has ended normally. If no event was relayed, the caller already had all of
+// them.
+func (st *stream) finish(x *engineAttempt, s backendResponse) *outcome.Error {
+	if len(x.early) > 0 {
+		return st.write(s, x.early)
+	}
+	st.writeHeader(s)
 	return nil
 }
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -142,9 +142,9 @@
 // maxResponseBytes bounds the response body of a plain service.
 const maxResponseBytes = 8 << 20
 
-// readResponse reads a complete response body. It returns an error if the body was truncated.
-func readResponse(q *request, resp *http.Response) ([]byte, error) {
-	resp.Body = q.memory.body(resp.Body)
+// readResponse reads a complete response body, which counts towards the share. It returns an error if the body was truncated.
+func readResponse(memory *share, resp *http.Response) ([]byte, error) {
+	resp.Body = memory.body(resp.Body)
 	return httpcall.ReadWhole(resp, maxResponseBytes)
 }
 
--- a/node/entry/stall.go
+++ b/node/entry/stall.go
@@ -1,60 +1,93 @@
 package entry
 
 import (
-	"context"
-	"sync/atomic"
 	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/placement"
 )
 
 const (
-	// minStall and maxStall bound the time beyond the prediction after which a silent engine counts as lost.
-	// Between them it is twice the objective. Callers of short requests abandon a stream after 2 s without an
-	// event, those of long ones after 6 s or more. If an engine is wrongly taken for lost, another one repeats
-	// the prefill, which is costly for a long prompt.
+	// minStall and maxStall bound the time beyond the prediction after which an engine counts as silent and another one is
+	// tried beside it. Between them it is twice the objective. Callers of short requests abandon a stream after 2 s without
+	// an event, those of long ones after 6 s or more. If a sound engine is taken for silent, another one repeats the
+	// prefill, which is costly for a long prompt.
 	minStall = 900 * time.Millisecond
 	maxStall = 3 * time.Second
 	// stallFactor adds a share of the predicted time, since predictions are less accurate for long waits.
 	stallFactor = 0.5
 )
 
-// stallTimer cancels an attempt whose engine sends no event for too long.
-type stallTimer struct {
-	timer   *time.Timer
-	active  bool
-	slack   time.Duration
-	stalled atomic.Bool
-}
+// What a host does about a silent server, as named in logs and metrics.
+const (
+	silentHedged   = "hedged"    // another server is tried beside it
+	silentNoServer = "no_server" // no other server can take the request
+	silentNoRetry  = "no_retry"  // the route, the time left or the retry budget allows no other server
+)
 
-// errStalled replaces the error of an attempt that a stallTimer has cancelled.
+// errStalled is the reason for excluding a server that has been silent for too long.
 var errStalled = Error.New("no event within the time that the engine's load explains")
 
-// newStallTimer starts a timer for the first event. For streams that may not be retried it never cancels, since
-// they have no other server to go to.
-func (st *stream) newStallTimer(cancel context.CancelFunc, predicted time.Duration) *stallTimer {
-	g := &stallTimer{
-		active: st.q.route.Repeatable() && st.q.attempts+1 < st.q.route.MaxAttempts,
-		slack:  min(maxStall, max(minStall, 2*st.q.route.Objective)),
+// watch starts the time after which the running attempts count as silent. Streams that may not be repeated are not
+// watched, since no other server may get them.
+func (st *stream) watch(predicted time.Duration) {
+	if !st.q.route.Repeatable() {
+		return
 	}
-	g.timer = time.AfterFunc(g.timeout(predicted), func() {
-		if g.active {
-			g.stalled.Store(true)
-			cancel()
-		}
-	})
-	return g
+	slack := min(maxStall, max(minStall, 2*st.q.route.Objective))
+	st.silence.Reset(slack + predicted + time.Duration(stallFactor*float64(predicted)))
 }
 
-func (g *stallTimer) timeout(predicted time.Duration) time.Duration {
-	return g.slack + predicted + time.Duration(stallFactor*float64(predicted))
+// hedgeSilent starts an attempt at another engine beside the silent one, which may only be silent for a while: the one that
+// continues the stream first goes on.
+func (st *stream) hedgeSilent() {
+	h, now := st.host, st.host.now()
+	a, taken := st.placeBeside(now)
+	for _, x := range st.running {
+		h.recordSilent(st.q, string(x.server.ID), now-x.lastProgress, taken)
+		h.excludeServer(x.server.ID, stepAnswer, errStalled)
+	}
+	st.watch(0)
+	if taken == silentHedged {
+		st.start(a)
+	}
 }
 
-func (g *stallTimer) extend(predicted time.Duration) { g.timer.Reset(g.timeout(predicted)) }
-func (g *stallTimer) stop()                          { g.timer.Stop() }
-func (g *stallTimer) fired() bool                    { return g.stalled.Load() }
+// placeBeside places an attempt beside the running one, on an engine that nothing speaks against.
+func (st *stream) placeBeside(now time.Duration) (a attempt, taken string) {
+	q, s := st.q, st.host.state
+	if !st.race.MayHedge() || q.timeLeft(now) < minResumeTime {
+		return attempt{}, silentNoRetry
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	excluded := func(id ident.BackendID) bool { return st.failed[id] || st.runsOn(id) || s.health.Excluded(now, id) }
+	a, e := st.chooseAmong(now, excluded)
+	switch {
+	case e != nil:
+		return attempt{}, silentNoServer
+	case !s.allowRetry(now, q.service):
+		return attempt{}, silentNoRetry
+	}
+	a.placed = s.engines.Place(now, a.choice)
+	st.host.requestReport()
+	return a, silentHedged
+}
 
-func (g *stallTimer) cause(err error) error {
-	if g.fired() {
-		return errStalled
+// runsOn reports whether an attempt is running on an engine.
+func (st *stream) runsOn(id ident.BackendID) bool {
+	for _, x := range st.running {
+		if x.server.ID == id {
+			return true
+		}
 	}
-	return err
+	return false
+}
+
+// endPlacement removes the load of an attempt that has ended.
+func (h *Host) endPlacement(placed *placement.PlacedRequest) {
+	h.state.mu.Lock()
+	h.state.engines.End(h.now(), placed)
+	h.state.mu.Unlock()
+	h.requestReport()
 }
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
-	"github.com/rosemaryhill/rosemaryhill/core/placement"
 )
 
 const (
@@ -20,49 +20,41 @@
 	minResumeTime = 50 * time.Millisecond
 )
 
-// stream is the state of a streamed response to a caller.
+// stream is the state of a streamed response to a caller. It belongs to the goroutine of the request: the attempts run in
+// goroutines of their own and send it messages.
 type stream struct {
 	host          *Host
+	ctx           context.Context // of the request and its attempts
 	w             http.ResponseWriter
 	flush         *http.ResponseController
 	q             *request
 	headerWritten bool // the response header has been written
-	lastID        int64
-	lastProgress  time.Duration // when the current attempt was sent or received its last event
-	events        int           // events of the current attempt
+	race          *hedge.Race
+	running       map[hedge.Attempt]*engineAttempt
+	messages      chan attemptMessage
+	done          chan struct{} // closed when messages are no longer received
+	silence       *time.Timer   // fires when the attempts have been silent for too long
 	failed        map[ident.BackendID]bool
 	// reserveFailures is the number of placements whose memory could not be reserved.
 	reserveFailures int
+	failedResponse  *response // complete 5xx response, passed on if no other server succeeds
 }
 
 // serveStream relays the event stream of an engine. If the engine is lost, the stream is resumed on another
 // engine after the last complete event, where the route allows it.
 func (h *Host) serveStream(ctx context.Context, w http.ResponseWriter, q *request) *outcome.Error {
-	st := &stream{
-		host: h, w: w, flush: http.NewResponseController(w), q: q, lastID: -1, failed: map[ident.BackendID]bool{},
-	}
-	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
-		st.lastID = id
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends attempts that have lost
+	st := h.newStream(ctx, w, q)
+	defer close(st.done)
+	defer st.silence.Stop()
+	last := st.serve()
+	if last == nil {
+		return nil
 	}
-	var last *outcome.Error
-	for {
-		a, e := st.place(ctx)
-		if e != nil {
-			if last == nil {
-				last = e
-			}
-			break
-		}
-		last = st.runAttempt(ctx, a)
-		if last == nil {
-			return nil
-		}
-		if last.Step == stepReserve && st.reserveFailures <= maxReserveFailures && ctx.Err() == nil {
-			continue // nothing was sent
-		}
-		if q.timeLeft(h.now()) < minResumeTime || !h.mayRetry(ctx, q, last) {
-			break
-		}
+	if st.failedResponse != nil && !st.headerWritten {
+		writeResponse(w, st.failedResponse)
+		return nil
 	}
 	last = h.finalError(ctx, q, last)
 	if st.headerWritten {
@@ -73,93 +65,177 @@
 	return last
 }
 
-// runAttempt runs a placed attempt until the stream ends or the engine fails.
-func (st *stream) runAttempt(ctx context.Context, a attempt) (failed *outcome.Error) {
-	h, q := st.host, st.q
-	s := h.state
-	choice, srv, placed := a.choice, a.server, a.placed
-	defer func() {
-		s.mu.Lock()
-		s.engines.End(h.now(), placed)
-		s.mu.Unlock()
-		h.requestReport()
-	}()
-	q.placement = placementStats{engine: srv.ID, helpers: len(choice.Helpers), predictedFirstEvent: choice.TimeToFirstEvent, loss: choice.Loss}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	held, e := st.reserve(ctx, choice, cancel)
-	if e != nil {
+func (h *Host) newStream(ctx context.Context, w http.ResponseWriter, q *request) *stream {
+	last := int64(-1)
+	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
+		last = id
+	}
+	st := &stream{
+		host: h, ctx: ctx, w: w, flush: http.NewResponseController(w), q: q,
+		race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), last), running: map[hedge.Attempt]*engineAttempt{},
+		messages: make(chan attemptMessage), done: make(chan struct{}), failed: map[ident.BackendID]bool{},
+		silence: time.NewTimer(time.Hour),
+	}
+	st.silence.Stop()
+	return st
+}
+
+// serve runs attempts until the answer is complete or no further attempt is made, and returns the last failure.
+func (st *stream) serve() *outcome.Error {
+	if e := st.begin(); e != nil {
 		return e
 	}
-	defer held.release()
-	stall := st.newStallTimer(cancel, choice.TimeToFirstEvent)
-	defer stall.stop()
-	f := st.buildForward(choice, held)
-	began := h.now()
-	st.lastProgress, st.events = began, 0
-	defer func() {
-		if failed != nil {
-			h.recordFailedAttempt(q, failed, attemptCause(failed, stall.fired(), ctx.Err() != nil), st.events, h.now()-st.lastProgress)
+	for {
+		var e *outcome.Error
+		ended := false
+		select {
+		case m := <-st.messages:
+			if m.end != nil {
+				e, ended = st.handleEnd(m.from, *m.end)
+			} else {
+				e, ended = st.handleEvent(m.from, m.received, m.event)
+			}
+		case <-st.silence.C:
+			st.hedgeSilent()
 		}
-	}()
-	ctx, span := h.startStepSpan(ctx, stepSend, srv.ID)
-	defer func() { endSpan(span, failed) }()
-	received, ran, err := h.send(ctx, q, srv, f)
-	if err != nil {
-		st.failed[srv.ID] = true
-		if stall.fired() {
-			h.excludeServer(srv.ID, stepSend, errStalled)
+		if ended {
+			return e
 		}
-		return h.sendFailed(ctx, q, srv.ID, ran, stall.cause(err))
 	}
-	defer received.resp.Body.Close()
-	q.attempts++
-	if err := received.check(q); err != nil {
-		q.mayHaveRun = true
-		st.failed[srv.ID] = true
-		return h.invalidResponse(ctx, srv.ID, err)
+}
+
+// begin places an attempt, which may have to wait for an engine, and starts it.
+func (st *stream) begin() *outcome.Error {
+	a, e := st.place(st.ctx)
+	if e != nil {
+		return e
 	}
-	if received.reply.NotRun {
-		st.recordRefusal(srv.ID, received.reply.AtFault)
-		return h.rejected(q, srv.ID, received)
+	st.start(a)
+	return nil
+}
+
+// start starts a placed attempt. It continues after the last event that the caller has.
+func (st *stream) start(a attempt) {
+	x := &engineAttempt{attempt: a, stream: st, id: st.race.Open(), began: st.host.now()}
+	if last := st.race.Last(); last >= 0 {
+		x.resumeAfter = strconv.FormatInt(last, 10)
+	} else {
+		x.resumeAfter = st.q.call.ResumeAfter
 	}
-	q.mayHaveRun = true
-	if received.resp.StatusCode != http.StatusOK {
-		return st.handleNonStream(ctx, srv.ID, received, began)
+	x.lastProgress = x.began
+	st.running[x.id] = x
+	st.q.placement = placementStats{
+		engine: a.server.ID, helpers: len(a.choice.Helpers), predictedFirstEvent: a.choice.TimeToFirstEvent, loss: a.choice.Loss,
 	}
-	if !received.reply.Signed {
-		st.failed[srv.ID] = true
-		return h.invalidResponse(ctx, srv.ID, Error.New("stream without the server's signature"))
+	st.watch(a.choice.TimeToFirstEvent)
+	var ctx context.Context
+	ctx, x.cancel = context.WithCancel(st.ctx)
+	go x.run(ctx)
+}
+
+// handleEvent relays an event, or ends the attempt that sent it. ended is set if the caller can't be reached.
+func (st *stream) handleEvent(x *engineAttempt, received backendResponse, ev event) (e *outcome.Error, ended bool) {
+	if !st.race.IsOpen(x.id) {
+		return nil, false // it has lost
 	}
-	if err := st.relay(received, srv.ID, placed, stall, began); err != nil {
-		st.failed[srv.ID] = true
-		if ctx.Err() == nil || stall.fired() {
-			h.excludeServer(srv.ID, stepAnswer, stall.cause(err))
-		}
-		return backendError(stepAnswer, srv.ID, true, stall.cause(err))
+	st.q.mayHaveRun = true
+	var raw []byte
+	var err error
+	if ev.id < 0 {
+		raw, err = x.hold(ev.raw)
+	} else {
+		raw, err = st.accept(x, ev)
 	}
-	return nil
+	if err != nil {
+		x.cancel()
+		return st.handleEnd(x, attemptEnd{step: stepAnswer, received: &received, err: err})
+	}
+	if len(raw) == 0 {
+		return nil, false
+	}
+	e = st.write(received, raw)
+	return e, e != nil
+}
+
+// handleEnd handles the end of an attempt. ended is set if the answer is complete or no further attempt is made.
+func (st *stream) handleEnd(x *engineAttempt, end attemptEnd) (e *outcome.Error, ended bool) {
+	st.q.memory.absorb(end.memory)
+	if !st.race.Close(x.id) {
+		return nil, false // it has lost
+	}
+	delete(st.running, x.id)
+	e = st.conclude(x, end)
+	if e == nil || e.Reason == outcome.Cancelled {
+		return e, true
+	}
+	h := st.host
+	h.recordFailedAttempt(st.q, e, end.contextErr != nil, x.events, h.now()-x.lastProgress)
+	if st.race.Running() > 0 {
+		return nil, false // another attempt may still answer
+	}
+	return st.retry(e)
+}
+
+// retry begins another attempt after the last one has failed, where that is allowed.
+func (st *stream) retry(last *outcome.Error) (e *outcome.Error, ended bool) {
+	h, q := st.host, st.q
+	unsent := last.Step == stepReserve && st.reserveFailures <= maxReserveFailures && st.ctx.Err() == nil
+	if !unsent && (q.timeLeft(h.now()) < minResumeTime || !h.mayRetry(st.ctx, q, last)) {
+		return last, true
+	}
+	if st.begin() != nil {
+		return last, true
+	}
+	return nil, false
 }
 
-// reserve reserves the memory that the choice needs on its helpers. If it fails, the request has not been sent.
-func (st *stream) reserve(ctx context.Context, choice placement.Choice, cancelAttempt context.CancelFunc) (held *reservations, e *outcome.Error) {
-	if len(choice.Reservations) == 0 {
-		return nil, nil
+// conclude records what the end of an attempt shows about its servers and returns its failure, nil if the answer is
+// complete.
+func (st *stream) conclude(x *engineAttempt, end attemptEnd) *outcome.Error {
+	h, q, id := st.host, st.q, x.server.ID
+	if end.step == stepReserve {
+		st.race.Unsent()
+		return st.reserveFailed(x, end.err)
+	}
+	if end.step == stepDial {
+		st.race.Unsent()
+	}
+	q.attempts = st.race.Sent()
+	if end.received == nil {
+		st.failed[id] = true
+		return h.sendFailed(end.contextErr, q, id, end.step, end.err)
+	}
+	if end.received.reply.NotRun && end.err == nil {
+		st.recordRefusal(id, end.received.reply.AtFault)
+		return h.rejected(q, id, *end.received)
+	}
+	q.mayHaveRun = true
+	switch {
+	case end.err == nil && end.body == nil:
+		return st.finish(x, *end.received)
+	case end.err == nil:
+		st.failed[id] = true
+		return st.handleNonStream(x, *end.received, end.body)
 	}
-	ctx, span := st.host.startStepSpan(ctx, stepReserve, "")
-	defer func() { endSpan(span, e) }()
-	reserved, err := st.host.reserve(ctx, choice, cancelAttempt)
-	if err == nil {
-		return reserved, nil
+	st.failed[id] = true
+	if end.invalid {
+		return h.invalidResponse(end.contextErr, id, end.err)
+	}
+	if end.contextErr == nil {
+		h.excludeServer(id, stepAnswer, end.err)
 	}
+	return backendError(stepAnswer, id, true, end.err)
+}
+
+// reserveFailed handles a placement whose memory could not be reserved. Nothing has been sent.
+func (st *stream) reserveFailed(x *engineAttempt, err error) *outcome.Error {
 	st.reserveFailures++
 	var refused *reserveError
 	if errors.As(err, &refused) {
 		st.failed[refused.engine] = true
 	}
-	st.host.decisions.write(fields{"request": st.q.call.ID, "error": err.Error(), "helpers": len(choice.Helpers)}, "memory not reserved")
-	return nil, &outcome.Error{
-		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepReserve, RetryAfter: noBackendRetry, Err: err,
+	return &outcome.Error{
+		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepReserve, Peer: string(x.server.ID), RetryAfter: noBackendRetry, Err: err,
 	}
 }
 
@@ -182,38 +258,25 @@
 	h.excludeServer(faulty, stepSend, errHelperUnusable)
 }
 
-// buildForward builds the information that is sent to the engine along with the caller's header.
-func (st *stream) buildForward(choice placement.Choice, reserved *reservations) Forward {
-	f := Forward{Engine: true, Urgency: urgency(st.q.priority, st.q.route.Objective), ResumeAfter: st.q.call.ResumeAfter}
-	if st.lastID >= 0 {
-		f.ResumeAfter = strconv.FormatInt(st.lastID, 10)
-	}
-	s := st.host.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, id := range choice.Helpers {
-		if a, ok := s.engines.Address(id); ok {
-			f.Helpers = append(f.Helpers, Helper{Address: a, Reservation: reserved.idFor(id)})
-		}
-	}
-	return f
-}
-
-// handleNonStream handles a complete response that is not a stream.
-func (st *stream) handleNonStream(ctx context.Context, id ident.BackendID, s backendResponse, began time.Duration) *outcome.Error {
-	h, q := st.host, st.q
-	st.failed[id] = true
-	body, err := readResponse(q, s.resp)
-	if err != nil {
-		return h.invalidResponse(ctx, id, err)
-	}
-	a, e := h.checkResponse(q, id, s, body, h.now()-began)
+// handleNonStream handles a complete response that is not a stream. A failed one counts only if no other attempt succeeds.
+func (st *stream) handleNonStream(x *engineAttempt, received backendResponse, body []byte) *outcome.Error {
+	a, e := st.host.checkResponse(x.server.ID, received, body, st.host.now()-x.began)
 	if e != nil {
 		return e
 	}
-	if st.headerWritten || (a.status >= http.StatusInternalServerError && h.mayRetry(ctx, q, nil)) {
-		return backendError(stepAnswer, id, true, Error.New("status %d", a.status))
+	if a.status >= http.StatusInternalServerError {
+		st.failedResponse = a
+	}
+	if a.status >= http.StatusInternalServerError || st.headerWritten || st.race.Running() > 0 {
+		return backendError(stepAnswer, x.server.ID, true, Error.New("status %d", a.status))
 	}
 	writeResponse(st.w, a)
 	return nil
 }
+
+func (st *stream) cancelLosers(losers []hedge.Attempt) {
+	for _, a := range losers {
+		st.running[a].cancel()
+		delete(st.running, a)
+	}
+}
