Explain the end of a request from the logs of entry hosts

Cause: to find the cause of a failure, an operator searched the logs by hand for the request, then for its servers, its host and the state that the host held. Change: rosectl explain ID LOG... prints the findings, what the host knew at the arrival, the events in order, the servers and the counters with the same cause.

--- a/cmd/rosectl/command.go
+++ b/cmd/rosectl/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
@@ -31,18 +32,48 @@
 	summary  string
 	examples string
 	flags    func(*flaggy.Subcommand)
+	values   *values // arguments that are no flags; nil if there are none
 	run      func(ctx context.Context, out io.Writer) error
 	children []*command
 
 	sub *flaggy.Subcommand
 }
 
+// values are the arguments of a subcommand that are no flags. The first ones have names; the last name stands for all
+// further ones if repeated is set.
+type values struct {
+	names, descriptions []string
+	repeated            bool
+	given               []string
+}
+
+// attach adds at most count values to a subcommand. flaggy needs a variable for each value, and refuses others.
+func (v *values) attach(sc *flaggy.Subcommand, count int) {
+	if !v.repeated {
+		count = len(v.names)
+	}
+	v.given = make([]string, max(count, len(v.names)))
+	for i := range v.given {
+		name := min(i, len(v.names)-1)
+		sc.AddPositionalValue(&v.given[i], v.names[name], i+1, false, v.descriptions[name])
+		sc.PositionalFlags[i].Hidden = i > name
+	}
+}
+
+// list returns the values that the arguments contain.
+func (v *values) list() []string {
+	return slices.DeleteFunc(slices.Clone(v.given), func(s string) bool { return s == "" })
+}
+
 func commands() []*command {
-	return []*command{standinCommand(), configCommand(), loadCommand(), policyCommand(), placementCommand(), soakCommand(), demoCommand()}
+	return []*command{
+		standinCommand(), configCommand(), loadCommand(), explainCommand(), policyCommand(), placementCommand(),
+		soakCommand(), demoCommand(),
+	}
 }
 
-// attach adds c and its children to parent.
-func (c *command) attach(parent *flaggy.Subcommand) {
+// attach adds c and its children to parent. arguments is the number of arguments on the command line.
+func (c *command) attach(parent *flaggy.Subcommand, arguments int) {
 	c.sub = flaggy.NewSubcommand(c.name)
 	c.sub.Description = c.summary
 	if c.examples != "" {
@@ -51,8 +82,11 @@
 	if c.flags != nil {
 		c.flags(c.sub)
 	}
+	if c.values != nil {
+		c.values.attach(c.sub, arguments)
+	}
 	for _, child := range c.children {
-		child.attach(c.sub)
+		child.attach(c.sub, arguments)
 	}
 	parent.AttachSubcommand(c.sub, 1)
 }
@@ -74,13 +108,13 @@
 // with 0 after printing help and with 2 after an unknown flag.
 func run(ctx context.Context, args []string, out io.Writer) int {
 	parser := flaggy.NewParser("rosectl")
-	parser.Description = "Publish configurations, run load tests and run stand-ins for outside systems."
+	parser.Description = "Publish configurations, explain requests, run load tests and run stand-ins for outside systems."
 	parser.AdditionalHelpAppend = exitCodesHelp
 	parser.DisableShowVersionWithVersion()
 	parser.ShowCompletion = false
 	all := commands()
 	for _, c := range all {
-		c.attach(&parser.Subcommand)
+		c.attach(&parser.Subcommand, len(args))
 	}
 	if err := parser.ParseArgs(args); err != nil {
 		return report(usageError.Wrap(err))
