Turn the result of a load test into one HTML page

Cause: the result of rosectl load is a JSON file or a table; a page with both tables and plots had to be made by hand. Change: rosectl report FILE writes a page with inline SVG: latency by percentile for prompt sizes, service calls and teams, and tables of served, refused and failed requests. Results hold no series over time, so the plots of served requests and of refusals over time are left out, which the page says. Conclusion: the plots over time need a series in the result, which rosectl load does not write yet.

--- a/cmd/rosectl/command.go
+++ b/cmd/rosectl/command.go
@@ -67,7 +67,7 @@
 
 func commands() []*command {
 	return []*command{
-		standinCommand(), configCommand(), loadCommand(), explainCommand(), policyCommand(), placementCommand(),
+		standinCommand(), configCommand(), loadCommand(), reportCommand(), explainCommand(), policyCommand(), placementCommand(),
 		soakCommand(), demoCommand(),
 	}
 }
--- a/lab/load/plot.go
+++ b/lab/load/plot.go
@@ -20,15 +20,24 @@
 
 // WritePlot writes an SVG with the time to the first token by prompt size on a logarithmic scale.
 func (r *Result) WritePlot(path string) error {
+	p, err := latencyPlot("Time to first token, "+r.Name, r.FirstToken)
+	if err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+// latencyPlot plots a line for each percentile over the rows that have samples.
+func latencyPlot(title string, rows []Latency) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text = "Time to first token, " + r.Name
+	p.Title.Text = title
 	p.Y.Label.Text = "ms"
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	var names []string
 	var at []Quantiles
-	for _, l := range r.FirstToken {
+	for _, l := range rows {
 		if l.Count > 0 {
 			names, at = append(names, l.Label), append(at, l.Quantiles)
 		}
@@ -55,7 +64,7 @@
 		}
 		line, marks, err := plotter.NewLinePoints(points)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		line.Color, marks.Color, marks.Shape = s.color, s.color, draw.CircleGlyph{}
 		p.Add(line, marks)
@@ -64,5 +73,5 @@
 	// A logarithmic axis needs a range above 0, even for a single point.
 	p.Y.Min, p.Y.Max = lowest/2, highest*2
 	p.NominalX(names...)
-	return p.Save(plotWidth, plotHeight, path)
+	return p, nil
 }
