Count for the findings what happens within 2 s of the request, whatever is shown

The kind of route of a refused stream was given as one of a plain service. Change: events count in a time of their own; the kind comes from the prompt's tokens where no engine was chosen, and is left open where the log does not tell it. The tests cover both sides of the limits. Conclusion: the findings of the tested request are the same with and without a time around it.

--- a/lab/explain/explain.go
+++ b/lab/explain/explain.go
@@ -24,6 +24,9 @@
 const (
 	// clockSlack is the difference between the clocks of two hosts up to which their events are related.
 	clockSlack = time.Second
+	// countAround is how much longer before and after the shown events those are that count for the findings, so that
+	// these hardly depend on what is shown.
+	countAround = 2 * clockSlack
 	// minStepBack is how much a time must be before that of the preceding line to count as a clock that was set back.
 	// Lines that are written at the same time may swap.
 	minStepBack = 100 * time.Millisecond
--- a/lab/explain/explain_test.go
+++ b/lab/explain/explain_test.go
@@ -23,6 +23,7 @@
 time="2026-01-02T10:00:06.000Z" level=info msg="published state applied" config=4 host=edge-1 revision=9 role=entry source=changes
 time="2026-01-02T10:00:07.000Z" level=info msg="published state applied" config=4 host=edge-1 revision=10 role=entry source=changes
 time="2026-01-02T10:00:08.000Z" level=warning msg="store lost" error=EOF host=edge-1 role=entry
+time="2026-01-02T10:00:09.500Z" level=warning msg="server excluded" error=EOF host=edge-1 role=entry server=i-4 step=send
 time="2026-01-02T10:00:10.100Z" level=warning msg="server excluded" error=EOF host=edge-1 role=entry server=i-1 step=send
 time="2026-01-02T10:00:10.200Z" level=info msg="server refused request" at_fault= helpers=0 host=edge-1 request=r1 role=entry server=i-2 status=503
 time="2026-01-02T10:00:10.300Z" level=info msg="request failed" attempts=1 config=4 host=edge-1 outcome=may-have-run peer=i-3 reason=backend_lost request=r2 role=entry step=answer took_ms=9
@@ -78,6 +79,7 @@
 		"The host had lost the store 2s before the request arrived.",
 		"Host edge-2 had applied configuration 5 1.3s before the request arrived; this host decided by 4.",
 		"Server i-3 was excluded by 2 hosts within 1s of the request, so it was lost or slow.",
+		"This host excluded 3 servers within 1s of the request, other hosts up to 2: the servers or their network failed.",
 		"The request was sent 3 times; its lines name 2 of the servers; while it ran, this host excluded i-1.",
 		"The first event came after 450 ms, though 100 ms were predicted: the engine had more to do than this host knew.",
 	})
@@ -97,11 +99,15 @@
 		"i-2 (server): answered 0 streams, refused 1 requests",
 		"i-3 (engine, peer): answered 0 streams, refused 0 requests, failed 2 (backend_lost), failed 1 (no_backend), excluded by edge-1 (+490 ms) edge-2 (+1100 ms)",
 	})
+	// The findings are those of a shorter time around the request too.
+	short, err := Read(context.Background(), Options{ID: "r1"}, sources(edge1, edge2))
+	c.Assert(err, qt.IsNil)
+	c.Assert(short.Requests[0].Findings(), qt.DeepEquals, q.Findings())
 	out := text(c, r)
 	c.Assert(out, qt.Contains, "the clock of edge-2 seems to be 700ms ahead of that of edge-1")
 	c.Assert(out, qt.Contains, "edge-1 left out 3 lines about single requests")
-	c.Assert(out, qt.Contains, "log2: 1 lines are no events; the first is line 17: logline: no time=")
-	for _, foreign := range []string{"i-9", "request=r2", "ms  started", "ms  stopped"} {
+	c.Assert(out, qt.Contains, "log2: 1 lines are no events; the first is line 18: logline: no time=")
+	for _, foreign := range []string{"i-9", "took_ms=9", "ms  started", "ms  stopped"} {
 		c.Assert(out, qt.Not(qt.Contains), foreign)
 	}
 	positions := []int{strings.Index(out, "store lost"), strings.Index(out, "server refused"), strings.Index(out, "paused gap_ms"), strings.Index(out, "> 10:00:10.500")}
@@ -110,6 +116,15 @@
 	}
 }
 
+// Guards against an old configuration that is read from clocks which may differ.
+func TestNewerConfigurationNeedsClearLead(t *testing.T) {
+	c := qt.New(t)
+	q := read(c, "r1", edge1, strings.Replace(edge2, "10:00:08.700Z", "10:00:09.500Z", 1)).Requests[0]
+	for _, f := range q.Findings() {
+		c.Assert(f, qt.Not(qt.Contains), "had applied configuration")
+	}
+}
+
 // Guards against events that are sorted by a clock that was set back, and against a step that goes unmentioned.
 func TestClockStepsBack(t *testing.T) {
 	c := qt.New(t)
@@ -117,7 +132,7 @@
 	out := text(c, read(c, "r1", stepped))
 	c.Assert(strings.Index(out, "06.490"), qt.Not(qt.Equals), -1)
 	c.Assert(strings.Index(out, "process was paused gap_ms") < strings.Index(out, "06.490"), qt.IsTrue)
-	c.Assert(out, qt.Contains, "times of edge-1 step back, by up to 3.91s at log1:13")
+	c.Assert(out, qt.Contains, "times of edge-1 step back, by up to 3.91s at log1:14")
 	// Logs of one host in the wrong order are no step back.
 	half := strings.Index(edge1, `time="2026-01-02T10:00:08`)
 	c.Assert(text(c, read(c, "r1", edge1[half:], edge1[:half])), qt.Not(qt.Contains), "step back")
--- a/lab/explain/findings.go
+++ b/lab/explain/findings.go
@@ -188,15 +188,7 @@
 		if reason := e.Get("reason"); reason != "" {
 			end += "/" + reason
 		}
-		kind := "idempotent or non-idempotent"
-		switch {
-		case e.Get("step") == "route" || e.Get("reason") == "not_ready":
-			kind = "none"
-		case e.Get("engine") != "":
-			kind = "stream"
-		}
-		out = append(out, fmt.Sprintf("rosemaryhill_entry_requests_total{end=%q}", end),
-			fmt.Sprintf("rosemaryhill_entry_request_seconds{kind=%q}", kind))
+		out = append(out, fmt.Sprintf("rosemaryhill_entry_requests_total{end=%q}", end), "rosemaryhill_entry_request_seconds{"+kindLabel(e)+"}")
 		if first, ok := e.Int("first_ms"); ok && first > 0 {
 			out = append(out, `rosemaryhill_entry_first_event_seconds{kind="stream"}`)
 		}
@@ -213,6 +205,19 @@
 	return out
 }
 
+// kindLabel returns the label of the kind of route. The log of a request to a plain service does not tell whether its
+// route is idempotent.
+func kindLabel(e Event) string {
+	tokens, _ := e.Int("prompt_tokens")
+	switch {
+	case e.Get("step") == "route" || e.Get("reason") == "not_ready":
+		return `kind="none"`
+	case e.Get("engine") != "" || tokens > 0:
+		return `kind="stream"`
+	}
+	return "kind"
+}
+
 // placementSteps are the steps whose outcome depends on the engines and hosts of the host's partition.
 var placementSteps = []string{"admit", "place", "queue", "reserve"}
 
--- a/lab/explain/request.go
+++ b/lab/explain/request.go
@@ -132,11 +132,10 @@
 	if e.Host != q.Host {
 		slack = clockSlack
 	}
-	if e.Time.Before(q.from.Add(-slack)) || e.Time.After(q.until.Add(slack)) {
-		return
+	if q.within(e.Time, max(slack, countAround)) {
+		q.count(e)
 	}
-	q.count(e)
-	if !q.concerns(e) {
+	if !q.within(e.Time, slack) || !q.concerns(e) {
 		return
 	}
 	kept := &q.keptOther
@@ -151,6 +150,11 @@
 	q.Related[e.Host] = append(q.Related[e.Host], e)
 }
 
+// within reports whether t is between from and until, or at most the given time outside.
+func (q *Request) within(t time.Time, outside time.Duration) bool {
+	return !t.Before(q.from.Add(-outside)) && !t.After(q.until.Add(outside))
+}
+
 // concerns reports whether an event belongs to the request or concerns its host or its servers.
 func (q *Request) concerns(e Event) bool {
 	id := q.Events[0].Get("request")
