Accept collectors that put a time= of their own before a log line

Cause: a line whose collector's words contain time= counted as broken, since the pairs were taken to begin there. Change: up to four occurrences are tried as the begin of the pairs. The bound keeps a line of such keys from taking a time that grows with the square of its length.

--- a/lab/logline/line.go
+++ b/lab/logline/line.go
@@ -45,6 +45,8 @@
 const (
 	// firstKey begins the pairs of every line.
 	firstKey = "time="
+	// maxStarts is the number of occurrences of firstKey at which the pairs may begin. A collector's words may contain it too.
+	maxStarts = 4
 	// usualFields is the number of fields for which memory is allocated at once. The end of a request has about 17.
 	usualFields = 20
 )
@@ -52,12 +54,39 @@
 // Parse parses a line, with or without its line break. It returns an error unless the line has a time and a message and all of
 // its pairs are whole.
 func Parse(text []byte) (Line, error) {
-	start := pairsStart(text)
-	if start < 0 {
-		return Line{}, Error.New("no time=")
+	first := Error.New("no time=")
+	start := nextStart(text, 0)
+	for try := 0; try < maxStarts && start >= 0; try++ {
+		l, err := parsePairs(text[start:])
+		if err == nil {
+			return l, nil
+		}
+		if try == 0 {
+			first = err
+		}
+		start = nextStart(text, start+1)
+	}
+	return Line{}, first
+}
+
+// nextStart returns the position of the next first key that begins a word, or -1.
+func nextStart(text []byte, from int) int {
+	for {
+		i := bytes.Index(text[from:], []byte(firstKey))
+		if i < 0 {
+			return -1
+		}
+		from += i
+		if from == 0 || text[from-1] == ' ' || text[from-1] == '\t' {
+			return from
+		}
+		from += len(firstKey)
 	}
+}
+
+func parsePairs(text []byte) (Line, error) {
 	l := Line{Fields: make([]Field, 0, usualFields)}
-	rest := strings.TrimRight(string(text[start:]), " \t\r\n")
+	rest := strings.TrimRight(string(text), " \t\r\n")
 	for rest != "" {
 		f, tail, err := cutField(rest)
 		if err != nil {
@@ -74,21 +103,6 @@
 	return l, nil
 }
 
-// pairsStart returns the position of the first key that begins a word, or -1.
-func pairsStart(text []byte) int {
-	for from := 0; ; {
-		i := bytes.Index(text[from:], []byte(firstKey))
-		if i < 0 {
-			return -1
-		}
-		from += i
-		if from == 0 || text[from-1] == ' ' || text[from-1] == '\t' {
-			return from
-		}
-		from += len(firstKey)
-	}
-}
-
 // cutField cuts the first pair off a text that begins with one.
 func cutField(text string) (f Field, rest string, err error) {
 	key, value, ok := strings.Cut(text, "=")
--- a/lab/logline/logline_test.go
+++ b/lab/logline/logline_test.go
@@ -17,7 +17,7 @@
 // empty last value.
 func TestParse(t *testing.T) {
 	c := qt.New(t)
-	l, err := Parse([]byte("sometime=1 " + strings.TrimSpace(whole)))
+	l, err := Parse([]byte("sometime=1 time=1.5 stream=\"out " + strings.TrimSpace(whole)))
 	c.Assert(err, qt.IsNil)
 	c.Assert(l.Time.UnixMilli(), qt.Equals, int64(1767323045678))
 	c.Assert(l, qt.DeepEquals, Line{
