Log again that memory for a prompt was not reserved

Cause: the line was lost when attempts moved to goroutines of their own. Change: written where the failure is handled. Evidence: TestNamesOfEntryHost (lab/explain), which compares the names that it knows with the code, failed before.

--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -234,6 +234,7 @@
 	if errors.As(err, &refused) {
 		st.failed[refused.engine] = true
 	}
+	st.host.decisions.write(fields{"request": st.q.call.ID, "error": err.Error(), "helpers": len(x.choice.Helpers)}, "memory not reserved")
 	return &outcome.Error{
 		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepReserve, Peer: string(x.server.ID), RetryAfter: noBackendRetry, Err: err,
 	}
