Read the parts that prompts share and log them when an attempt fails

Cause: the logs of the incident name requests and servers, but not what the prompts have in common, so content and load can't be told apart as the cause of the crashes.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -192,6 +192,7 @@
 	h.decisions.write(fields{
 		"request": q.call.ID, "server": e.Peer, "step": e.Step, "cause": cause, "events": events,
 		"silent_ms": silence.Milliseconds(), "attempts": q.attempts, "config": uint64(q.config), "error": e.Error(),
+		"parts": q.call.SharedParts,
 	}, "attempt failed")
 }
 
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
@@ -17,8 +18,16 @@
 	ResumeAfter  string        // last event that the caller has received of an earlier stream
 	PromptTokens int           // zero for requests to plain services
 	OutputTokens int           // maximum number
+	// SharedParts are the IDs of the prompt's parts that other requests may share, in order.
+	SharedParts []PromptPart
 }
 
+// PromptPart identifies a part of a prompt. It is printed in hexadecimal.
+type PromptPart uint64
+
+// String implements fmt.Stringer.
+func (p PromptPart) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // Helper is an engine that processes part of a prompt.
 type Helper struct {
 	Address     string
