Add rosectl quarantine, which compares ways to share evidence on crashing prompt parts

Cause: hosts can share what core/quarantine learns in several ways, which differ in how many servers are lost and in traffic.

--- a/cmd/rosectl/command.go
+++ b/cmd/rosectl/command.go
@@ -38,7 +38,7 @@
 }
 
 func commands() []*command {
-	return []*command{standinCommand(), configCommand(), loadCommand(), policyCommand(), placementCommand(), soakCommand(), demoCommand()}
+	return []*command{standinCommand(), configCommand(), loadCommand(), policyCommand(), placementCommand(), quarantineCommand(), soakCommand(), demoCommand()}
 }
 
 // attach adds c and its children to parent.
