--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// rounds is the number of interval reports with which a host passes on what it has learned. Each goes to the near
-	// peers and up to 32 far ones, so each of 1,000 hosts gets well over 100 copies on average, and one that gets none
-	// at 30 % of lost datagrams is unlikely to exist even when hosts that started together send to the same far
-	// peers at the same time.
+	// rounds is the number of interval reports with which a host passes on what it has learned, less the number of
+	// copies that it hears meanwhile. Each report goes to the near peers and up to 32 far ones, so an item multiplies by
+	// more than 30 in each interval until most hosts have it, and those that are left get several copies on average
+	// from each of the last rounds. Hosts that hear no copies do not stop, however many datagrams are lost.
 	rounds = 4
 	// repeated is the number of decisions that each interval report repeats in turn for hosts that missed them.
 	repeated = 2
@@ -85,6 +85,9 @@
 	return true
 }
 
+// heard counts a copy that another host has told.
+func (s *spread) heard() { s.left = max(0, s.left-1) }
+
 // tellings holds what has been told of the answers to parts that are suspects.
 type tellings map[Part]*telling
 
@@ -204,12 +207,15 @@
 func (t *Table) Apply(now time.Duration, u Update) {
 	for _, c := range u.Crashes {
 		if c.Age >= 0 && c.Age <= recordTTL {
-			t.mergeRecord(c.Server, now-c.Age, c.Suspects, c.Refuted)
+			t.applyCrash(now, c)
 		}
 	}
 	for _, a := range u.Answers {
 		if a.Age >= 0 && a.Age <= answerTTL {
 			t.answers.add(now, a.Part, now-a.Age)
+			if x := t.told[a.Part]; x != nil && now-a.Age >= x.at {
+				x.spread.heard()
+			}
 		}
 	}
 	for _, d := range u.Decisions {
@@ -219,6 +225,14 @@
 	}
 }
 
+func (t *Table) applyCrash(now time.Duration, c Crash) {
+	r := t.records[c.Server.Lifetime]
+	if r != nil && r.refuted == c.Refuted && len(r.suspects) == len(c.Suspects) {
+		r.spread.heard()
+	}
+	t.mergeRecord(c.Server, now-c.Age, c.Suspects, c.Refuted)
+}
+
 // applyDecision takes over a decision that is newer than the known one. Of equal ones the earlier time counts, which
 // was delayed least on its way.
 func (t *Table) applyDecision(now time.Duration, d Decision) {
@@ -229,6 +243,7 @@
 	}
 	if e != nil && e.strikes == d.Strikes && e.released == d.Released {
 		e.at = min(e.at, at)
+		e.spread.heard()
 		return
 	}
 	if e != nil && (e.strikes > d.Strikes || e.strikes == d.Strikes && e.released) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -140,6 +140,44 @@
 	c.Assert(f.changes, qt.HasLen, 0)
 }
 
+// Guards against blame on too little evidence: each case lacks one condition.
+func TestEvidenceThatDoesNotSuffice(t *testing.T) {
+	other, with := []Part{shared}, []Part{shared, bad}
+	type event struct {
+		crashed, answered []Part
+		beside            int // servers that crash at the same moment without the part
+		times             int
+	}
+	cases := map[string][]event{
+		"nothing is answered since":       {{answered: other, times: 20}, {crashed: with, times: 8}},
+		"little is answered":              {{crashed: with, times: 8}, {answered: other, times: contrast - 1}},
+		"answered after the crashes":      {{crashed: with, answered: other, times: minMoments - 1}, {answered: with, times: 1}, {crashed: with, answered: other, times: provenMoments - 1}, {answered: other, times: 40}},
+		"answered before, four crashes":   {{answered: with, times: 1}, {crashed: with, answered: other, times: provenMoments - 1}, {answered: other, times: 40}},
+		"two crashes":                     {{crashed: with, answered: other, times: minMoments - 1}, {answered: other, times: 40}},
+		"more servers crash without it":   {{crashed: with, answered: other, beside: 2, times: 8}, {answered: other, times: 40}},
+		"no answers between, known parts": {{answered: with, times: 1}, {crashed: with, times: 8}, {answered: other, times: 40}},
+	}
+	for name, events := range cases {
+		x, now, l := NewTable(Config{}), 2*second, Lifetime(1000)
+		for _, e := range events {
+			for range e.times {
+				now += 2 * moment
+				if e.crashed != nil {
+					x.RecordCrash(now, Server{service, l}, e.crashed)
+				}
+				for i := range e.beside {
+					x.RecordCrash(now, Server{service, l + 1 + Lifetime(i)}, other)
+				}
+				if e.answered != nil {
+					x.RecordAnswer(now+1, Server{service, 1}, e.answered)
+				}
+				l += 10
+				qt.Check(t, x.Tick(now+moment), qt.HasLen, 0, qt.Commentf("%s", name))
+			}
+		}
+	}
+}
+
 // Guards against blame after connections were reset to servers that go on answering, and against such a reset hiding that
 // the same servers crash later.
 func TestAnswerOfServerRefutesItsCrash(t *testing.T) {
