Let a host that has just started blame parts only on the evidence that answered ones need

Cause: a host that has just started knows no answers, so three crashes beside a bad part sufficed to blame a sound one.

Change: for 10 s after the start every part counts as answered at the start.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -37,6 +37,9 @@
 	minMoments    = 3
 	provenMoments = 5
 	quietTime     = 1500 * time.Millisecond
+	// learnTime is the time from the start of a host in which it treats all parts as answered just before: it does not
+	// know yet which parts are answered again and again.
+	learnTime = 10 * time.Second
 	// unrelatedFactor is the least ratio of the moments with a part to those without it in the same time. A long request
 	// that waits at servers which are replaced in turn would be blamed otherwise.
 	unrelatedFactor = 2
@@ -158,7 +161,7 @@
 	for {
 		var best *candidate
 		for _, records := range t.unexplained(now) {
-			for _, c := range t.candidates(records) {
+			for _, c := range t.candidates(now, records) {
 				if t.guilty(now, c) && (best == nil || c.before(best)) {
 					best = c
 				}
@@ -218,7 +221,7 @@
 
 // candidates returns the parts that may be the reason of the crashes at some moments: those that are suspects of at least
 // half of the servers that crashed then, and have not been answered since.
-func (t *Table) candidates(records []*record) map[Part]*candidate {
+func (t *Table) candidates(now time.Duration, records []*record) map[Part]*candidate {
 	out := map[Part]*candidate{}
 	for i, all := range momentsOf(records) {
 		with := map[Part][]*record{}
@@ -226,7 +229,7 @@
 			for _, s := range r.suspects {
 				c := out[s.Part]
 				if c == nil {
-					c = t.newCandidate(s.Part)
+					c = t.newCandidate(now, s.Part)
 					out[s.Part] = c
 				}
 				if r.at > c.answered {
@@ -255,14 +258,18 @@
 // unrelated returns the number of other moments between the first and the last one of the part.
 func (c *candidate) unrelated() int { return c.last - c.first + 1 - c.moments }
 
-func (t *Table) newCandidate(p Part) *candidate {
+func (t *Table) newCandidate(now time.Duration, p Part) *candidate {
 	c := &candidate{part: p}
 	c.answered, c.proven = t.answers.last(p)
 	if e := t.entries[p]; e != nil && e.released {
 		c.answered, c.proven = max(c.answered, e.at), true
 	}
-	if !c.proven {
-		c.answered = -recordTTL
+	switch {
+	case c.proven:
+	case now-t.started < learnTime:
+		c.answered, c.proven = t.started, true
+	default:
+		c.answered = t.started - recordTTL
 	}
 	return c
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -65,6 +65,7 @@
 // Table holds the evidence and the quarantined parts that a host knows of. It is not safe for concurrent use.
 type Table struct {
 	cfg        Config
+	started    time.Duration
 	records    map[Lifetime]*record
 	order      []*record // records by the time at which this host learned of them
 	answers    answers
@@ -88,15 +89,15 @@
 	spread      spread
 }
 
-// NewTable returns a table without evidence.
-func NewTable(cfg Config) *Table {
+// NewTable returns a table without evidence of a host that starts now.
+func NewTable(now time.Duration, cfg Config) *Table {
 	if cfg.FirstHold == 0 {
 		cfg.FirstHold = FirstHold
 	}
 	if cfg.MaxHold == 0 {
 		cfg.MaxHold = MaxHold
 	}
-	return &Table{cfg: cfg, records: map[Lifetime]*record{}, entries: map[Part]*entry{}, told: tellings{}}
+	return &Table{cfg: cfg, started: now, records: map[Lifetime]*record{}, entries: map[Part]*entry{}, told: tellings{}}
 }
 
 // hold returns the time from a decision to the test of the part.
