Repeat decisions in one of five reports, and pass new ones on eight times

Cause: while a part was quarantined, each report repeated the decision: most of the traffic after a series.

Change: one of five interval reports repeats decisions, chosen by a hash. New decisions go out with eight reports, whatever copies are heard.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -11,8 +11,13 @@
 	// more than 30 in each interval until most hosts have it, and those that are left get several copies on average
 	// from each of the last rounds. Hosts that hear no copies do not stop, however many datagrams are lost.
 	rounds = 4
-	// repeated is the number of decisions that each interval report repeats in turn for hosts that missed them.
-	repeated = 2
+	// decisionRounds is the same for decisions, but copies do not count: they are small, and each host needs them soon,
+	// also when hosts that started together send to the same far peers in each interval.
+	decisionRounds = 8
+	// repeated is the number of decisions that one in repeatEvery interval reports repeats in turn for hosts that missed
+	// them. Which reports these are follows a hash: with a fixed distance they could meet the same far peers each time.
+	repeated    = 2
+	repeatEvery = 5
 	// MaxUpdateBytes is the greatest size of an update, with the sizes below.
 	MaxUpdateBytes = 900
 	// Greatest sizes of the items in msgpack: an array header of 1 byte, or 3 for a list; 9 bytes for a hash of 64 bits,
@@ -125,7 +130,7 @@
 			u.Decisions = append(u.Decisions, e.decision(now))
 		}
 	}
-	if interval {
+	if interval && t.repeatDue() {
 		t.repeatDecisions(now, decisions, &u)
 	}
 	for _, r := range t.order {
@@ -166,6 +171,12 @@
 	}
 }
 
+// repeatDue reports whether an interval report repeats decisions.
+func (t *Table) repeatDue() bool {
+	t.reports++
+	return mix(0, Lifetime(t.reports))%repeatEvery == 0
+}
+
 // repeatDecisions adds some decisions in turn.
 func (t *Table) repeatDecisions(now time.Duration, list []*entry, u *Update) {
 	for range min(repeated, len(list)) {
@@ -243,7 +254,6 @@
 	}
 	if e != nil && e.strikes == d.Strikes && e.released == d.Released {
 		e.at = min(e.at, at)
-		e.spread.heard()
 		return
 	}
 	if e != nil && (e.strikes > d.Strikes || e.strikes == d.Strikes && e.released) {
@@ -259,7 +269,7 @@
 
 func (t *Table) takeOver(e *entry, d entry) {
 	before := *e
-	e.strikes, e.released, e.at, e.testUntil, e.spread = d.strikes, d.released, d.at, 0, spread{left: rounds}
+	e.strikes, e.released, e.at, e.testUntil, e.spread = d.strikes, d.released, d.at, 0, spread{left: decisionRounds}
 	switch {
 	case d.released && !before.released:
 		e.refused = false
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -72,6 +72,7 @@
 	entries    map[Part]*entry
 	active     int // entries that are not released
 	told       tellings
+	reports    int // interval reports so far, while there was something to tell
 	nextRepeat int // index in the sorted entries
 	nextBlame  time.Duration
 	changes    []Change
@@ -244,12 +245,12 @@
 		return
 	}
 	e.strikes++
-	e.at, e.testUntil, e.spread = crash, 0, spread{left: rounds}
+	e.at, e.testUntil, e.spread = crash, 0, spread{left: decisionRounds}
 	t.report(e, Renewed, nil)
 }
 
 func (t *Table) release(e *entry, at time.Duration) {
-	e.at, e.released, e.refused, e.testUntil, e.spread = at, true, false, 0, spread{left: rounds}
+	e.at, e.released, e.refused, e.testUntil, e.spread = at, true, false, 0, spread{left: decisionRounds}
 	t.active--
 	t.report(e, Released, nil)
 }
@@ -263,7 +264,7 @@
 		}
 	}
 	e.strikes++
-	e.at, e.released, e.spread = now, false, spread{left: rounds}
+	e.at, e.released, e.spread = now, false, spread{left: decisionRounds}
 	t.active++
 	t.report(e, Started, evidence)
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -362,6 +362,39 @@
 	c.Assert(x.quarantined(other), qt.IsNotNil)
 }
 
+// Guards against hosts that miss a decision for good as all reports that carried it at first were lost.
+func TestDecisionsAreRepeated(t *testing.T) {
+	c := qt.New(t)
+	a, b := NewTable(0, Config{}), NewTable(0, Config{})
+	now := series(a, second)
+	carried := 0
+	for range 6 * decisionRounds {
+		now += 250 * time.Millisecond
+		if u := a.TakeUpdate(now, true); len(u.Decisions) > 0 {
+			if carried++; carried > decisionRounds {
+				b.Apply(now, u)
+			}
+		}
+	}
+	c.Assert(refuses(b, now), qt.IsTrue)
+	c.Assert(carried <= 3*decisionRounds, qt.IsTrue)
+}
+
+// Guards against reports on changes, which near peers get, that carry an item again and again or use up the reports that
+// far peers get too.
+func TestReportsOnChangesCarryItemsOnce(t *testing.T) {
+	c := qt.New(t)
+	x := NewTable(0, Config{})
+	now := series(x, second)
+	c.Assert(x.Urgent(now), qt.IsTrue)
+	c.Assert(x.TakeUpdate(now, false).Decisions, qt.HasLen, 1)
+	c.Assert(x.Urgent(now), qt.IsFalse)
+	c.Assert(x.TakeUpdate(now, false).Empty(), qt.IsTrue)
+	for range decisionRounds {
+		c.Assert(x.TakeUpdate(now, true).Decisions, qt.HasLen, 1)
+	}
+}
+
 // Guards against a full table that drops a quarantine for another.
 func TestQuarantinesKeepTheirPlace(t *testing.T) {
 	c := qt.New(t)
