Keep requests with a prompt part that crashes servers from them

Callers saw: while requests with one part came, server after server ended, 60 and 70 requests with the part too many reached servers, and sound requests failed with them: the streams on a lost server, and those for which none was left. Cause: a host forgot what a request had done to its server. It sent the second attempt, and every host the next request with the part, to servers that were still sound. Class: a fault that travels with the request and is treated as one of the server. Change: core/quarantine finds the part from the streams that broke off within 250 ms of their first event or before it, refuses requests with it ("prompt_quarantined", 503 with the time to its next test), and tests it later with one request. Evidence and decisions go to other hosts in datagrams of their own beside the load reports, and whole to a host that starts. The store's "born" tells apart servers that start again under their id. Conclusion: what crashes servers is found by what the lost streams have in common, not by the servers that are lost.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -104,6 +104,9 @@
 	Slots    int
 	State    ServerState
 	Revision uint64 // revision of the store at the entry's last change
+	// Started is the time of the server's start in Unix ms, by which a server that starts again under its ID is told apart.
+	// Zero if it is not known.
+	Started int64
 	// Lapsed marks a server in a snapshot whose entry has been missing since an outage. The server is
 	// removed after LapseGracePeriod unless its entry returns.
 	Lapsed bool
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -74,6 +74,8 @@
 	BackendLost         Reason = "backend_lost"
 	Cancelled           Reason = "cancelled"
 	Internal            Reason = "internal"
+	// PromptQuarantined means that servers have crashed on a part of the prompt.
+	PromptQuarantined Reason = "prompt_quarantined"
 )
 
 var notRunStatus = map[Reason]int{
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -12,6 +12,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -411,3 +412,19 @@
 	}
 	return ahead
 }
+
+// RanksAmong reports whether this host is among the n live hosts that rank first for a key by a hash. Hosts that hear from
+// the same peers agree on the ranks.
+func (t *Table) RanksAmong(now time.Duration, key uint64, n int) bool {
+	own, higher := rank(t.self, key), 0
+	for addr, p := range t.peers {
+		if p.Alive(now) && !p.Leaving && rank(addr, key) > own {
+			higher++
+		}
+	}
+	return higher < n
+}
+
+func rank(addr member.Addr, key uint64) uint64 {
+	return xxhash.Sum64String(string(addr) + "/" + strconv.FormatUint(key, 16))
+}
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -24,7 +24,9 @@
 	began        time.Duration
 	lastProgress time.Duration // when the request was sent or the last event was received
 	events       int
-	early        []byte // what came before the first event
+	firstEvent   time.Duration // when the first event was received
+	proven       bool          // the server has gone on after it began to answer
+	early        []byte        // what came before the first event
 }
 
 // attemptMessage is an event of an attempt, or its end.
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -6,6 +6,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
 	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
 )
 
@@ -49,8 +50,9 @@
 
 // outgoing is a load report with its receivers.
 type outgoing struct {
-	to     []member.Addr
-	report gossip.LoadReport
+	to       []member.Addr
+	report   gossip.LoadReport
+	evidence quarantine.Update
 }
 
 // report sends a load report.
@@ -61,6 +63,7 @@
 	s.mu.Unlock()
 	for _, o := range out {
 		h.gossip.SendLoad(o.to, o.report)
+		h.gossip.SendEvidence(o.to, o.evidence)
 	}
 }
 
@@ -82,18 +85,19 @@
 	own, shared := s.splitUpdate(s.engines.TakeUpdate(full))
 	near := gossip.LoadReport{Status: status, Validity: peers.NearValidity, Update: own}
 	far := gossip.LoadReport{Status: status, Validity: targets.FarValidity}
-	out := []outgoing{{targets.Near, near}, {targets.Far, far}}
 	now := h.now()
+	evidence := s.quarantine.TakeUpdate(now, reason != reportOnChange)
+	out := []outgoing{{targets.Near, near, evidence}, {targets.Far, far, evidence}}
 	for part, update := range shared {
 		report := far
 		report.Update = update
-		out = append(out, outgoing{s.peers.FarSharing(now, part), report})
+		out = append(out, outgoing{to: s.peers.FarSharing(now, part), report: report})
 	}
 	if started := s.peers.TakeNew(); len(started) > 0 {
 		introduction := far
 		introduction.Update.Loads = s.engines.OwnLoads()
 		introduction.KnownAddrs = s.peers.Sample(gossip.MaxKnownAddrs)
-		out = append(out, outgoing{started, introduction})
+		out = append(out, outgoing{started, introduction, s.quarantine.Whole(now)})
 	}
 	return out
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -65,6 +65,7 @@
 			signal(h.resync)
 		}
 		h.dropLapsed()
+		h.evaluateQuarantine()
 		if reason != reportOnChange {
 			h.refreshPeers()
 		}
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -89,12 +89,14 @@
 
 // Steps of a request, as named in errors and spans.
 const (
-	stepPlace   = "place"
-	stepQueue   = "queue"
-	stepDial    = "dial"
-	stepReserve = "reserve"
-	stepSend    = "send"
-	stepAnswer  = "answer"
+	stepPlace = "place"
+	// stepQuarantine refuses requests with a prompt part that crashes servers.
+	stepQuarantine = "quarantine"
+	stepQueue      = "queue"
+	stepDial       = "dial"
+	stepReserve    = "reserve"
+	stepSend       = "send"
+	stepAnswer     = "answer"
 )
 
 // sendFailed handles a request that got no response at all. contextErr is the error of its context at the time.
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -43,6 +43,10 @@
 	now := h.now()
 	s := h.state
 	s.mu.Lock()
+	if e := st.checkParts(now); e != nil {
+		s.mu.Unlock()
+		return attempt{}, e
+	}
 	a, e := st.choose(now)
 	if e != nil {
 		s.mu.Unlock()
@@ -126,6 +130,10 @@
 // be locked.
 func (h *Host) offer(now time.Duration, w *waitingStream) bool {
 	engines := h.state.engines
+	if e := w.Value.stream.checkParts(now); e != nil {
+		w.Value.result <- queueResult{err: e}
+		return true
+	}
 	a, e := w.Value.stream.choose(now)
 	if e == nil {
 		if now < w.WaitUntil && !engines.ShouldPlaceNow(a.choice) {
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -35,8 +35,12 @@
 	st.watch(st.recordPause(x.server.ID, now, pause, first))
 	if !first {
 		st.q.placement.longestPause = max(st.q.placement.longestPause, pause)
+		if !x.proven && now-x.firstEvent >= answerProof {
+			x.recordAnswered(now)
+		}
 		return
 	}
+	x.firstEvent = now
 	st.q.placement.engine, st.q.placement.firstEvent = x.server.ID, now-x.began
 	h.metrics.recordFirstEvent(st.q, now-st.q.arrived)
 	h.state.mu.Lock()
@@ -84,6 +88,9 @@
 // finish completes a stream that its server has ended normally. If no event was relayed, the caller already had all of
 // them.
 func (st *stream) finish(x *engineAttempt, s backendResponse) *outcome.Error {
+	if !x.proven && x.events > 0 {
+		x.recordAnswered(st.host.now())
+	}
 	if len(x.early) > 0 {
 		return st.write(s, x.early)
 	}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpend"
 )
 
@@ -39,8 +40,9 @@
 	route       *catalog.Route
 	service     string
 	team        string
-	priority    int           // of the team or, if it has none, of the route; 0 is the most urgent
-	config      ident.Version // configuration version that determined the route and the team
+	priority    int               // of the team or, if it has none, of the route; 0 is the most urgent
+	config      ident.Version     // configuration version that determined the route and the team
+	parts       []quarantine.Part // keys of the shared parts of the prompt
 	body        []byte
 	memory      share // of the host's memory for bodies
 	arrived     time.Duration
@@ -137,6 +139,7 @@
 		}
 	}
 	q.service = q.route.Pick(s.rng.Float64())
+	q.parts = partKeys(q.service, q.call.SharedParts)
 	limit := defaultTimeout
 	if q.route.Timeout > 0 {
 		limit = q.route.Timeout
--- a/node/entry/stall.go
+++ b/node/entry/stall.go
@@ -61,6 +61,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if st.checkParts(now) != nil {
+		return attempt{}, silentNoRetry
+	}
 	excluded := func(id ident.BackendID) bool { return st.failed[id] || st.runsOn(id) || s.health.Excluded(now, id) }
 	a, e := st.chooseAmong(now, excluded)
 	switch {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/partition"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
 	"github.com/rosemaryhill/rosemaryhill/core/retry"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
@@ -27,6 +28,8 @@
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
 	peers        *peers.Table
+	quarantine   *quarantine.Table
+	partNames    map[quarantine.Part]PromptPart // IDs of parts that were suspects, for the log
 	// fullReportNeeded is set when the next load report has to carry the full load.
 	fullReportNeeded bool
 	// storeConnected is set while this host reads the store itself and the store answers.
@@ -44,6 +47,8 @@
 		loadBalancer: placement.NewLoadBalancer(),
 		budgets:      map[string]*retry.FleetBudget{},
 		peers:        peers.NewTable(),
+		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
+		partNames:    map[quarantine.Part]PromptPart{},
 	}
 }
 
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -38,6 +38,7 @@
 	// reserveFailures is the number of placements whose memory could not be reserved.
 	reserveFailures int
 	failedResponse  *response // complete 5xx response, passed on if no other server succeeds
+	testsParts      bool      // the request tests quarantined parts of its prompt
 }
 
 // serveStream relays the event stream of an engine. If the engine is lost, the stream is resumed on another
@@ -48,6 +49,7 @@
 	st := h.newStream(ctx, w, q)
 	defer close(st.done)
 	defer st.silence.Stop()
+	defer st.endTest()
 	last := st.serve()
 	if last == nil {
 		return nil
@@ -201,6 +203,10 @@
 		st.race.Unsent()
 	}
 	q.attempts = st.race.Sent()
+	if end.step != stepDial && !end.invalid && end.contextErr == nil && isBreak(end.err) {
+		st.testsParts = false
+		x.recordCrash(h.now())
+	}
 	if end.received == nil {
 		st.failed[id] = true
 		return h.sendFailed(end.contextErr, q, id, end.step, end.err)
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -148,6 +148,10 @@
 		s.handleLoadReport(member.Addr(c.RemoteAddr().String()), b[1:])
 		return gnet.None
 	}
+	if len(b) > 0 && b[0] == evidenceTag {
+		s.handleEvidence(member.Addr(c.RemoteAddr().String()), b[1:])
+		return gnet.None
+	}
 	msg, err := s.decoder.decode(b)
 	if err != nil {
 		s.undecodable.Add(1)
@@ -170,6 +174,19 @@
 	h.OnLoad(from, r)
 }
 
+func (s *Service) handleEvidence(from member.Addr, b []byte) {
+	h, ok := s.handler.(EvidenceHandler)
+	if !ok {
+		return
+	}
+	u, err := decodeEvidence(b)
+	if err != nil {
+		s.undecodable.Add(1)
+		return
+	}
+	h.OnEvidence(from, u)
+}
+
 // Addr returns the address that the service listens on.
 func (s *Service) Addr() member.Addr { return member.Addr(s.addr) }
 
