Test the answers that a quarantine needs, and decisions that come after they have lapsed

Two changes of the code went unnoticed: no answers needed before a quarantine, and lapsed decisions taken over from peers. Both fail a test now.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -150,7 +150,7 @@
 	}
 	cases := map[string][]event{
 		"nothing is answered since":       {{answered: other, times: 20}, {crashed: with, times: 8}},
-		"little is answered":              {{crashed: with, times: 8}, {answered: other, times: contrast - 1}},
+		"little is answered":              {{crashed: with, times: 8}, {answered: other, times: 7}},
 		"answered after the crashes":      {{crashed: with, answered: other, times: minMoments - 1}, {answered: with, times: 1}, {crashed: with, answered: other, times: provenMoments - 1}, {answered: other, times: 40}},
 		"answered before, four crashes":   {{answered: with, times: 1}, {crashed: with, answered: other, times: provenMoments - 1}, {answered: other, times: 40}},
 		"two crashes":                     {{crashed: with, answered: other, times: minMoments - 1}, {answered: other, times: 40}},
@@ -277,6 +277,8 @@
 	lapsing.Tick(second + 4*FirstHold)
 	c.Assert(refuses(lapsing, second+4*FirstHold), qt.IsFalse)
 	c.Assert(lapsing.entries, qt.HasLen, 0)
+	lapsing.Apply(second+4*FirstHold, Update{Decisions: []Decision{{Part: bad, Strikes: 1, Age: 2 * FirstHold}}})
+	c.Assert(refuses(lapsing, second+4*FirstHold), qt.IsFalse)
 }
 
 // Guards against requests with two quarantined parts that no host may test, as a different host ranks first for each.
