Report a reset to the reader of a response after a write has met it

Cause: the kernel reports the error of a reset once. When a server answers before it has read the whole request and then resets the connection, the write of the request may get the error, and the read gets an end of file. A body that ends with its connection then looks cleanly ended. Such bodies are refused at present; they can't be allowed before this is mended. Change: the connections of calls to backend servers and to the platform keep the error of a failed write, and a read returns it in place of an end of file. At an end of file the read waits for a write in progress. A server that answers without reading the request, and closes its connection, resets it thereby: its answer is whole only with a length or chunks.

--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -43,7 +43,7 @@
 		Control: setUserTimeout,
 	}
 	t := httpcall.Transport(dialTimeout)
-	t.DialContext = d.DialContext
+	t.DialContext = httpcall.DialContext(d)
 	// Responses are relayed event by event, so small buffers suffice.
 	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- /dev/null
+++ b/node/internal/httpcall/conn.go
@@ -0,0 +1,54 @@
+package httpcall
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+)
+
+// DialContext returns a function for http.Transport.DialContext whose connections report a reset as an error of the
+// reader, also after a writer has met it.
+func DialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &resetConn{Conn: conn}, nil
+	}
+}
+
+// resetConn is a connection that never reports a reset as a clean end. The kernel reports the error of a reset once. If a
+// write gets it, a read returns io.EOF, which is how the body of a response without length or chunks ends.
+type resetConn struct {
+	net.Conn
+	mu       sync.Mutex // held during a write
+	writeErr error
+}
+
+// Write implements net.Conn.
+func (c *resetConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. At the end it waits for a write in progress, which may be the one that gets the error.
+func (c *resetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr != nil {
+		return n, c.writeErr
+	}
+	return n, err
+}
--- /dev/null
+++ b/node/internal/httpcall/conn_test.go
@@ -0,0 +1,58 @@
+package httpcall
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a reset that passes for the clean end of a body without length or chunks: a request that is still being
+// written takes the error of the reset, and the kernel then reports an end of file to the reader.
+func TestResetDuringRequestIsNoCleanEnd(t *testing.T) {
+	const rounds, requestBytes = 100, 16 << 20
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	go answerAndReset(ln)
+	client := &http.Client{Transport: Transport(time.Second)}
+	answered, whole := 0, 0
+	for range rounds {
+		resp, err := client.Post("http://"+ln.Addr().String(), "text/plain", bytes.NewReader(make([]byte, requestBytes)))
+		if err != nil {
+			continue // the reset came before the head was read
+		}
+		answered++
+		if _, err := io.ReadAll(resp.Body); err == nil {
+			whole++
+		}
+		resp.Body.Close()
+	}
+	c.Assert(answered > 0, qt.IsTrue)
+	c.Assert(whole, qt.Equals, 0, qt.Commentf("of %d answers", answered))
+}
+
+// answerAndReset answers each request after its head with a part of a body, and resets the connection.
+func answerAndReset(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return // closed
+		}
+		go func() {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			time.Sleep(2 * time.Millisecond) // the client reads the head and goes on writing
+			conn.(*net.TCPConn).SetLinger(0)
+		}()
+	}
+}
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -41,7 +41,7 @@
 	http1.SetHTTP1(true)
 	return &http.Transport{
 		Protocols:              http1,
-		DialContext:            d.DialContext,
+		DialContext:            DialContext(d),
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxResponseHeader,
 		DisableCompression:     true,
