Serve answers without length or chunks, which end with their connection

Cause: the platform's servers may answer with neither a length nor chunks; such an answer is whole when its connection ends cleanly. Both paths refused them ("answer without length or chunks"): plain requests ended 502, streams went to a second server and failed there, and each answer counted against its server. A body without length or chunks ends with a clean close, not with a reset or a timeout. A stream that ends inside an event is broken off, as before. A stream without length or chunks also needs a new event: a server that dies before its first event looks like an empty one. For a new stream this is evidence like any break; a resumed one may have had no event left, so nothing is held against its server. Engine sessions keep their end line, which alone makes them whole. Bounds of size and memory stay. Refusals: "not run" stands in the head, which net/http hands over whole or not at all, and the body is not read. So a refusal that names the request is true without a length; before, the request ended "may have run".

--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
 // relay forwards complete events in order, each exactly once.
@@ -18,6 +19,9 @@
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if err := httpcall.CheckStreamEnd(s.resp, last != 0); err != nil {
+				return err
+			}
 			return st.finish(s, early)
 		}
 		if err != nil {
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -98,15 +98,13 @@
 	return backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}, true, nil
 }
 
-// check returns an error unless the response names this request, has a known end and was not re-encoded on the way.
-// Nothing that a response says counts before this check, not even a refusal: a late or misdirected response must not
-// make a request look as if it has not run.
+// check returns an error unless the response names this request and was not re-encoded on the way. Nothing that a response
+// says counts before this check, not even a refusal: a late or misdirected response must not make a request look as if it
+// has not run. A refusal needs no more than its head, which arrives whole or not at all; its body is not read.
 func (s *backendResponse) check(q *request) error {
 	switch {
 	case s.reply.ID != q.call.ID:
 		return Error.New("answer to another request")
-	case !httpcall.HasKnownEnd(s.resp):
-		return Error.New("answer without length or chunks")
 	case s.resp.Header.Get("Content-Encoding") != "":
 		return Error.New("answer with a content encoding")
 	}
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
 const (
@@ -125,7 +126,9 @@
 	}
 	if err := st.relay(received, srv.ID, placed, stall, began); err != nil {
 		st.failed[srv.ID] = true
-		if ctx.Err() == nil || stall.fired() {
+		// A resumed stream may have no event left, so that its end is no evidence against the server.
+		nothingLeft := errors.Is(err, httpcall.ErrNoEvent) && st.lastID >= 0
+		if !nothingLeft && (ctx.Err() == nil || stall.fired()) {
 			h.excludeServer(srv.ID, stepAnswer, stall.cause(err))
 		}
 		return backendError(stepAnswer, srv.ID, true, stall.cause(err))
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -128,21 +128,9 @@
 // ErrTooLarge is the error of a response body that exceeds its size limit.
 var ErrTooLarge = errors.New("answer exceeds its size bound")
 
-// ErrNoEnd is the error of a response that has neither a length nor chunks.
-var ErrNoEnd = errors.New("answer without length or chunks")
-
-// HasKnownEnd reports whether a response has a length or chunks. The body of any other response ends with its
-// connection, so a lost one can't be told from a complete body.
-func HasKnownEnd(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
-// ReadWhole reads the body of a response to its end. It fails with ErrTooLarge if the body has more than limit bytes, and
-// with ErrNoEnd if its end is not known.
+// ReadWhole reads the body of a response to its end, as EndsWithConnection describes it. It fails with ErrTooLarge if the
+// body has more than limit bytes.
 func ReadWhole(resp *http.Response, limit int64) ([]byte, error) {
-	if !HasKnownEnd(resp) {
-		return nil, ErrNoEnd
-	}
 	return readBounded(resp.Body, limit)
 }
 
