Refuse answers in HTTP/1.0 with a transfer encoding

Cause: HTTP/1.0 has no transfer encodings, and net/http drops the field. With answers that end with their connection allowed, the sizes of chunks would be served as a part of the body, and a cut among them would not show. With a length too, such an answer was served before; the standard takes its framing for faulty either way (RFC 9112, section 6.1). Change: the connections to backend servers read the head of answers in HTTP/1.0 along, and fail at such a field. The request ends like one whose server sends no HTTP. A head in HTTP/1.1 costs one look at its first line. The tests of platform and node pass.

--- a/node/internal/httpcall/conn.go
+++ b/node/internal/httpcall/conn.go
@@ -8,28 +8,29 @@
 	"sync"
 )
 
-// DialContext returns a function for http.Transport.DialContext whose connections report a reset as an error of the
-// reader, also after a writer has met it.
+// DialContext returns a function for http.Transport.DialContext whose connections report what net/http does not: a reset
+// that a writer has met, and a transfer encoding in HTTP/1.0.
 func DialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &resetConn{Conn: conn}, nil
+		return &backendConn{Conn: conn}, nil
 	}
 }
 
-// resetConn is a connection that never reports a reset as a clean end. The kernel reports the error of a reset once. If a
+// backendConn is a connection that never reports a reset as a clean end. The kernel reports the error of a reset once. If a
 // write gets it, a read returns io.EOF, which is how the body of a response without length or chunks ends.
-type resetConn struct {
+type backendConn struct {
 	net.Conn
+	head     headCheck  // used by the reader only
 	mu       sync.Mutex // held during a write
 	writeErr error
 }
 
 // Write implements net.Conn.
-func (c *resetConn) Write(b []byte) (int, error) {
+func (c *backendConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
@@ -40,8 +41,11 @@
 }
 
 // Read implements net.Conn. At the end it waits for a write in progress, which may be the one that gets the error.
-func (c *resetConn) Read(b []byte) (int, error) {
+func (c *backendConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err := c.head.read(b[:n]); err != nil {
+		return 0, err
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/node/internal/httpcall/conn_test.go
+++ b/node/internal/httpcall/conn_test.go
@@ -56,3 +56,25 @@
 		}()
 	}
 }
+
+// Guards against a transfer encoding in HTTP/1.0 that is missed because its head arrives in parts, and against one in a body
+// or in HTTP/1.1 that is taken for it.
+func TestTransferEncodingInHTTP10IsFound(t *testing.T) {
+	c := qt.New(t)
+	const field = "Transfer-Encoding: chunked\r\n"
+	for text, want := range map[string]error{
+		"HTTP/1.0 200 OK\r\nA: b\r\n" + field + "\r\n": errTransferEncoding,
+		"HTTP/1.0 200 OK\ntRANSFER-eNCODING:\n\n":      errTransferEncoding,
+		"HTTP/1.0 200 OK\r\nA: b\r\n\r\n" + field:      nil,
+		"HTTP/1.0 200 OK\r\nX-" + field + "\r\n":       nil,
+		"HTTP/1.1 200 OK\r\n" + field + "\r\n":         nil,
+	} {
+		var whole, parts headCheck
+		c.Check(whole.read([]byte(text)), qt.Equals, want, qt.Commentf(text))
+		var err error
+		for i := 0; i < len(text) && err == nil; i++ {
+			err = parts.read([]byte(text[i : i+1]))
+		}
+		c.Check(err, qt.Equals, want, qt.Commentf(text))
+	}
+}
