Reset a cut stream towards callers of HTTP/1.0

Cause: a stream that ends early closes the caller's connection. In HTTP/1.1 the missing last chunk shows the cut. A body in HTTP/1.0 ends with its connection, so its caller took the events so far for the whole stream. A trial with a server that breaks off showed it: two events of five and a clean end. Change: the connection of such a caller is reset. The tests of platform and node/entry pass.

--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -66,8 +66,7 @@
 	last = h.finalError(ctx, q, last)
 	if st.headerWritten {
 		h.recordEnd(q, last.Kind.String(), string(last.Reason), last)
-		// A truncated stream must not look complete, so the connection is aborted.
-		panic(http.ErrAbortHandler)
+		abort(st.flush, q.http)
 	}
 	return last
 }
