Merge answers without length or chunks

The end of a stream is checked where an attempt is concluded; a stream that ends with its connection before an event counts as a break, for its server and as evidence on the parts of its prompt, unless it was resumed.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -48,6 +48,11 @@
 	contextErr error            // of the attempt, when it failed
 }
 
+// isStream reports whether the response is a stream.
+func (e *attemptEnd) isStream() bool {
+	return e.received != nil && !e.invalid && !e.received.reply.NotRun
+}
+
 // run runs the attempt until the stream ends or the engine fails.
 func (x *engineAttempt) run(ctx context.Context) {
 	defer x.cancel()
--- a/node/entry/quarantine.go
+++ b/node/entry/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
 const (
@@ -115,7 +116,7 @@
 
 // isBreak reports whether an error means that a connection has been closed or reset.
 func isBreak(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, httpcall.ErrNoEvent) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // namePartsLocked keeps the IDs of a prompt's parts for the log. The state must be locked.
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -43,7 +43,7 @@
 		Control: setUserTimeout,
 	}
 	t := httpcall.Transport(dialTimeout)
-	t.DialContext = d.DialContext
+	t.DialContext = httpcall.DialContext(d)
 	// Responses are relayed event by event, so small buffers suffice.
 	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -98,15 +98,13 @@
 	return backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}, true, nil
 }
 
-// check returns an error unless the response names this request, has a known end and was not re-encoded on the way.
-// Nothing that a response says counts before this check, not even a refusal: a late or misdirected response must not
-// make a request look as if it has not run.
+// check returns an error unless the response names this request and was not re-encoded on the way. Nothing that a response
+// says counts before this check, not even a refusal: a late or misdirected response must not make a request look as if it
+// has not run. A refusal needs no more than its head, which arrives whole or not at all; its body is not read.
 func (s *backendResponse) check(q *request) error {
 	switch {
 	case s.reply.ID != q.call.ID:
 		return Error.New("answer to another request")
-	case !httpcall.HasKnownEnd(s.resp):
-		return Error.New("answer without length or chunks")
 	case s.resp.Header.Get("Content-Encoding") != "":
 		return Error.New("answer with a content encoding")
 	}
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
 const (
@@ -61,8 +62,7 @@
 	last = h.finalError(ctx, q, last)
 	if st.headerWritten {
 		h.recordEnd(q, last.Kind.String(), string(last.Reason), last)
-		// A truncated stream must not look complete, so the connection is aborted.
-		panic(http.ErrAbortHandler)
+		abort(st.flush, q.http)
 	}
 	return last
 }
@@ -203,7 +203,12 @@
 		st.race.Unsent()
 	}
 	q.attempts = st.race.Sent()
-	if end.step != stepDial && !end.invalid && end.contextErr == nil && isBreak(end.err) {
+	if end.isStream() && end.err == nil {
+		end.err = httpcall.CheckStreamEnd(end.received.resp, x.events > 0)
+	}
+	// A resumed stream may have no event left, so that its end is no evidence against the server.
+	nothingLeft := errors.Is(end.err, httpcall.ErrNoEvent) && st.race.Last() >= 0
+	if !nothingLeft && end.step != stepDial && !end.invalid && end.contextErr == nil && isBreak(end.err) {
 		st.testsParts = false
 		x.recordCrash(h.now())
 	}
@@ -227,7 +232,7 @@
 	if end.invalid {
 		return h.invalidResponse(end.contextErr, id, end.err)
 	}
-	if end.contextErr == nil {
+	if !nothingLeft && end.contextErr == nil {
 		h.excludeServer(id, stepAnswer, end.err)
 	}
 	return backendError(stepAnswer, id, true, end.err)
