Restart the time of silence with each attempt at a plain server

Cause: the timer of a failed attempt kept running when the next attempt was the last one that the route allows. The next server was then taken for silent by the time of the server before it, and its health got a failure. Change: starting an attempt always stops the timer of the one before. Evidence: TestSilenceCountsFromItsOwnAttempt failed before, passes now. Conclusion: a server counts as silent only by its own time.

--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -130,10 +130,17 @@
 	r.tried[srv.ID] = true
 	x := &plainAttempt{id: r.race.Open(), server: srv, began: r.host.now()}
 	r.running[x.id] = x
+	r.watch(r.host.serverTimeout(srv.ID))
+	go r.run(x)
+}
+
+// watch starts the time after which the running attempts count as silent. If no other server may be tried beside them, they
+// are not watched.
+func (r *plainRequest) watch(timeout time.Duration) {
+	r.silence.Stop()
 	if r.race.MayHedge() {
-		r.silence.Reset(r.host.serverTimeout(srv.ID))
+		r.silence.Reset(timeout)
 	}
-	go r.run(x)
 }
 
 // serverTimeout returns the time after which a server counts as silent.
