Try a further server when the one beside a silent plain server has failed

Cause: the time of silence was not started again when the second attempt ended. An idempotent request then waited for the silent server until its time was over, although a failed connection uses up none of the servers of its route. Change: the end of an attempt beside a running one starts the time of silence again. Evidence: TestUnreachableServerBesideSilentOne failed before (504 at the end of the time), passes now. Conclusion: a silent server no longer holds a request when a server that can answer is left.

--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -81,7 +81,8 @@
 				r.failedResponse = a
 			}
 			if len(r.running) > 0 {
-				continue // another server may still answer
+				r.watch(minServerTimeout) // another server may still answer, or be silent
+				continue
 			}
 			if !r.host.mayRetry(r.ctx, r.q, e) || !r.begin() {
 				return nil, e
