Keep a complete answer that is not a stream while another attempt runs

Cause: a complete answer below 500 that was not a stream, such as a status of 400, was dropped when another attempt ran beside it. If that one refused, broke off or did not answer either, the caller got 502 or 504 instead. Change: such an answer is kept like a failed one and passed on if no other attempt succeeds. A failed one does not replace it. Evidence: TestAnswerThatIsNoStreamIsNotLostBesideAnotherAttempt: 3 of 3 cases failed before, 0 now. Conclusion: an attempt beside a silent server no longer costs the caller that server's complete answer.

--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -37,7 +37,8 @@
 	failed        map[ident.BackendID]bool
 	// reserveFailures is the number of placements whose memory could not be reserved.
 	reserveFailures int
-	failedResponse  *response // complete 5xx response, passed on if no other server succeeds
+	// otherResponse is a complete response that is not a stream, passed on if no other server succeeds.
+	otherResponse *response
 }
 
 // serveStream relays the event stream of an engine. If the engine is lost, the stream is resumed on another
@@ -52,8 +53,8 @@
 	if last == nil {
 		return nil
 	}
-	if st.failedResponse != nil && !st.headerWritten {
-		writeResponse(w, st.failedResponse)
+	if st.otherResponse != nil && !st.headerWritten {
+		writeResponse(w, st.otherResponse)
 		return nil
 	}
 	last = h.finalError(ctx, q, last)
@@ -258,16 +259,18 @@
 	h.excludeServer(faulty, stepSend, errHelperUnusable)
 }
 
-// handleNonStream handles a complete response that is not a stream. A failed one counts only if no other attempt succeeds.
+// handleNonStream handles a complete response that is not a stream. A failed one, or one beside another attempt, counts only if
+// no other attempt succeeds.
 func (st *stream) handleNonStream(x *engineAttempt, received backendResponse, body []byte) *outcome.Error {
 	a, e := st.host.checkResponse(x.server.ID, received, body, st.host.now()-x.began)
 	if e != nil {
 		return e
 	}
-	if a.status >= http.StatusInternalServerError {
-		st.failedResponse = a
+	failed := a.status >= http.StatusInternalServerError
+	if st.otherResponse == nil || !failed {
+		st.otherResponse = a
 	}
-	if a.status >= http.StatusInternalServerError || st.headerWritten || st.race.Running() > 0 {
+	if failed || st.headerWritten || st.race.Running() > 0 {
 		return backendError(stepAnswer, x.server.ID, true, Error.New("status %d", a.status))
 	}
 	writeResponse(st.w, a)
