Answer the requests that still run at the end of the shutdown time

Cause: at that time their connections were closed, so callers of whole requests got neither an answer nor a refusal. Since silent servers keep their requests until the time is over, this also met streams before their head and idempotent requests, which were refused earlier before. Change: the contexts of these requests end first, and the host waits up to 200 ms of the reserved 300 ms until their responses are sent. A stream that has begun is still aborted. Conclusion: a stopping host closes the connection of a whole request only after a response has begun.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -78,6 +78,8 @@
 	stopping        atomic.Bool
 	ctx             context.Context // cancelled when the process stops
 	cancel          context.CancelFunc
+	serving         context.Context // cancelled when the requests that still run must end
+	endRequests     context.CancelFunc
 	servers         []*http.Server
 	callerServer    *http.Server
 	listeners       []*httpdrain.Listener
@@ -102,6 +104,7 @@
 		queueNonEmpty: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.serving, h.endRequests = context.WithCancel(h.ctx)
 	h.client = newClient()
 	h.bodies = newBodyMemory(s.Entry.MemoryMB)
 	h.connections = httpdrain.NewConnections()
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -103,6 +103,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(q.timeLeft(h.now())-responseMargin))
 	defer cancel()
+	defer context.AfterFunc(h.serving, cancel)()
 	if q.route.Kind == catalog.Streaming {
 		return h.serveStream(ctx, w, q)
 	}
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -22,8 +22,10 @@
 	maxHeader = 64 << 10
 	// addressTTLFactor times the TTL is how long callers may go on using an address list.
 	addressTTLFactor = 3
-	// shutdownMargin is reserved at the end of the shutdown time for cancelling the requests that still run.
+	// shutdownMargin is reserved at the end of the shutdown time for ending the requests that still run. Within the first
+	// lastAnswerTime of it, their callers get a response, unless a stream has begun.
 	shutdownMargin = 300 * time.Millisecond
+	lastAnswerTime = 200 * time.Millisecond
 	// drainPoll is the interval at which a stopping host checks for running requests.
 	drainPoll = 20 * time.Millisecond
 )
@@ -110,6 +112,7 @@
 	for h.running.Load() > 0 && ctx.Err() == nil {
 		ctxtime.Sleep(ctx, drainPoll)
 	}
+	h.answerRest()
 	h.log.WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
 	h.Close()
 	if err != nil {
@@ -117,3 +120,12 @@
 	}
 	return nil
 }
+
+// answerRest ends the requests that still run, and waits until their callers have a response. Closing their connections at
+// once would leave the callers without an answer or a refusal.
+func (h *Host) answerRest() {
+	h.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
+	defer cancel()
+	h.connections.Wait(ctx)
+}
