Keep a connection whose peer was cut off for less than two seconds

Cause: with TCP_USER_TIMEOUT of 3 s, Linux closes a quiet connection at the third keep-alive time, 3 s after the last packet, if the two probes before got no reply. A cut network of a little more than 1 s can swallow both, so a sound server at work, or a caller that waits, lost its connection after the network was back. Data in flight has its last retransmission before 3 s after 1.4 s. Change: the timeout is 5 s, so that a probe and a retransmission follow a cut of 2 s. Conclusion: a dead machine is noticed 2 s later; a machine that was only cut off keeps its requests.

--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -22,12 +22,15 @@
 	// dialTimeout bounds the time to connect to a backend server. A live server accepts within a few ms. The
 	// timeout is shorter than the one second after which TCP retransmits a lost SYN.
 	dialTimeout = 350 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead connection within about 3 s.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead connection. Where userTimeout is set, Linux uses it
+	// instead of the count.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// userTimeout closes a connection whose peer acknowledges nothing, such as during a network partition.
-	userTimeout = 3 * time.Second
+	// userTimeout closes a connection whose peer acknowledges nothing, such as during a network partition. A peer that was
+	// cut off for 2 s must get a probe or a retransmission in time: the first ones after it are sent about 3 s after the last
+	// packet.
+	userTimeout = 5 * time.Second
 )
 
 // newClient returns the HTTP client for requests and reservations.
