Count one failure for one silence of a plain server

Cause: while no other server could be tried, each check of a silent attempt, every 350 ms, recorded a failure of its server. One silence of a few seconds weighed as much as many failed answers. Change: an attempt records its silence once. Conclusion: the failure rate no longer depends on the length of a silence.

--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -42,6 +42,7 @@
 	id     hedge.Attempt
 	server catalog.Server
 	began  time.Duration
+	silent bool // it has counted as silent
 }
 
 // plainEnd says how an attempt has ended.
@@ -158,7 +159,10 @@
 	srv, taken := r.chooseBeside(now)
 	for _, x := range r.running {
 		h.recordSilent(r.q, string(x.server.ID), now-x.began, taken)
-		h.recordFailure(x.server.ID)
+		if !x.silent {
+			h.recordFailure(x.server.ID)
+		}
+		x.silent = true
 	}
 	switch taken {
 	case silentHedged:
