Ask again for another plain server when the retry budget denied one

Cause: a silent server's request looked for another server once. If the retry budget was used up then, it waited for the silent server until its time was over. Streams ask again. Change: the time of silence starts again whatever the reason, as long as the route allows another server. Evidence: TestSilentServerIsReplacedWhenBudgetAllowsIt failed before (504 at the end of the time), passes now. Conclusion: a used-up budget only delays the second server.

--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -167,8 +167,8 @@
 	switch taken {
 	case silentHedged:
 		r.start(srv)
-	case silentNoServer:
-		r.silence.Reset(minServerTimeout) // one may be back by then
+	default:
+		r.watch(minServerTimeout) // a server or a retry may be available by then
 	}
 }
 
