Do not count the time that a caller takes to read as silence of the server

Cause: the time of silence ran on while an event was written to the caller. A caller that read nothing for longer made the sound server count as silent: it was excluded for all requests, and the stream was sent to a second one. Change: the time starts again after each event has been written. Conclusion: only the server's own silence counts.

--- a/node/entry/stall.go
+++ b/node/entry/stall.go
@@ -35,7 +35,8 @@
 		return
 	}
 	slack := min(maxStall, max(minStall, 2*st.q.route.Objective))
-	st.silence.Reset(slack + predicted + time.Duration(stallFactor*float64(predicted)))
+	st.patience = slack + predicted + time.Duration(stallFactor*float64(predicted))
+	st.silence.Reset(st.patience)
 }
 
 // hedgeSilent starts an attempt at another engine beside the silent one, which may only be silent for a while: the one that
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -34,6 +34,7 @@
 	messages      chan attemptMessage
 	done          chan struct{} // closed when messages are no longer received
 	silence       *time.Timer   // fires when the attempts have been silent for too long
+	patience      time.Duration // time that silence was last set to; zero if the stream is not watched
 	failed        map[ident.BackendID]bool
 	// reserveFailures is the number of placements whose memory could not be reserved.
 	reserveFailures int
@@ -155,6 +156,9 @@
 		return nil, false
 	}
 	e = st.write(received, raw)
+	if ev.id >= 0 && st.patience > 0 {
+		st.silence.Reset(st.patience) // the time that the caller took to read is no silence of the server
+	}
 	return e, e != nil
 }
 
