--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -42,6 +42,7 @@
 	id     hedge.Attempt
 	server catalog.Server
 	began  time.Duration
+	silent bool // it has counted as silent
 }
 
 // plainEnd says how an attempt has ended.
@@ -81,7 +82,8 @@
 				r.failedResponse = a
 			}
 			if len(r.running) > 0 {
-				continue // another server may still answer
+				r.watch(minServerTimeout) // another server may still answer, or be silent
+				continue
 			}
 			if !r.host.mayRetry(r.ctx, r.q, e) || !r.begin() {
 				return nil, e
@@ -130,10 +132,17 @@
 	r.tried[srv.ID] = true
 	x := &plainAttempt{id: r.race.Open(), server: srv, began: r.host.now()}
 	r.running[x.id] = x
+	r.watch(r.host.serverTimeout(srv.ID))
+	go r.run(x)
+}
+
+// watch starts the time after which the running attempts count as silent. If no other server may be tried beside them, they
+// are not watched.
+func (r *plainRequest) watch(timeout time.Duration) {
+	r.silence.Stop()
 	if r.race.MayHedge() {
-		r.silence.Reset(r.host.serverTimeout(srv.ID))
+		r.silence.Reset(timeout)
 	}
-	go r.run(x)
 }
 
 // serverTimeout returns the time after which a server counts as silent.
@@ -150,13 +159,16 @@
 	srv, taken := r.chooseBeside(now)
 	for _, x := range r.running {
 		h.recordSilent(r.q, string(x.server.ID), now-x.began, taken)
-		h.recordFailure(x.server.ID)
+		if !x.silent {
+			h.recordFailure(x.server.ID)
+		}
+		x.silent = true
 	}
 	switch taken {
 	case silentHedged:
 		r.start(srv)
-	case silentNoServer:
-		r.silence.Reset(minServerTimeout) // one may be back by then
+	default:
+		r.watch(minServerTimeout) // a server or a retry may be available by then
 	}
 }
 
