Keep an attempt at a silent engine when no other engine can take it

Callers saw: on the two-role path, a request with little time left whose engine was silent between tokens for 1.3 s ended as may-have-run, although no other engine could take it and its engine went on 50 ms later. Change: the shortened time counts only while another engine can take the attempt.

--- a/core/sched/hold.go
+++ b/core/sched/hold.go
@@ -46,6 +46,7 @@
 	stateChangedAt    time.Duration
 	firstTokenAt      time.Duration
 	lastTokenAt       time.Duration
+	keptUntil         time.Duration // a silent engine keeps the attempt until then, as no other one can take it
 	firstTokenArrived bool
 	nextRetry         time.Duration // time of the next CancelSession or ReleaseKV
 	deadline          time.Duration
@@ -84,17 +85,53 @@
 // was sent after this session but runs before it by priority delays its first token and extends the
 // time.
 func (h *hold) hangDeadline(s *Scheduler) time.Duration {
+	expected, delay, limit := h.expectedToken(s)
+	return max(h.keptUntil, expected+delay+h.tokenTimeout(limit, expected))
+}
+
+// expectedToken returns the time from which the engine counts as silent, by how much overtaking prefill delays it, and the
+// longest silence of a sound engine.
+func (h *hold) expectedToken(s *Scheduler) (at, delay, limit time.Duration) {
 	if h.firstTokenArrived {
-		return h.lastTokenAt + h.tokenTimeout(s.cfg.TokenTimeout, h.lastTokenAt)
+		return h.lastTokenAt, 0, s.cfg.TokenTimeout
 	}
 	overtaken := h.eng.overtakingPrefill[h.priority] - h.overtakingAtSend
-	expected := h.sentAt + h.predicted
-	return expected + h.tokenTimeout(s.cfg.FirstTokenSlack, expected) + seconds(float64(overtaken)/h.eng.rate(s))
+	return h.sentAt + h.predicted, seconds(float64(overtaken) / h.eng.rate(s)), s.cfg.FirstTokenSlack
+}
+
+// keep reports whether the attempt stays at a silent engine: no other engine can take it now, and the silence is still
+// shorter than that of a hung engine. It is checked again after minTokenTimeout.
+func (h *hold) keep(s *Scheduler) bool {
+	expected, delay, limit := h.expectedToken(s)
+	hung := expected + delay + limit
+	if s.now >= hung || s.hasReplacement(h) {
+		return false
+	}
+	h.keptUntil = min(hung, s.now+minTokenTimeout)
+	return true
+}
+
+// hasReplacement reports whether another engine can take the attempt now. Attempts that are split among several engines
+// are placed anew as a whole.
+func (s *Scheduler) hasReplacement(h *hold) bool {
+	if h.att == nil {
+		return true
+	}
+	p := s.planFor(h.att)
+	if p.kind != planSingle {
+		return true
+	}
+	for _, e := range s.enginesByID {
+		if e != h.eng && s.fits(e, h.att, p, &dispatchPass{}) {
+			return true
+		}
+	}
+	return false
 }
 
 // tokenTimeout returns the time without a token, counted from the given time, after which the engine
-// counts as hung: the limit, but at most a third of the time that the attempt then has left. A request
-// with 5 s left must not lose all of it to an engine that hangs.
+// counts as hung: the limit, but at most a third of the time that the attempt then has left if another engine can take
+// it. A request with 5 s left must not lose all of it to an engine that hangs.
 func (h *hold) tokenTimeout(limit, from time.Duration) time.Duration {
 	if h.att == nil {
 		return limit
@@ -105,6 +142,9 @@
 func (h *hold) fire(s *Scheduler) {
 	switch h.state {
 	case open:
+		if h.keep(s) {
+			return
+		}
 		s.counters.Hangs++
 		s.failHold(h, outcome.BackendLost)
 	case cancelling, releasing:
