Do not end a stream by an attempt without events while another one runs

Callers could see: a stream cut short that looks complete, when the server tried beside a silent one ended its response without a single event. Cause: the end of any attempt completed the answer, also that of an attempt which had given nothing to it. Change: such an end counts only if the other attempt fails without a further event. Evidence: TestEmptyStreamBesideSilentServerIsNotTheEnd failed before at all three points of the answer, passes now.

--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -20,6 +20,7 @@
 		return nil, Error.New("event %d follows event %d", ev.id, before)
 	}
 	st.cancelLosers(losers)
+	st.emptyEnd = nil
 	st.recordEvent(x)
 	raw, x.early = append(x.early, ev.raw...), nil
 	return raw, nil
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -41,6 +41,9 @@
 	reserveFailures int
 	// otherResponse is a complete response that is not a stream, passed on if no other server succeeds.
 	otherResponse *response
+	// emptyEnd is the response of an attempt that ended without a new event while another one ran. It completes the stream if
+	// that one fails without a further event.
+	emptyEnd *backendResponse
 	testsParts    bool // the request tests quarantined parts of its prompt
 }
 
@@ -57,6 +60,10 @@
 	if last == nil {
 		return nil
 	}
+	if st.emptyEnd != nil {
+		st.writeHeader(*st.emptyEnd)
+		return nil
+	}
 	if st.otherResponse != nil && !st.headerWritten {
 		writeResponse(w, st.otherResponse)
 		return nil
@@ -227,6 +234,9 @@
 	}
 	q.mayHaveRun = true
 	switch {
+	case end.err == nil && end.body == nil && x.events == 0 && st.race.Running() > 0:
+		st.emptyEnd = end.received
+		return backendError(stepAnswer, id, true, errNoEvent)
 	case end.err == nil && end.body == nil:
 		return st.finish(x, *end.received)
 	case end.err == nil:
@@ -256,6 +266,9 @@
 	}
 }
 
+// errNoEvent is the error of an attempt beside another one that ended without an event that the caller lacks.
+var errNoEvent = Error.New("stream ended without a new event")
+
 // errHelperUnusable is the reason for excluding an engine that another one reported as unusable.
 var errHelperUnusable = Error.New("another engine reported it as unusable as a helper")
 
