Leave out a server whose address another one has taken over

Cause: a 421 only excluded the server for the request that met it. Change: a 421 excludes the server for all requests, like a connection that fails.

--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -139,6 +139,9 @@
 	}
 }
 
+// errReplaced is the reason for excluding a server that has gone before its entry.
+var errReplaced = Error.New("another server answers at its address")
+
 // rejected handles a server's refusal of a request that it did not run.
 func (h *Host) rejected(q *request, id ident.BackendID, s backendResponse) *outcome.Error {
 	h.metrics.rejected.Add(1, q.service)
@@ -146,6 +149,9 @@
 		"request": q.call.ID, "server": id, "status": s.resp.StatusCode, "at_fault": s.reply.AtFault,
 		"helpers": q.placement.helpers, "prompt_tokens": q.call.PromptTokens,
 	}, "server refused request")
+	if s.resp.StatusCode == http.StatusMisdirectedRequest {
+		h.excludeServer(id, stepSend, errReplaced)
+	}
 	e := &outcome.Error{
 		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepSend, Peer: string(id), RetryAfter: noBackendRetry,
 		Detail: "the server refused the request: status " + strconv.Itoa(s.resp.StatusCode),
