Soak: let sound servers fall silent, and check that their streams are not cut

Cause: the soak's servers failed or answered at once; a server that pauses and goes on was only met behind a held link, and nothing checked whether a host cuts a stream that would have gone on.

Change: the fault "silent server" silences one server or all for 0.5 to 2 s before the head, between events or on accept, alone or together with a configuration, a stop or a reload. A stream that ends without a complete answer is a violation unless one of its servers broke off, its time was over, or its host or the link to its callers had a fault; `cutWithoutCause` lists what it allows. Streams get 4 s, so that they outlast a silence; 0.4 of the requests are failed by no server, and twelve callers in place of six, so that the check meets enough sound streams. `--without KIND` leaves a kind of fault out and keeps the schedule of the others; without "silent server" the held links, which look the same to a host, excuse a cut too.

--- a/cmd/rosectl/soak.go
+++ b/cmd/rosectl/soak.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -28,6 +29,7 @@
 	minutes      float64
 	hosts, port  int
 	program, dir string
+	without      []string
 }
 
 func soakCommand() *command {
@@ -47,6 +49,7 @@
 	sc.Float64(&o.minutes, "m", "minutes", "minutes during which faults are injected")
 	sc.Int(&o.hosts, "", "hosts", fmt.Sprintf("entry hosts, 2 to %d", soak.MaxHosts))
 	sc.Int(&o.port, "", "port", fmt.Sprintf("first of %d free ports on the loopback network", soak.PortCount))
+	sc.StringSlice(&o.without, "", "without", "kind of fault to leave out, such as \"silent server\"; may be given several times")
 	sc.String(&o.program, "", "program", "path of the rosemaryhill binary; default: next to rosectl, or built from the source tree")
 	sc.String(&o.dir, "d", "dir", "directory for settings and logs; default: a new temporary directory, which is kept")
 }
@@ -63,7 +66,7 @@
 		return err
 	}
 	for _, kind := range res.Kinds() {
-		fmt.Fprintf(out, "%-15s %d\n", kind, res.Faults[kind])
+		fmt.Fprintf(out, "%-26s %d\n", kind, res.Faults[kind])
 	}
 	fmt.Fprintf(out, "%d requests, %d served, %d broken promises\n", res.Requests, res.Served, len(res.Violations))
 	for _, cause := range res.Causes() {
@@ -81,7 +84,7 @@
 func (o *soakOptions) config() (soak.Config, error) {
 	cfg := soak.Config{
 		Seed: o.seed, Duration: time.Duration(o.minutes * float64(time.Minute)), Hosts: o.hosts,
-		Program: o.program, Dir: o.dir, Port: o.port,
+		Program: o.program, Dir: o.dir, Port: o.port, Without: o.without,
 	}
 	if o.hosts < 2 || o.hosts > soak.MaxHosts {
 		return cfg, usageError.New("--hosts %d is not between 2 and %d", o.hosts, soak.MaxHosts)
@@ -89,6 +92,11 @@
 	if cfg.Duration <= 0 {
 		return cfg, usageError.New("--minutes must be positive")
 	}
+	for _, kind := range o.without {
+		if !slices.Contains(soak.FaultKinds(), kind) {
+			return cfg, usageError.New("--without %q is none of %q", kind, soak.FaultKinds())
+		}
+	}
 	if cfg.Seed == 0 {
 		cfg.Seed = time.Now().UnixNano()
 	}
--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,7 +16,9 @@
 // link is a proxied address. Faults on one link do not overlap.
 type link struct {
 	*netfault.Proxy
-	mu sync.Mutex
+	mu     sync.Mutex
+	resets timeWindows // when connections were reset
+	faults timeWindows // when any fault was set
 }
 
 func (r *run) addLink(address, target string) (*link, error) {
@@ -32,6 +35,7 @@
 func (l *link) applyFault(f netfault.Fault, length time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.faults.open(recoveryTime)()
 	l.SetFault(f)
 	time.Sleep(length)
 	l.SetFault(netfault.Fault{})
@@ -82,16 +86,20 @@
 	"kill", "stop", "pause", "reload", "settings", // on a host
 	"store", "config", "outage",
 	"delay", "hold requests", "hold answers", "silence", "reset", // on a link
+	silentServer,
 }
 
+// FaultKinds returns the kinds of faults, which Config.Without may name.
+func FaultKinds() []string { return slices.Clone(faultKinds) }
+
+// silentServer is the kind of fault in which sound servers fall silent and go on.
+const silentServer = "silent server"
+
 // injectFaults injects random faults for the configured duration and waits for the last ones to end.
 func (r *run) injectFaults(ctx context.Context, rng *rand.Rand) {
 	var running sync.WaitGroup
 	for end := time.Now().Add(r.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := faultKinds[rng.Intn(len(faultKinds))]
-		r.mu.Lock()
-		r.result.Faults[kind]++
-		r.mu.Unlock()
 		r.inject(kind, rng, &running)
 		time.Sleep(randomDuration(rng, minPause, maxPause))
 	}
@@ -108,9 +116,14 @@
 	length := randomDuration(rng, minFault, maxFault)
 	h, l := r.hosts[rng.Intn(len(r.hosts))], r.links[rng.Intn(len(r.links))]
 	storeFault := []standin.Fault{standin.Busy, standin.RateLimited, standin.Reset, standin.Silent}[rng.Intn(4)]
-	service := []string{"ledger", "models"}[rng.Intn(2)]
+	service := services[rng.Intn(len(services))]
 	failure := []standin.Failure{standin.ConnectionReset, standin.Shed, standin.Truncated}[rng.Intn(3)]
 	storeHost := rng.Intn(len(r.hosts) + 1) // 0 means all hosts
+	silence := randomSilence(rng)
+	if r.leftOut(kind) {
+		return // drawn nevertheless, so that the rest of the schedule stays the same
+	}
+	r.countFault(kind)
 	switch {
 	case kind == "config":
 		r.publishConfig()
@@ -126,12 +139,21 @@
 			time.Sleep(length)
 			r.outage.Store(nil)
 		})
+	case kind == silentServer:
+		r.silence(silence)
+		switch {
+		case silence.with == "config":
+			r.publishConfig()
+		case hostFaults[silence.with] != nil:
+			r.injectHostFault(silence.with, h, length, running)
+		}
 	case hostFaults[kind] != nil:
-		running.Go(func() { h.injectFault(r, func() { hostFaults[kind](r, h, length) }) })
+		r.injectHostFault(kind, h, length, running)
 	default:
 		running.Go(func() {
 			defer r.allowLateAnswers(l)()
 			if kind == "reset" {
+				defer l.resets.open(0)()
 				l.Reset()
 				return
 			}
@@ -140,11 +162,55 @@
 	}
 }
 
-// allowLateAnswers permits late answers of a host while the link from its callers has a fault.
+func (r *run) leftOut(kind string) bool { return slices.Contains(r.cfg.Without, kind) }
+
+func (r *run) countFault(kind string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Faults[kind]++
+}
+
+func (r *run) injectHostFault(kind string, h *host, length time.Duration, running *sync.WaitGroup) {
+	running.Go(func() { h.injectFault(r, kind, func() { hostFaults[kind](r, h, length) }) })
+}
+
+// silence is a time during which a server, or all servers, are silent, and the fault that comes with it.
+type silence struct {
+	at     standin.Silence
+	server int // index of the server; all of them if it is out of range
+	length time.Duration
+	with   string // kind of another fault at the same time; empty for none
+}
+
+func randomSilence(rng *rand.Rand) silence {
+	return silence{
+		at:     []standin.Silence{standin.BeforeHead, standin.BetweenEvents, standin.OnAccept}[rng.Intn(3)],
+		server: rng.Intn(len(services)*serversPerService + 2),
+		length: randomDuration(rng, minSilence, maxSilence),
+		with:   []string{"", "config", "stop", "reload"}[rng.Intn(4)],
+	}
+}
+
+func (r *run) silence(x silence) {
+	for i, s := range r.servers {
+		if i == x.server || x.server >= len(r.servers) {
+			s.FallSilent(x.at, x.length)
+		}
+	}
+	if x.with != "" {
+		r.countFault(silentServer + " with " + x.with)
+	}
+}
+
+// allowLateAnswers permits late answers and cut streams of a host while the link from its callers has a fault.
 func (r *run) allowLateAnswers(l *link) (end func()) {
 	for _, h := range r.hosts {
 		if h.callerLink == l {
-			return h.lateAllowed.open(recoveryTime)
+			endLate, endCut := h.lateAllowed.open(recoveryTime), h.cutAllowed.open(recoveryTime)
+			return func() {
+				endLate()
+				endCut()
+			}
 		}
 	}
 	return func() {}
--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -32,6 +32,7 @@
 	reloadedEarly bool
 
 	lateAllowed timeWindows // when late answers are permitted
+	cutAllowed  timeWindows // when streams may be cut
 }
 
 const (
@@ -124,11 +125,15 @@
 
 func (h *host) signal(s syscall.Signal) { _ = h.cmd.Process.Signal(s) } // fails if the process has exited
 
-// injectFault runs a fault of the process. Late answers are permitted until recoveryTime after it.
-func (h *host) injectFault(r *run, fault func()) {
+// injectFault runs a fault of the process. Late answers are permitted until recoveryTime after it, and streams may be cut
+// as long unless the fault is a change of the settings.
+func (h *host) injectFault(r *run, kind string, fault func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.lateAllowed.open(recoveryTime)()
+	if kind != "reload" && kind != "settings" {
+		defer h.cutAllowed.open(recoveryTime)()
+	}
 	h.restartIfExited(r)
 	fault()
 }
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -37,11 +38,11 @@
 
 const (
 	// callerCount is the number of concurrent callers; each sends one request at a time.
-	callerCount = 6
+	callerCount = 12
 	// callPause is the time between an answer and the next request of a caller.
 	callPause = 5 * time.Millisecond
 	// callTimeout aborts a call whose link to the host is silent.
-	callTimeout = 2 * requestTimeout
+	callTimeout = streamTimeout + requestTimeout
 	// avoidTime is how long a caller leaves out a host that gave no response, as callers with a list of addresses do.
 	avoidTime = time.Second
 	// largePromptShare is the fraction of streams whose prompt does not fit into the memory of one engine.
@@ -119,12 +120,16 @@
 
 // checkCalls checks the results of all requests against what the servers executed.
 func (r *run) checkCalls() {
-	runs := r.fleet.Runs()
+	runs, streams := r.fleet.Runs(), r.fleet.Arrivals("models")
 	for _, c := range r.calls {
+		if c.Path == standin.StreamPath && r.cutWithoutCause(&c, streams[c.ID]) {
+			r.reportViolation("stream cut at host %s while its server would have gone on: %+v, %s, arrivals %+v",
+				c.host.settings.HostID, c.Result, c.cause(), streams[c.ID])
+		}
 		for _, v := range c.Violations(runs[c.ID], standin.StreamEvents) {
 			r.reportViolation("%s", v)
 		}
-		late := c.Took > requestTimeout+answerSlack
+		late := c.Took > timeoutOf(c.Path)+answerSlack
 		if late && !c.host.lateAllowed.overlap(c.sentAt, c.sentAt.Add(c.Took)) {
 			r.reportViolation("late answer of host %s: %+v", c.host.settings.HostID, c.Result)
 		}
@@ -138,6 +143,45 @@
 	r.checkBudget()
 }
 
+// timeoutOf returns the timeout of a route.
+func timeoutOf(path string) time.Duration {
+	if path == standin.StreamPath {
+		return streamTimeout
+	}
+	return requestTimeout
+}
+
+// cutWithoutCause reports whether a stream ended without a complete answer although nothing broke it. That is allowed
+//   - before it began: it reached no server, and the host refused it or gave no response, so there is no stream to cut;
+//   - if a server that it reached answered with a failure, or the link to that server was reset: the server has broken
+//     off, and the retry budget may forbid another one. A link that only delays or holds data does not excuse a host,
+//     since a server that is silent behind it goes on as well, unless the run is to be without silent servers;
+//   - if the whole timeout had passed;
+//   - if the process of the host was killed, stopped or paused, or the link from its callers had a fault, during the
+//     request or shortly before. Reloads and configurations excuse nothing.
+//
+// A request that the host says may have run began, also if no server has read it: then a server was silent on accept.
+func (r *run) cutWithoutCause(c *call, arrivals []standin.Arrival) bool {
+	began := len(arrivals) > 0 || c.Status == http.StatusBadGateway || c.Status == http.StatusGatewayTimeout
+	end := c.sentAt.Add(c.Took)
+	if c.Served() || !began || c.Took >= streamTimeout || c.host.cutAllowed.overlap(c.sentAt, end) {
+		return false
+	}
+	for _, a := range arrivals {
+		if a.Failure != standin.NoFailure {
+			return false
+		}
+	}
+	for _, l := range r.links {
+		reached := slices.ContainsFunc(arrivals, func(a standin.Arrival) bool { return r.fleet.AddressOf(a.Server) == l.Addr() })
+		brokeOff := l.resets.overlap(c.sentAt, end) || (r.leftOut(silentServer) && l.faults.overlap(c.sentAt, end))
+		if (reached || len(arrivals) == 0) && brokeOff {
+			return false
+		}
+	}
+	return true
+}
+
 // checkBudget checks that in every window all hosts together retry no more often than the settings allow.
 func (r *run) checkBudget() {
 	set := r.hosts[0].settings.Entry
@@ -151,8 +195,10 @@
 				sent = append(sent, c.sentAt)
 			}
 		}
-		for _, arrivals := range r.fleet.ArrivalTimes(service) {
-			retries = append(retries, arrivals[1:]...)
+		for _, arrivals := range r.fleet.Arrivals(service) {
+			for _, a := range arrivals[1:] {
+				retries = append(retries, a.At)
+			}
 		}
 		for _, t := range retries {
 			n := countWithin(retries, t.Add(-window), t)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -26,6 +26,7 @@
 	Program  string        // path of the rosemaryhill binary
 	Dir      string        // for settings and logs; not removed after the run
 	Port     int           // first of PortCount ports
+	Without  []string      // kinds of faults that are left out; the schedule of the others stays the same
 }
 
 // PortCount is the number of ports that a run uses.
@@ -45,28 +46,38 @@
 const (
 	// serversPerService is large enough for a request to find another server while one fails.
 	serversPerService = 3
-	// requestTimeout is the timeout of all routes. It is short, so that many requests complete in a run.
+	// soundShare is the fraction of requests that no server fails, apart from outages. Streams among them must not be cut.
+	soundShare = 0.4
+	// requestTimeout is the timeout of the plain routes. It is short, so that many requests complete in a run.
 	requestTimeout = 1500 * time.Millisecond
-	// answerSlack is how much later than requestTimeout the final answer may arrive.
+	// streamTimeout is the timeout of streams. It is longer than maxSilence, so that a stream outlasts a silence.
+	streamTimeout = 4 * time.Second
+	// answerSlack is how much later than the timeout the final answer may arrive.
 	answerSlack = 500 * time.Millisecond
 	// prefillSpeedup multiplies the prefill speed of the engines, so that a prompt larger than one engine's memory
-	// is processed within requestTimeout.
+	// is processed within streamTimeout.
 	prefillSpeedup = 25
 	// minFault and maxFault bound the duration of a fault, minPause and maxPause the time between the starts of two.
 	minFault, maxFault = 100 * time.Millisecond, 1500 * time.Millisecond
-	minPause, maxPause = 80 * time.Millisecond, 400 * time.Millisecond
+	// minSilence and maxSilence bound how long a sound server is silent.
+	minSilence, maxSilence = 500 * time.Millisecond, 2 * time.Second
+	minPause, maxPause     = 80 * time.Millisecond, 400 * time.Millisecond
 	// retryRatio and retrySlack are low, so that retries beyond the budget show up within a run.
 	retryRatio, retrySlack = 0.05, 10
 	// recoveryTimeout is how long after the last fault hosts may take to serve again and release memory.
 	recoveryTimeout = 10 * time.Second
 )
 
+// services are the services of the routes.
+var services = []string{"ledger", "models"}
+
 // run is the state of a running soak.
 type run struct {
 	cfg     Config
 	fleet   *standin.Fleet
 	links   []*link // to the hosts' stores, to the servers and from callers to hosts
 	hosts   []*host
+	servers []*standin.Server
 	caller  standin.Caller
 	version int // last published configuration version
 	outage  atomic.Pointer[outage]
@@ -107,14 +118,15 @@
 		return err
 	}
 	r.fleet = fleet
-	fleet.ReadSpeedup = prefillSpeedup
+	fleet.ReadSpeedup, fleet.StreamTimeout = prefillSpeedup, streamTimeout
 	for i := range serversPerService {
-		for _, service := range []string{"ledger", "models"} {
+		for _, service := range services {
 			s, err := fleet.Add(service)
 			if err != nil {
 				return err
 			}
 			s.FailureFor = r.failureFunc(r.cfg.Seed+int64(i), service)
+			r.servers = append(r.servers, s)
 		}
 	}
 	r.publishConfig()
@@ -131,7 +143,7 @@
 	return nil
 }
 
-// failureFunc returns a function that fails about half of the requests at a server, with a failure derived from seed
+// failureFunc returns a function that fails about half of the requests outside soundShare at a server, with a failure derived from seed
 // and request ID, so that the same request always fails in the same way there. During an outage of the service, all
 // requests fail with the outage's failure.
 func (r *run) failureFunc(seed int64, service string) func(string) standin.Failure {
@@ -143,18 +155,22 @@
 		if o := r.outage.Load(); o != nil && o.service == service {
 			return o.failure
 		}
-		h := seed
-		for _, b := range []byte(id) {
-			h = h*31 + int64(b)
-		}
-		rng := rand.New(rand.NewSource(h))
-		if rng.Intn(2) == 0 {
+		rng := requestRNG(seed, id)
+		if requestRNG(0, id).Float64() < soundShare || rng.Intn(2) == 0 {
 			return standin.NoFailure
 		}
 		return kinds[rng.Intn(len(kinds))]
 	}
 }
 
+// requestRNG returns a source of random numbers that depends on the seed and the request only.
+func requestRNG(seed int64, id string) *rand.Rand {
+	for _, b := range []byte(id) {
+		seed = seed*31 + int64(b)
+	}
+	return rand.New(rand.NewSource(seed))
+}
+
 // publishConfig publishes the next version of the configuration.
 func (r *run) publishConfig() {
 	r.version++
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/lab/netfault"
+	"github.com/rosemaryhill/rosemaryhill/platform/standin"
 )
 
 var (
@@ -84,12 +87,12 @@
 	c.Assert(r.start(context.Background()), qt.IsNil)
 	h := r.hosts[0]
 	for range 4 {
-		h.injectFault(r, func() {
+		h.injectFault(r, "stop", func() {
 			h.stop(r)
 			h.restart(r)
 			h.reload()
 		})
-		h.injectFault(r, func() {
+		h.injectFault(r, "stop", func() {
 			h.stop(r)
 			h.restart(r)
 		})
@@ -115,10 +118,51 @@
 	c.Assert(w.overlap(before.Add(-time.Hour), before.Add(-time.Minute)), qt.IsFalse)
 }
 
+// Guards against cut streams that are reported although something broke them, and against any that are excused by
+// something that did not, such as a reload or an earlier fault.
+func TestCutStreams(t *testing.T) {
+	c := qt.New(t)
+	fleet, err := standin.NewFleet(*portFlag, 0, nil)
+	c.Assert(err, qt.IsNil)
+	ago := func(seconds float64) time.Time { return time.Now().Add(-time.Duration(seconds * float64(time.Second))) }
+	window := func(from, to float64) [][2]time.Time { return [][2]time.Time{{ago(from), ago(to)}} }
+	server, hang := standin.Arrival{Server: "i-1"}, standin.Arrival{Server: "i-1", Failure: standin.Hang}
+	cut := standin.Result{Status: 200, Took: time.Second}
+	for _, x := range []struct {
+		name                   string
+		result                 standin.Result
+		arrivals               []standin.Arrival
+		fault, reset, linkHeld [][2]time.Time
+		without                []string
+		want                   bool
+	}{
+		{name: "sound server", result: cut, arrivals: []standin.Arrival{server}, want: true},
+		{name: "complete", result: standin.Result{Status: 200, Complete: true}, arrivals: []standin.Arrival{server}},
+		{name: "one server broke off", result: cut, arrivals: []standin.Arrival{server, hang}},
+		{name: "refused before it began", result: standin.Result{Status: 503, Complete: true}},
+		{name: "may have run at a server silent on accept", result: standin.Result{Status: 502, Complete: true}, want: true},
+		{name: "timeout", result: standin.Result{Status: 504, Complete: true, Took: streamTimeout}, arrivals: []standin.Arrival{server}},
+		{name: "host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(1.5, 0.5)},
+		{name: "earlier host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(9, 3), want: true},
+		{name: "link reset", result: cut, arrivals: []standin.Arrival{server}, reset: window(1.5, 1.5)},
+		{name: "link held", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), want: true},
+		{name: "link held, no silent servers", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), without: []string{silentServer}},
+	} {
+		p, err := netfault.Listen(fleet.AddressOf("i-1"), "")
+		c.Assert(err, qt.IsNil)
+		r := &run{cfg: Config{Without: x.without}, fleet: fleet, links: []*link{{Proxy: p}}}
+		r.links[0].resets.list, r.links[0].faults.list = x.reset, x.linkHeld
+		sent := &call{Result: x.result, host: &host{}, sentAt: ago(2)}
+		sent.host.cutAllowed.list = x.fault
+		c.Check(r.cutWithoutCause(sent, x.arrivals), qt.Equals, x.want, qt.Commentf(x.name))
+		c.Assert(p.Close(), qt.IsNil)
+	}
+}
+
 // Guards against kinds of faults that are drawn but have no effect.
 func TestEveryFaultKindIsInjected(t *testing.T) {
 	c := qt.New(t)
-	other := []string{"store", "config", "outage", "reset"}
+	other := []string{"store", "config", "outage", "reset", silentServer}
 	for _, k := range faultKinds {
 		_, linked := linkFaults[k]
 		known := hostFaults[k] != nil || linked || slices.Contains(other, k)
