Soak: let servers answer with random bytes

Cause: servers of the soak failed in eight ways only; random bytes were tested with one host without other faults.

Change: "raw" is one more failure of all servers; the bytes depend on seed, server and request only, so that the check draws them again. RawViolations judges results, as in TestRandomAnswers. `--without "raw answers"` leaves them out.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -90,11 +90,14 @@
 }
 
 // FaultKinds returns the kinds of faults, which Config.Without may name.
-func FaultKinds() []string { return slices.Clone(faultKinds) }
+func FaultKinds() []string { return append(slices.Clone(faultKinds), rawAnswers) }
 
 // silentServer is the kind of fault in which sound servers fall silent and go on.
 const silentServer = "silent server"
 
+// rawAnswers is a failure of servers that Config.Without may name: they answer with random bytes.
+const rawAnswers = "raw answers"
+
 // injectFaults injects random faults for the configured duration and waits for the last ones to end.
 func (r *run) injectFaults(ctx context.Context, rng *rand.Rand) {
 	var running sync.WaitGroup
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -120,13 +120,13 @@
 
 // checkCalls checks the results of all requests against what the servers executed.
 func (r *run) checkCalls() {
-	runs, streams := r.fleet.Runs(), r.fleet.Arrivals("models")
+	runs, streams, plain := r.fleet.Runs(), r.fleet.Arrivals("models"), r.fleet.Arrivals("ledger")
 	for _, c := range r.calls {
 		if c.Path == standin.StreamPath && r.cutWithoutCause(&c, streams[c.ID]) {
 			r.reportViolation("stream cut at host %s while its server would have gone on: %+v, %s, arrivals %+v",
 				c.host.settings.HostID, c.Result, c.cause(), streams[c.ID])
 		}
-		for _, v := range c.Violations(runs[c.ID], standin.StreamEvents) {
+		for _, v := range r.violations(c.Result, append(streams[c.ID], plain[c.ID]...), runs[c.ID]) {
 			r.reportViolation("%s", v)
 		}
 		late := c.Took > timeoutOf(c.Path)+answerSlack
@@ -143,6 +143,23 @@
 	r.checkBudget()
 }
 
+// violations returns the guarantees that the result of a request violates, given its arrivals at all servers.
+func (r *run) violations(e standin.Result, arrivals []standin.Arrival, runs int) []string {
+	var sent []standin.RawAnswer
+	var other []standin.Arrival
+	for _, a := range arrivals {
+		if a.Failure == standin.Raw {
+			sent = append(sent, r.fleet.Servers[a.Server].RawFor(e.ID).Parse(e.ID))
+		} else {
+			other = append(other, a)
+		}
+	}
+	if len(sent) > 0 {
+		return e.RawViolations(sent, other, runs, standin.StreamEvents)
+	}
+	return e.Violations(runs, standin.StreamEvents)
+}
+
 // timeoutOf returns the timeout of a route.
 func timeoutOf(path string) time.Duration {
 	if path == standin.StreamPath {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -125,7 +125,8 @@
 			if err != nil {
 				return err
 			}
-			s.FailureFor = r.failureFunc(r.cfg.Seed+int64(i), service)
+			seed := r.cfg.Seed + int64(i)
+			s.FailureFor, s.RawFor = r.failureFunc(seed, service), rawFunc(seed, service)
 			r.servers = append(r.servers, s)
 		}
 	}
@@ -147,7 +148,7 @@
 // and request ID, so that the same request always fails in the same way there. During an outage of the service, all
 // requests fail with the outage's failure.
 func (r *run) failureFunc(seed int64, service string) func(string) standin.Failure {
-	kinds := []standin.Failure{standin.Shed, standin.ConnectionReset, standin.Truncated, standin.WrongResponse, standin.Hang}
+	kinds := []standin.Failure{standin.Shed, standin.ConnectionReset, standin.Truncated, standin.WrongResponse, standin.Hang, standin.Raw}
 	if service == "ledger" {
 		kinds = append(kinds, standin.Error500, standin.Error503, standin.Unsigned)
 	}
@@ -159,7 +160,24 @@
 		if requestRNG(0, id).Float64() < soundShare || rng.Intn(2) == 0 {
 			return standin.NoFailure
 		}
-		return kinds[rng.Intn(len(kinds))]
+		kind := kinds[rng.Intn(len(kinds))]
+		if kind == standin.Raw && r.leftOut(rawAnswers) {
+			return standin.NoFailure
+		}
+		return kind
+	}
+}
+
+// rawFunc returns a function that returns the random answer to a request with the failure Raw. It depends on seed and
+// request ID only.
+func rawFunc(seed int64, service string) func(string) standin.AnswerShape {
+	body := standin.RawBody
+	if service == "models" {
+		body = standin.StreamBody(standin.StreamEvents)
+	}
+	return func(id string) standin.AnswerShape {
+		rng := requestRNG(seed, "raw "+id)
+		return standin.RandomAnswer(func(n int, _ string) int { return rng.Intn(n) }, body)
 	}
 }
 
