Soak: fail the store and reload settings in series

Cause: each fault of the store and each reload was drawn alone; one right after the other on the same hosts, while hosts stop and configurations change, came up by chance only.

Change: "store series" plays three to five faults of the store one after the other, each on one host or all, together with nothing, a configuration or the stop of a host; "settings series" reloads other settings as often. Configurations are published from several goroutines now, so a lock guards their version.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -86,9 +86,16 @@
 	"kill", "stop", "pause", "reload", "settings", // on a host
 	"store", "config", "outage",
 	"delay", "hold requests", "hold answers", "silence", "reset", // on a link
-	silentServer,
+	silentServer, storeSeries, settingsSeries,
 }
 
+// storeSeries and settingsSeries are faults of the store, and reloads with other settings, one after the other on one host
+// or all. Beside the faults of the store, hosts stop and configurations change.
+const (
+	storeSeries    = "store series"
+	settingsSeries = "settings series"
+)
+
 // FaultKinds returns the kinds of faults, which Config.Without may name.
 func FaultKinds() []string { return append(slices.Clone(faultKinds), rawAnswers) }
 
@@ -118,11 +125,11 @@
 func (r *run) inject(kind string, rng *rand.Rand, running *sync.WaitGroup) {
 	length := randomDuration(rng, minFault, maxFault)
 	h, l := r.hosts[rng.Intn(len(r.hosts))], r.links[rng.Intn(len(r.links))]
-	storeFault := []standin.Fault{standin.Busy, standin.RateLimited, standin.Reset, standin.Silent}[rng.Intn(4)]
+	storeFault := storeFaults[rng.Intn(len(storeFaults))]
 	service := services[rng.Intn(len(services))]
 	failure := []standin.Failure{standin.ConnectionReset, standin.Shed, standin.Truncated}[rng.Intn(3)]
 	storeHost := rng.Intn(len(r.hosts) + 1) // 0 means all hosts
-	silence := randomSilence(rng)
+	silence, series := randomSilence(rng), r.randomSeries(rng)
 	if r.leftOut(kind) {
 		return // drawn nevertheless, so that the rest of the schedule stays the same
 	}
@@ -131,11 +138,11 @@
 	case kind == "config":
 		r.publishConfig()
 	case kind == "store":
-		running.Go(func() {
-			r.fleet.Store.SetFault(storeHost, storeFault)
-			time.Sleep(length)
-			r.fleet.Store.SetFault(storeHost, standin.Healthy)
-		})
+		running.Go(func() { r.failStore(storeHost, storeFault, length) })
+	case kind == storeSeries:
+		running.Go(func() { r.storeSeries(series, running) })
+	case kind == settingsSeries:
+		running.Go(func() { r.settingsSeries(series) })
 	case kind == "outage":
 		r.outage.Store(&outage{service, failure})
 		running.Go(func() {
@@ -167,6 +174,59 @@
 
 func (r *run) leftOut(kind string) bool { return slices.Contains(r.cfg.Without, kind) }
 
+var storeFaults = []standin.Fault{standin.Busy, standin.RateLimited, standin.Reset, standin.Silent}
+
+// failStore makes the store fail for one host, or for all if host is 0.
+func (r *run) failStore(host int, f standin.Fault, length time.Duration) {
+	r.fleet.Store.SetFault(host, f)
+	time.Sleep(length)
+	r.fleet.Store.SetFault(host, standin.Healthy)
+}
+
+// seriesStep is a step of a series of faults.
+type seriesStep struct {
+	onHost     int // 0 means all hosts
+	storeFault standin.Fault
+	length     time.Duration
+	with       string // kind of another fault on the host at the same time; empty for none
+	host       *host
+}
+
+func (r *run) randomSeries(rng *rand.Rand) []seriesStep {
+	steps := make([]seriesStep, 3+rng.Intn(3))
+	for i := range steps {
+		n := rng.Intn(len(r.hosts) + 1)
+		steps[i] = seriesStep{
+			onHost: n, storeFault: storeFaults[rng.Intn(len(storeFaults))], length: randomDuration(rng, minFault, maxFault/2),
+			with: []string{"", "config", "stop"}[rng.Intn(3)], host: r.hosts[rng.Intn(len(r.hosts))],
+		}
+	}
+	return steps
+}
+
+func (r *run) storeSeries(steps []seriesStep, running *sync.WaitGroup) {
+	for _, x := range steps {
+		switch x.with {
+		case "config":
+			r.publishConfig()
+		case "stop":
+			r.injectHostFault(x.with, x.host, x.length, running)
+		}
+		r.failStore(x.onHost, x.storeFault, x.length)
+	}
+}
+
+func (r *run) settingsSeries(steps []seriesStep) {
+	for _, x := range steps {
+		for n, h := range r.hosts {
+			if x.onHost == 0 || x.onHost == n+1 {
+				h.injectFault(r, "settings", func() { hostFaults["settings"](r, h, x.length) })
+			}
+		}
+		time.Sleep(x.length / 2)
+	}
+}
+
 func (r *run) countFault(kind string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -79,9 +79,11 @@
 	hosts   []*host
 	servers []*standin.Server
 	caller  standin.Caller
-	version int // last published configuration version
 	outage  atomic.Pointer[outage]
 
+	publishing sync.Mutex
+	version    int // last published configuration version
+
 	mu     sync.Mutex
 	result Result
 	calls  []call
@@ -191,6 +193,8 @@
 
 // publishConfig publishes the next version of the configuration.
 func (r *run) publishConfig() {
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
 	r.version++
 	r.fleet.Configure(r.version, requestTimeout)
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -162,7 +162,7 @@
 // Guards against kinds of faults that are drawn but have no effect.
 func TestEveryFaultKindIsInjected(t *testing.T) {
 	c := qt.New(t)
-	other := []string{"store", "config", "outage", "reset", silentServer}
+	other := []string{"store", "config", "outage", "reset", silentServer, storeSeries, settingsSeries}
 	for _, k := range faultKinds {
 		_, linked := linkFaults[k]
 		known := hostFaults[k] != nil || linked || slices.Contains(other, k)
