Soak: let a prompt part crash engines, and check that hosts stop sending it

Cause: one prompt part can crash each engine that begins to write an answer on it. The soak had no such part, no engine that comes back with a new id, and no check of what hosts do about it.

Change: streams carry Prefix-Hash with a few shared parts. In runs of 16 s or more a tenth of the streams holds a bad part from 3 s to 12 s. Before the first event of such a stream its engine crashes: all connections are reset, its address refuses new ones (the proxy before it too), and after 3 s it runs again at that address with a new id; the old entry lapses 2 s later. Checks: from 3 s after the fifth crash at most three more requests with the part reach engines from hosts without a fault in the last 3 s; from 6 s after it sound streams with the same first part are served at half their earlier share at least. "Sound" are those that no engine fails and that meet no outage or faulted host. There are 12 engines in place of 3. `--without "bad part"` leaves it out.

--- a/cmd/rosectl/soak.go
+++ b/cmd/rosectl/soak.go
@@ -69,6 +69,9 @@
 		fmt.Fprintf(out, "%-26s %d\n", kind, res.Faults[kind])
 	}
 	fmt.Fprintf(out, "%d requests, %d served, %d broken promises\n", res.Requests, res.Served, len(res.Violations))
+	if res.BadPart != "" {
+		fmt.Fprintf(out, "bad part: %s\n", res.BadPart)
+	}
 	for _, cause := range res.Causes() {
 		fmt.Fprintf(out, "not served: %6d %s\n", res.Unserved[cause], cause)
 	}
--- a/lab/netfault/proxy.go
+++ b/lab/netfault/proxy.go
@@ -25,14 +25,15 @@
 
 // Proxy forwards TCP connections to a target. Its methods are safe for concurrent use.
 type Proxy struct {
-	target   string
-	listener net.Listener
-
-	mu      sync.Mutex
-	changed *sync.Cond // signaled when the fault changes or connections are closed
-	fault   Fault
-	pairs   map[*pair]struct{}
-	closed  bool
+	target  string
+	address string
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	changed  *sync.Cond   // signaled when the fault changes or connections are closed
+	fault    Fault
+	pairs    map[*pair]struct{}
+	closed   bool
 }
 
 // pair holds a client connection and the matching connection to the target.
@@ -47,14 +48,39 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{target: target, listener: l, pairs: map[*pair]struct{}{}}
+	p := &Proxy{target: target, address: l.Addr().String(), listener: l, pairs: map[*pair]struct{}{}}
 	p.changed = sync.NewCond(&p.mu)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
 // Addr returns the address that the proxy listens on.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.address }
+
+// StopListening makes the proxy refuse new connections. Open ones stay.
+func (p *Proxy) StopListening() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return nil
+	}
+	err := p.listener.Close()
+	p.listener = nil
+	return err
+}
+
+// ListenAgain accepts connections again after StopListening.
+func (p *Proxy) ListenAgain() error {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // SetFault replaces the fault, for open and for new connections.
 func (p *Proxy) SetFault(f Fault) {
@@ -75,7 +101,7 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() error {
-	err := p.listener.Close()
+	err := p.StopListening()
 	p.Reset()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,9 +109,9 @@
 	return err
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
--- a/lab/netfault/proxy_test.go
+++ b/lab/netfault/proxy_test.go
@@ -101,3 +101,18 @@
 	_, err = x.readEcho(time.Now(), time.Second)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Guards against a proxy that accepts connections while it is to refuse them, cuts the open ones, or stays closed.
+func TestProxyRefusesForAWhile(t *testing.T) {
+	c := qt.New(t)
+	p := startEchoServer(c)
+	open := connect(c, p)
+	c.Assert(p.StopListening(), qt.IsNil)
+	_, err := net.Dial("tcp", p.Addr())
+	c.Assert(err, qt.ErrorMatches, ".*refused")
+	_, err = open.roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.ListenAgain(), qt.IsNil)
+	_, err = connect(c, p).roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+}
--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -97,7 +97,7 @@
 )
 
 // FaultKinds returns the kinds of faults, which Config.Without may name.
-func FaultKinds() []string { return append(slices.Clone(faultKinds), rawAnswers) }
+func FaultKinds() []string { return append(slices.Clone(faultKinds), rawAnswers, badPart) }
 
 // silentServer is the kind of fault in which sound servers fall silent and go on.
 const silentServer = "silent server"
@@ -111,7 +111,7 @@
 	for end := time.Now().Add(r.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := faultKinds[rng.Intn(len(faultKinds))]
 		r.inject(kind, rng, &running)
-		time.Sleep(randomDuration(rng, minPause, maxPause))
+		time.Sleep(r.faultPause(rng))
 	}
 	running.Wait()
 	time.Sleep(startupTime)
@@ -129,7 +129,7 @@
 	service := services[rng.Intn(len(services))]
 	failure := []standin.Failure{standin.ConnectionReset, standin.Shed, standin.Truncated}[rng.Intn(3)]
 	storeHost := rng.Intn(len(r.hosts) + 1) // 0 means all hosts
-	silence, series := randomSilence(rng), r.randomSeries(rng)
+	silence, series := r.randomSilence(rng), r.randomSeries(rng)
 	if r.leftOut(kind) {
 		return // drawn nevertheless, so that the rest of the schedule stays the same
 	}
@@ -145,7 +145,9 @@
 		running.Go(func() { r.settingsSeries(series) })
 	case kind == "outage":
 		r.outage.Store(&outage{service, failure})
+		endOutage := r.outages.open(0)
 		running.Go(func() {
+			defer endOutage()
 			time.Sleep(length)
 			r.outage.Store(nil)
 		})
@@ -245,18 +247,21 @@
 	with   string // kind of another fault at the same time; empty for none
 }
 
-func randomSilence(rng *rand.Rand) silence {
+func (r *run) randomSilence(rng *rand.Rand) silence {
 	return silence{
 		at:     []standin.Silence{standin.BeforeHead, standin.BetweenEvents, standin.OnAccept}[rng.Intn(3)],
-		server: rng.Intn(len(services)*serversPerService + 2),
+		server: rng.Intn(len(r.servers) + 2),
 		length: randomDuration(rng, minSilence, maxSilence),
 		with:   []string{"", "config", "stop", "reload"}[rng.Intn(4)],
 	}
 }
 
 func (r *run) silence(x silence) {
-	for i, s := range r.servers {
-		if i == x.server || x.server >= len(r.servers) {
+	r.mu.Lock()
+	servers := slices.Clone(r.servers)
+	r.mu.Unlock()
+	for i, s := range servers {
+		if i == x.server || x.server >= len(servers) {
 			s.FallSilent(x.at, x.length)
 		}
 	}
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -19,6 +19,7 @@
 	standin.Result
 	host   *host
 	sentAt time.Time
+	parts  parts // of a stream's prompt
 }
 
 // cause says why the request was not served, as its caller sees it.
@@ -84,12 +85,16 @@
 	path := []string{standin.SafePath, standin.UnsafePath, standin.StreamPath}[c.rng.Intn(3)]
 	h := c.pickHost()
 	var header []string
+	sent := call{host: h, sentAt: time.Now()}
+	if path == standin.StreamPath {
+		sent.parts = r.randomParts(c.rng, sent.sentAt)
+		header = sent.parts.header(fmt.Sprintf("%x", c.rng.Uint64()))
+	}
 	if path == standin.StreamPath && c.rng.Float64() < largePromptShare {
-		header = standin.LargePromptHeader
+		header = append(header, standin.LargePromptHeader...)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	sent := call{host: h, sentAt: time.Now()}
 	sent.Result = r.caller.Call(ctx, h.callerLink.Addr(), path, header...)
 	if sent.Status == 0 {
 		c.avoided[h] = time.Now().Add(avoidTime)
@@ -140,6 +145,7 @@
 		}
 	}
 	r.result.Requests = len(r.calls)
+	r.checkBadPart(streams)
 	r.checkBudget()
 }
 
@@ -170,7 +176,7 @@
 
 // cutWithoutCause reports whether a stream ended without a complete answer although nothing broke it. That is allowed
 //   - before it began: it reached no server, and the host refused it or gave no response, so there is no stream to cut;
-//   - if a server that it reached answered with a failure, or the link to that server was reset: the server has broken
+//   - if a server that it reached answered with a failure or crashed, or the link to that server was reset: the server has broken
 //     off, and the retry budget may forbid another one. A link that only delays or holds data does not excuse a host,
 //     since a server that is silent behind it goes on as well, unless the run is to be without silent servers;
 //   - if the whole timeout had passed;
@@ -185,10 +191,13 @@
 		return false
 	}
 	for _, a := range arrivals {
-		if a.Failure != standin.NoFailure {
+		if a.Failure != standin.NoFailure || r.crashed(a.Server, c.sentAt, end) {
 			return false
 		}
 	}
+	if len(arrivals) == 0 && r.crashed("", c.sentAt, end) {
+		return false
+	}
 	for _, l := range r.links {
 		reached := slices.ContainsFunc(arrivals, func(a standin.Arrival) bool { return r.fleet.AddressOf(a.Server) == l.Addr() })
 		brokeOff := l.resets.overlap(c.sentAt, end) || (r.leftOut(silentServer) && l.faults.overlap(c.sentAt, end))
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -40,12 +40,11 @@
 	Requests, Served int
 	Unserved         map[string]int // by what the caller saw
 	Faults           map[string]int // by kind
+	BadPart          string         // what became of the bad part; empty without one
 	Violations       []string       // guarantees to callers that were violated
 }
 
 const (
-	// serversPerService is large enough for a request to find another server while one fails.
-	serversPerService = 3
 	// soundShare is the fraction of requests that no server fails, apart from outages. Streams among them must not be cut.
 	soundShare = 0.4
 	// requestTimeout is the timeout of the plain routes. It is short, so that many requests complete in a run.
@@ -71,6 +70,10 @@
 // services are the services of the routes.
 var services = []string{"ledger", "models"}
 
+// serverCounts is the number of servers of each service: enough for a request to find another server while one fails, and
+// enough engines that some are left after the crashes by which hosts learn of a bad part.
+var serverCounts = map[string]int{"ledger": 3, "models": 12}
+
 // run is the state of a running soak.
 type run struct {
 	cfg     Config
@@ -80,13 +83,18 @@
 	servers []*standin.Server
 	caller  standin.Caller
 	outage  atomic.Pointer[outage]
+	outages timeWindows
 
 	publishing sync.Mutex
 	version    int // last published configuration version
 
-	mu     sync.Mutex
-	result Result
-	calls  []call
+	began    time.Time      // when callers started
+	reviving sync.WaitGroup // crashed engines that start again
+
+	mu      sync.Mutex
+	result  Result
+	calls   []call
+	crashes []crash
 }
 
 // outage makes all servers of a service fail in the same way.
@@ -103,32 +111,36 @@
 		return r.result, err
 	}
 	rng := rand.New(rand.NewSource(cfg.Seed))
+	r.began = time.Now()
 	stop := r.startCallers()
 	r.injectFaults(ctx, rng)
 	stop()
+	r.reviving.Wait()
 	r.checkCalls()
 	r.checkRecovery(ctx)
 	return r.result, nil
 }
 
 func (r *run) start(ctx context.Context) error {
-	fleet, err := standin.NewFleet(r.cfg.Port, r.cfg.Hosts, func(address, target string) error {
-		_, err := r.addLink(address, target)
-		return err
+	fleet, err := standin.NewFleet(r.cfg.Port, r.cfg.Hosts, func(address, target string) (standin.Proxy, error) {
+		return r.addLink(address, target)
 	})
 	if err != nil {
 		return err
 	}
 	r.fleet = fleet
 	fleet.ReadSpeedup, fleet.StreamTimeout = prefillSpeedup, streamTimeout
-	for i := range serversPerService {
-		for _, service := range services {
+	for _, service := range services {
+		for i := range serverCounts[service] {
 			s, err := fleet.Add(service)
 			if err != nil {
 				return err
 			}
 			seed := r.cfg.Seed + int64(i)
 			s.FailureFor, s.RawFor = r.failureFunc(seed, service), rawFunc(seed, service)
+			if r.hasBadPart() && service == "models" {
+				s.BadPart, s.OnCrash = badPartID, r.crash
+			}
 			r.servers = append(r.servers, s)
 		}
 	}
@@ -159,7 +171,7 @@
 			return o.failure
 		}
 		rng := requestRNG(seed, id)
-		if requestRNG(0, id).Float64() < soundShare || rng.Intn(2) == 0 {
+		if soundRequest(id) || rng.Intn(2) == 0 {
 			return standin.NoFailure
 		}
 		kind := kinds[rng.Intn(len(kinds))]
@@ -183,6 +195,9 @@
 	}
 }
 
+// soundRequest reports whether no server fails a request, apart from outages.
+func soundRequest(id string) bool { return requestRNG(0, id).Float64() < soundShare }
+
 // requestRNG returns a source of random numbers that depends on the seed and the request only.
 func requestRNG(seed int64, id string) *rand.Rand {
 	for _, b := range []byte(id) {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -13,7 +13,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/rosemaryhill/rosemaryhill/lab/netfault"
 	"github.com/rosemaryhill/rosemaryhill/platform/standin"
 )
 
@@ -56,23 +55,34 @@
 		seeds = []int64{*seedFlag}
 	}
 	for _, seed := range seeds {
-		c.Run(fmt.Sprint("seed", seed), func(c *qt.C) {
-			dir, err := os.MkdirTemp("", "soak") // kept, so that the logs of a failed seed can be read
-			c.Assert(err, qt.IsNil)
-			res, err := Run(context.Background(), Config{
-				Seed: seed, Duration: *timeFlag, Hosts: 3, Program: program, Dir: dir, Port: *portFlag,
-			})
-			c.Assert(err, qt.IsNil)
-			c.Logf("%d requests, %d served, faults %v, logs in %s", res.Requests, res.Served, res.Faults, dir)
-			for _, cause := range res.Causes() {
-				c.Logf("not served: %d %s", res.Unserved[cause], cause)
-			}
-			for _, v := range res.Violations {
-				c.Errorf("%s", v)
-			}
-			c.Assert(res.Served > 0, qt.IsTrue)
-		})
+		c.Run(fmt.Sprint("seed", seed), func(c *qt.C) { soakWith(c, program, seed, *timeFlag) })
+	}
+}
+
+// Guards against a prompt part that crashes one engine after the other, and against sound streams that are no longer
+// served because they share another part with it.
+func TestSoakWithBadPart(t *testing.T) {
+	c := qt.New(t)
+	soakWith(c, buildHost(c), 1, badPartOver)
+}
+
+// soakWith runs a soak of three hosts and checks that nothing was violated.
+func soakWith(c *qt.C, program string, seed int64, length time.Duration) {
+	dir, err := os.MkdirTemp("", "soak") // kept, so that the logs of a failed seed can be read
+	c.Assert(err, qt.IsNil)
+	res, err := Run(context.Background(), Config{
+		Seed: seed, Duration: length, Hosts: 3, Program: program, Dir: dir, Port: *portFlag,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Logf("%d requests, %d served, faults %v, logs in %s", res.Requests, res.Served, res.Faults, dir)
+	c.Logf("bad part: %s", res.BadPart)
+	for _, cause := range res.Causes() {
+		c.Logf("not served: %d %s", res.Unserved[cause], cause)
 	}
+	for _, v := range res.Violations {
+		c.Errorf("%s", v)
+	}
+	c.Assert(res.Served > 0, qt.IsTrue)
 }
 
 // Guards against reporting a violation when a signal terminates a process that has not installed its signal handlers
@@ -122,7 +132,12 @@
 // something that did not, such as a reload or an earlier fault.
 func TestCutStreams(t *testing.T) {
 	c := qt.New(t)
-	fleet, err := standin.NewFleet(*portFlag, 0, nil)
+	r := &run{}
+	var err error
+	r.fleet, err = standin.NewFleet(*portFlag, 0, func(address, target string) (standin.Proxy, error) { return r.addLink(address, target) })
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(r.close(), qt.IsNil) })
+	_, err = r.fleet.Add("models")
 	c.Assert(err, qt.IsNil)
 	ago := func(seconds float64) time.Time { return time.Now().Add(-time.Duration(seconds * float64(time.Second))) }
 	window := func(from, to float64) [][2]time.Time { return [][2]time.Time{{ago(from), ago(to)}} }
@@ -134,6 +149,7 @@
 		arrivals               []standin.Arrival
 		fault, reset, linkHeld [][2]time.Time
 		without                []string
+		crashes                []crash
 		want                   bool
 	}{
 		{name: "sound server", result: cut, arrivals: []standin.Arrival{server}, want: true},
@@ -144,18 +160,17 @@
 		{name: "timeout", result: standin.Result{Status: 504, Complete: true, Took: streamTimeout}, arrivals: []standin.Arrival{server}},
 		{name: "host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(1.5, 0.5)},
 		{name: "earlier host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(9, 3), want: true},
+		{name: "crash of the server", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-1", ago(1.5), ago(1.5)}}},
+		{name: "crash of another server", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-2", ago(1.5), ago(1.5)}}, want: true},
 		{name: "link reset", result: cut, arrivals: []standin.Arrival{server}, reset: window(1.5, 1.5)},
 		{name: "link held", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), want: true},
 		{name: "link held, no silent servers", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), without: []string{silentServer}},
 	} {
-		p, err := netfault.Listen(fleet.AddressOf("i-1"), "")
-		c.Assert(err, qt.IsNil)
-		r := &run{cfg: Config{Without: x.without}, fleet: fleet, links: []*link{{Proxy: p}}}
+		r.cfg.Without, r.crashes = x.without, x.crashes
 		r.links[0].resets.list, r.links[0].faults.list = x.reset, x.linkHeld
 		sent := &call{Result: x.result, host: &host{}, sentAt: ago(2)}
 		sent.host.cutAllowed.list = x.fault
 		c.Check(r.cutWithoutCause(sent, x.arrivals), qt.Equals, x.want, qt.Commentf(x.name))
-		c.Assert(p.Close(), qt.IsNil)
 	}
 }
 
