Soak: start processes again that a reload ended during startup

Cause: a process that SIGHUP ends before it handles the signal stayed down until the next fault of its host, and a series of settings ended it again right after each start.

Change: processes that exited are started again before each fault, as an init system does; the exit is judged as before. A series of settings leaves out a host that is starting; single reloads still meet one.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -110,6 +110,7 @@
 	var running sync.WaitGroup
 	for end := time.Now().Add(r.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := faultKinds[rng.Intn(len(faultKinds))]
+		r.restartExited()
 		r.inject(kind, rng, &running)
 		time.Sleep(r.faultPause(rng))
 	}
@@ -222,7 +223,11 @@
 	for _, x := range steps {
 		for n, h := range r.hosts {
 			if x.onHost == 0 || x.onHost == n+1 {
-				h.injectFault(r, "settings", func() { hostFaults["settings"](r, h, x.length) })
+				h.injectFault(r, "settings", func() {
+					if !h.starting() { // else SIGHUP would end the process again and again
+						hostFaults["settings"](r, h, x.length)
+					}
+				})
 			}
 		}
 		time.Sleep(x.length / 2)
--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// restartExited restarts the processes that exited, except on hosts with a fault, which end by restarting theirs.
+func (r *run) restartExited() {
+	for _, h := range r.hosts {
+		if h.mu.TryLock() {
+			h.restartIfExited(r)
+			h.mu.Unlock()
+		}
+	}
+}
+
 // starting reports whether the process may not handle signals yet: it installs the handlers before its first log line.
 func (h *host) starting() bool {
 	info, err := os.Stat(h.settingsFile + ".log")
