Soak: keep a seed that finds streams cut by the stall timer

Cause: the kept seeds pass on the code whose stall timer cuts streams of sound servers.

Change: seed 504 joins the regression seeds, with its cause.

--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -25,8 +25,9 @@
 // regressionSeeds are run by default. All but the first failed in earlier versions of the soak, which drew other faults
 // from the same seeds. Seeds 9, 17 and 20: SIGHUP terminated a process that had just been started and did not ignore
 // the signal yet, and the soak did not restart it. Seeds 110, 112, 113 and 118: SIGTERM right after the previous stop
-// did the same. TestSignalsDuringStartup reproduces both causes.
-var regressionSeeds = []int64{1, 9, 17, 20, 110, 112, 113, 118}
+// did the same. TestSignalsDuringStartup reproduces both causes. Seed 504: the stall timer cut streams of silent servers
+// while the retry budget was empty.
+var regressionSeeds = []int64{1, 9, 17, 20, 110, 112, 113, 118, 504}
 
 // buildHost builds the rosemaryhill binary, with the race detector if the test runs with it.
 func buildHost(c *qt.C) string {
