--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,7 +16,9 @@
 // link is a proxied address. Faults on one link do not overlap.
 type link struct {
 	*netfault.Proxy
-	mu sync.Mutex
+	mu     sync.Mutex
+	resets timeWindows // when connections were reset
+	faults timeWindows // when any fault was set
 }
 
 func (r *run) addLink(address, target string) (*link, error) {
@@ -32,6 +35,7 @@
 func (l *link) applyFault(f netfault.Fault, length time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.faults.open(recoveryTime)()
 	l.SetFault(f)
 	time.Sleep(length)
 	l.SetFault(netfault.Fault{})
@@ -82,18 +86,33 @@
 	"kill", "stop", "pause", "reload", "settings", // on a host
 	"store", "config", "outage",
 	"delay", "hold requests", "hold answers", "silence", "reset", // on a link
+	silentServer, storeSeries, settingsSeries,
 }
 
+// storeSeries and settingsSeries are faults of the store, and reloads with other settings, one after the other on one host
+// or all. Beside the faults of the store, hosts stop and configurations change.
+const (
+	storeSeries    = "store series"
+	settingsSeries = "settings series"
+)
+
+// FaultKinds returns the kinds of faults, which Config.Without may name.
+func FaultKinds() []string { return append(slices.Clone(faultKinds), rawAnswers, badPart) }
+
+// silentServer is the kind of fault in which sound servers fall silent and go on.
+const silentServer = "silent server"
+
+// rawAnswers is a failure of servers that Config.Without may name: they answer with random bytes.
+const rawAnswers = "raw answers"
+
 // injectFaults injects random faults for the configured duration and waits for the last ones to end.
 func (r *run) injectFaults(ctx context.Context, rng *rand.Rand) {
 	var running sync.WaitGroup
 	for end := time.Now().Add(r.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := faultKinds[rng.Intn(len(faultKinds))]
-		r.mu.Lock()
-		r.result.Faults[kind]++
-		r.mu.Unlock()
+		r.restartExited()
 		r.inject(kind, rng, &running)
-		time.Sleep(randomDuration(rng, minPause, maxPause))
+		time.Sleep(r.faultPause(rng))
 	}
 	running.Wait()
 	time.Sleep(startupTime)
@@ -107,31 +126,47 @@
 func (r *run) inject(kind string, rng *rand.Rand, running *sync.WaitGroup) {
 	length := randomDuration(rng, minFault, maxFault)
 	h, l := r.hosts[rng.Intn(len(r.hosts))], r.links[rng.Intn(len(r.links))]
-	storeFault := []standin.Fault{standin.Busy, standin.RateLimited, standin.Reset, standin.Silent}[rng.Intn(4)]
-	service := []string{"ledger", "models"}[rng.Intn(2)]
+	storeFault := storeFaults[rng.Intn(len(storeFaults))]
+	service := services[rng.Intn(len(services))]
 	failure := []standin.Failure{standin.ConnectionReset, standin.Shed, standin.Truncated}[rng.Intn(3)]
 	storeHost := rng.Intn(len(r.hosts) + 1) // 0 means all hosts
+	silence, series := r.randomSilence(rng), r.randomSeries(rng)
+	if r.leftOut(kind) {
+		return // drawn nevertheless, so that the rest of the schedule stays the same
+	}
+	r.countFault(kind)
 	switch {
 	case kind == "config":
 		r.publishConfig()
 	case kind == "store":
-		running.Go(func() {
-			r.fleet.Store.SetFault(storeHost, storeFault)
-			time.Sleep(length)
-			r.fleet.Store.SetFault(storeHost, standin.Healthy)
-		})
+		running.Go(func() { r.failStore(storeHost, storeFault, length) })
+	case kind == storeSeries:
+		running.Go(func() { r.storeSeries(series, running) })
+	case kind == settingsSeries:
+		running.Go(func() { r.settingsSeries(series) })
 	case kind == "outage":
 		r.outage.Store(&outage{service, failure})
+		endOutage := r.outages.open(0)
 		running.Go(func() {
+			defer endOutage()
 			time.Sleep(length)
 			r.outage.Store(nil)
 		})
+	case kind == silentServer:
+		r.silence(silence)
+		switch {
+		case silence.with == "config":
+			r.publishConfig()
+		case hostFaults[silence.with] != nil:
+			r.injectHostFault(silence.with, h, length, running)
+		}
 	case hostFaults[kind] != nil:
-		running.Go(func() { h.injectFault(r, func() { hostFaults[kind](r, h, length) }) })
+		r.injectHostFault(kind, h, length, running)
 	default:
 		running.Go(func() {
 			defer r.allowLateAnswers(l)()
 			if kind == "reset" {
+				defer l.resets.open(0)()
 				l.Reset()
 				return
 			}
@@ -140,11 +175,115 @@
 	}
 }
 
-// allowLateAnswers permits late answers of a host while the link from its callers has a fault.
+func (r *run) leftOut(kind string) bool { return slices.Contains(r.cfg.Without, kind) }
+
+var storeFaults = []standin.Fault{standin.Busy, standin.RateLimited, standin.Reset, standin.Silent}
+
+// failStore makes the store fail for one host, or for all if host is 0.
+func (r *run) failStore(host int, f standin.Fault, length time.Duration) {
+	r.fleet.Store.SetFault(host, f)
+	time.Sleep(length)
+	r.fleet.Store.SetFault(host, standin.Healthy)
+}
+
+// seriesStep is a step of a series of faults.
+type seriesStep struct {
+	onHost     int // 0 means all hosts
+	storeFault standin.Fault
+	length     time.Duration
+	with       string // kind of another fault on the host at the same time; empty for none
+	host       *host
+}
+
+func (r *run) randomSeries(rng *rand.Rand) []seriesStep {
+	steps := make([]seriesStep, 3+rng.Intn(3))
+	for i := range steps {
+		n := rng.Intn(len(r.hosts) + 1)
+		steps[i] = seriesStep{
+			onHost: n, storeFault: storeFaults[rng.Intn(len(storeFaults))], length: randomDuration(rng, minFault, maxFault/2),
+			with: []string{"", "config", "stop"}[rng.Intn(3)], host: r.hosts[rng.Intn(len(r.hosts))],
+		}
+	}
+	return steps
+}
+
+func (r *run) storeSeries(steps []seriesStep, running *sync.WaitGroup) {
+	for _, x := range steps {
+		switch x.with {
+		case "config":
+			r.publishConfig()
+		case "stop":
+			r.injectHostFault(x.with, x.host, x.length, running)
+		}
+		r.failStore(x.onHost, x.storeFault, x.length)
+	}
+}
+
+func (r *run) settingsSeries(steps []seriesStep) {
+	for _, x := range steps {
+		for n, h := range r.hosts {
+			if x.onHost == 0 || x.onHost == n+1 {
+				h.injectFault(r, "settings", func() {
+					if !h.starting() { // else SIGHUP would end the process again and again
+						hostFaults["settings"](r, h, x.length)
+					}
+				})
+			}
+		}
+		time.Sleep(x.length / 2)
+	}
+}
+
+func (r *run) countFault(kind string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Faults[kind]++
+}
+
+func (r *run) injectHostFault(kind string, h *host, length time.Duration, running *sync.WaitGroup) {
+	running.Go(func() { h.injectFault(r, kind, func() { hostFaults[kind](r, h, length) }) })
+}
+
+// silence is a time during which a server, or all servers, are silent, and the fault that comes with it.
+type silence struct {
+	at     standin.Silence
+	server int // index of the server; all of them if it is out of range
+	length time.Duration
+	with   string // kind of another fault at the same time; empty for none
+}
+
+func (r *run) randomSilence(rng *rand.Rand) silence {
+	return silence{
+		at:     []standin.Silence{standin.BeforeHead, standin.BetweenEvents, standin.OnAccept}[rng.Intn(3)],
+		server: rng.Intn(len(r.servers) + 2),
+		length: randomDuration(rng, minSilence, maxSilence),
+		with:   []string{"", "config", "stop", "reload"}[rng.Intn(4)],
+	}
+}
+
+func (r *run) silence(x silence) {
+	r.mu.Lock()
+	servers := slices.Clone(r.servers)
+	r.mu.Unlock()
+	for i, s := range servers {
+		if i == x.server || x.server >= len(servers) {
+			s.FallSilent(x.at, x.length)
+		}
+	}
+	if x.with != "" {
+		r.countFault(silentServer + " with " + x.with)
+	}
+}
+
+// allowLateAnswers permits late answers and cut streams of a host while the link from its callers has a fault.
 func (r *run) allowLateAnswers(l *link) (end func()) {
 	for _, h := range r.hosts {
 		if h.callerLink == l {
-			return h.lateAllowed.open(recoveryTime)
+			endLate, endCut := h.lateAllowed.open(recoveryTime), h.cutAllowed.open(recoveryTime)
+			return func() {
+				endLate()
+				endCut()
+			}
 		}
 	}
 	return func() {}
--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -32,6 +32,7 @@
 	reloadedEarly bool
 
 	lateAllowed timeWindows // when late answers are permitted
+	cutAllowed  timeWindows // when streams may be cut
 }
 
 const (
@@ -111,6 +112,16 @@
 	}
 }
 
+// restartExited restarts the processes that exited, except on hosts with a fault, which end by restarting theirs.
+func (r *run) restartExited() {
+	for _, h := range r.hosts {
+		if h.mu.TryLock() {
+			h.restartIfExited(r)
+			h.mu.Unlock()
+		}
+	}
+}
+
 // starting reports whether the process may not handle signals yet: it installs the handlers before its first log line.
 func (h *host) starting() bool {
 	info, err := os.Stat(h.settingsFile + ".log")
@@ -124,11 +135,15 @@
 
 func (h *host) signal(s syscall.Signal) { _ = h.cmd.Process.Signal(s) } // fails if the process has exited
 
-// injectFault runs a fault of the process. Late answers are permitted until recoveryTime after it.
-func (h *host) injectFault(r *run, fault func()) {
+// injectFault runs a fault of the process. Late answers are permitted until recoveryTime after it, and streams may be cut
+// as long unless the fault is a change of the settings.
+func (h *host) injectFault(r *run, kind string, fault func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.lateAllowed.open(recoveryTime)()
+	if kind != "reload" && kind != "settings" {
+		defer h.cutAllowed.open(recoveryTime)()
+	}
 	h.restartIfExited(r)
 	fault()
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -26,6 +26,7 @@
 	Program  string        // path of the rosemaryhill binary
 	Dir      string        // for settings and logs; not removed after the run
 	Port     int           // first of PortCount ports
+	Without  []string      // kinds of faults that are left out; the schedule of the others stays the same
 }
 
 // PortCount is the number of ports that a run uses.
@@ -39,41 +40,61 @@
 	Requests, Served int
 	Unserved         map[string]int // by what the caller saw
 	Faults           map[string]int // by kind
+	BadPart          string         // what became of the bad part; empty without one
 	Violations       []string       // guarantees to callers that were violated
 }
 
 const (
-	// serversPerService is large enough for a request to find another server while one fails.
-	serversPerService = 3
-	// requestTimeout is the timeout of all routes. It is short, so that many requests complete in a run.
+	// soundShare is the fraction of requests that no server fails, apart from outages. Streams among them must not be cut.
+	soundShare = 0.4
+	// requestTimeout is the timeout of the plain routes. It is short, so that many requests complete in a run.
 	requestTimeout = 1500 * time.Millisecond
-	// answerSlack is how much later than requestTimeout the final answer may arrive.
+	// streamTimeout is the timeout of streams. It is longer than maxSilence, so that a stream outlasts a silence.
+	streamTimeout = 4 * time.Second
+	// answerSlack is how much later than the timeout the final answer may arrive.
 	answerSlack = 500 * time.Millisecond
 	// prefillSpeedup multiplies the prefill speed of the engines, so that a prompt larger than one engine's memory
-	// is processed within requestTimeout.
+	// is processed within streamTimeout.
 	prefillSpeedup = 25
 	// minFault and maxFault bound the duration of a fault, minPause and maxPause the time between the starts of two.
 	minFault, maxFault = 100 * time.Millisecond, 1500 * time.Millisecond
-	minPause, maxPause = 80 * time.Millisecond, 400 * time.Millisecond
+	// minSilence and maxSilence bound how long a sound server is silent.
+	minSilence, maxSilence = 500 * time.Millisecond, 2 * time.Second
+	minPause, maxPause     = 80 * time.Millisecond, 400 * time.Millisecond
 	// retryRatio and retrySlack are low, so that retries beyond the budget show up within a run.
 	retryRatio, retrySlack = 0.05, 10
 	// recoveryTimeout is how long after the last fault hosts may take to serve again and release memory.
 	recoveryTimeout = 10 * time.Second
 )
 
+// services are the services of the routes.
+var services = []string{"ledger", "models"}
+
+// serverCounts is the number of servers of each service: enough for a request to find another server while one fails, and
+// enough engines that some are left after the crashes by which hosts learn of a bad part.
+var serverCounts = map[string]int{"ledger": 3, "models": 12}
+
 // run is the state of a running soak.
 type run struct {
 	cfg     Config
 	fleet   *standin.Fleet
 	links   []*link // to the hosts' stores, to the servers and from callers to hosts
 	hosts   []*host
+	servers []*standin.Server
 	caller  standin.Caller
-	version int // last published configuration version
 	outage  atomic.Pointer[outage]
+	outages timeWindows
+
+	publishing sync.Mutex
+	version    int // last published configuration version
+
+	began    time.Time      // when callers started
+	reviving sync.WaitGroup // crashed engines that start again
 
-	mu     sync.Mutex
-	result Result
-	calls  []call
+	mu      sync.Mutex
+	result  Result
+	calls   []call
+	crashes []crash
 }
 
 // outage makes all servers of a service fail in the same way.
@@ -90,31 +111,37 @@
 		return r.result, err
 	}
 	rng := rand.New(rand.NewSource(cfg.Seed))
+	r.began = time.Now()
 	stop := r.startCallers()
 	r.injectFaults(ctx, rng)
 	stop()
+	r.reviving.Wait()
 	r.checkCalls()
 	r.checkRecovery(ctx)
 	return r.result, nil
 }
 
 func (r *run) start(ctx context.Context) error {
-	fleet, err := standin.NewFleet(r.cfg.Port, r.cfg.Hosts, func(address, target string) error {
-		_, err := r.addLink(address, target)
-		return err
+	fleet, err := standin.NewFleet(r.cfg.Port, r.cfg.Hosts, func(address, target string) (standin.Proxy, error) {
+		return r.addLink(address, target)
 	})
 	if err != nil {
 		return err
 	}
 	r.fleet = fleet
-	fleet.ReadSpeedup = prefillSpeedup
-	for i := range serversPerService {
-		for _, service := range []string{"ledger", "models"} {
+	fleet.ReadSpeedup, fleet.StreamTimeout = prefillSpeedup, streamTimeout
+	for _, service := range services {
+		for i := range serverCounts[service] {
 			s, err := fleet.Add(service)
 			if err != nil {
 				return err
 			}
-			s.FailureFor = r.failureFunc(r.cfg.Seed+int64(i), service)
+			seed := r.cfg.Seed + int64(i)
+			s.FailureFor, s.RawFor = r.failureFunc(seed, service), rawFunc(seed, service)
+			if r.hasBadPart() && service == "models" {
+				s.BadPart, s.OnCrash = badPartID, r.crash
+			}
+			r.servers = append(r.servers, s)
 		}
 	}
 	r.publishConfig()
@@ -131,11 +158,11 @@
 	return nil
 }
 
-// failureFunc returns a function that fails about half of the requests at a server, with a failure derived from seed
+// failureFunc returns a function that fails about half of the requests outside soundShare at a server, with a failure derived from seed
 // and request ID, so that the same request always fails in the same way there. During an outage of the service, all
 // requests fail with the outage's failure.
 func (r *run) failureFunc(seed int64, service string) func(string) standin.Failure {
-	kinds := []standin.Failure{standin.Shed, standin.ConnectionReset, standin.Truncated, standin.WrongResponse, standin.Hang}
+	kinds := []standin.Failure{standin.Shed, standin.ConnectionReset, standin.Truncated, standin.WrongResponse, standin.Hang, standin.Raw}
 	if service == "ledger" {
 		kinds = append(kinds, standin.Error500, standin.Error503, standin.Unsigned)
 	}
@@ -143,20 +170,46 @@
 		if o := r.outage.Load(); o != nil && o.service == service {
 			return o.failure
 		}
-		h := seed
-		for _, b := range []byte(id) {
-			h = h*31 + int64(b)
+		rng := requestRNG(seed, id)
+		if soundRequest(id) || rng.Intn(2) == 0 {
+			return standin.NoFailure
 		}
-		rng := rand.New(rand.NewSource(h))
-		if rng.Intn(2) == 0 {
+		kind := kinds[rng.Intn(len(kinds))]
+		if kind == standin.Raw && r.leftOut(rawAnswers) {
 			return standin.NoFailure
 		}
-		return kinds[rng.Intn(len(kinds))]
+		return kind
+	}
+}
+
+// rawFunc returns a function that returns the random answer to a request with the failure Raw. It depends on seed and
+// request ID only.
+func rawFunc(seed int64, service string) func(string) standin.AnswerShape {
+	body := standin.RawBody
+	if service == "models" {
+		body = standin.StreamBody(standin.StreamEvents)
+	}
+	return func(id string) standin.AnswerShape {
+		rng := requestRNG(seed, "raw "+id)
+		return standin.RandomAnswer(func(n int, _ string) int { return rng.Intn(n) }, body)
+	}
+}
+
+// soundRequest reports whether no server fails a request, apart from outages.
+func soundRequest(id string) bool { return requestRNG(0, id).Float64() < soundShare }
+
+// requestRNG returns a source of random numbers that depends on the seed and the request only.
+func requestRNG(seed int64, id string) *rand.Rand {
+	for _, b := range []byte(id) {
+		seed = seed*31 + int64(b)
 	}
+	return rand.New(rand.NewSource(seed))
 }
 
 // publishConfig publishes the next version of the configuration.
 func (r *run) publishConfig() {
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
 	r.version++
 	r.fleet.Configure(r.version, requestTimeout)
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/platform/standin"
 )
 
 var (
@@ -23,8 +25,9 @@
 // regressionSeeds are run by default. All but the first failed in earlier versions of the soak, which drew other faults
 // from the same seeds. Seeds 9, 17 and 20: SIGHUP terminated a process that had just been started and did not ignore
 // the signal yet, and the soak did not restart it. Seeds 110, 112, 113 and 118: SIGTERM right after the previous stop
-// did the same. TestSignalsDuringStartup reproduces both causes.
-var regressionSeeds = []int64{1, 9, 17, 20, 110, 112, 113, 118}
+// did the same. TestSignalsDuringStartup reproduces both causes. Seed 504: the stall timer cut streams of silent servers
+// while the retry budget was empty.
+var regressionSeeds = []int64{1, 9, 17, 20, 110, 112, 113, 118, 504}
 
 // buildHost builds the rosemaryhill binary, with the race detector if the test runs with it.
 func buildHost(c *qt.C) string {
@@ -53,23 +56,34 @@
 		seeds = []int64{*seedFlag}
 	}
 	for _, seed := range seeds {
-		c.Run(fmt.Sprint("seed", seed), func(c *qt.C) {
-			dir, err := os.MkdirTemp("", "soak") // kept, so that the logs of a failed seed can be read
-			c.Assert(err, qt.IsNil)
-			res, err := Run(context.Background(), Config{
-				Seed: seed, Duration: *timeFlag, Hosts: 3, Program: program, Dir: dir, Port: *portFlag,
-			})
-			c.Assert(err, qt.IsNil)
-			c.Logf("%d requests, %d served, faults %v, logs in %s", res.Requests, res.Served, res.Faults, dir)
-			for _, cause := range res.Causes() {
-				c.Logf("not served: %d %s", res.Unserved[cause], cause)
-			}
-			for _, v := range res.Violations {
-				c.Errorf("%s", v)
-			}
-			c.Assert(res.Served > 0, qt.IsTrue)
-		})
+		c.Run(fmt.Sprint("seed", seed), func(c *qt.C) { soakWith(c, program, seed, *timeFlag) })
+	}
+}
+
+// Guards against a prompt part that crashes one engine after the other, and against sound streams that are no longer
+// served because they share another part with it.
+func TestSoakWithBadPart(t *testing.T) {
+	c := qt.New(t)
+	soakWith(c, buildHost(c), 1, badPartOver)
+}
+
+// soakWith runs a soak of three hosts and checks that nothing was violated.
+func soakWith(c *qt.C, program string, seed int64, length time.Duration) {
+	dir, err := os.MkdirTemp("", "soak") // kept, so that the logs of a failed seed can be read
+	c.Assert(err, qt.IsNil)
+	res, err := Run(context.Background(), Config{
+		Seed: seed, Duration: length, Hosts: 3, Program: program, Dir: dir, Port: *portFlag,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Logf("%d requests, %d served, faults %v, logs in %s", res.Requests, res.Served, res.Faults, dir)
+	c.Logf("bad part: %s", res.BadPart)
+	for _, cause := range res.Causes() {
+		c.Logf("not served: %d %s", res.Unserved[cause], cause)
+	}
+	for _, v := range res.Violations {
+		c.Errorf("%s", v)
 	}
+	c.Assert(res.Served > 0, qt.IsTrue)
 }
 
 // Guards against reporting a violation when a signal terminates a process that has not installed its signal handlers
@@ -84,12 +98,12 @@
 	c.Assert(r.start(context.Background()), qt.IsNil)
 	h := r.hosts[0]
 	for range 4 {
-		h.injectFault(r, func() {
+		h.injectFault(r, "stop", func() {
 			h.stop(r)
 			h.restart(r)
 			h.reload()
 		})
-		h.injectFault(r, func() {
+		h.injectFault(r, "stop", func() {
 			h.stop(r)
 			h.restart(r)
 		})
@@ -115,10 +129,56 @@
 	c.Assert(w.overlap(before.Add(-time.Hour), before.Add(-time.Minute)), qt.IsFalse)
 }
 
+// Guards against cut streams that are reported although something broke them, and against any that are excused by
+// something that did not, such as a reload or an earlier fault.
+func TestCutStreams(t *testing.T) {
+	c := qt.New(t)
+	r := &run{}
+	var err error
+	r.fleet, err = standin.NewFleet(*portFlag, 0, func(address, target string) (standin.Proxy, error) { return r.addLink(address, target) })
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(r.close(), qt.IsNil) })
+	_, err = r.fleet.Add("models")
+	c.Assert(err, qt.IsNil)
+	ago := func(seconds float64) time.Time { return time.Now().Add(-time.Duration(seconds * float64(time.Second))) }
+	window := func(from, to float64) [][2]time.Time { return [][2]time.Time{{ago(from), ago(to)}} }
+	server, hang := standin.Arrival{Server: "i-1"}, standin.Arrival{Server: "i-1", Failure: standin.Hang}
+	cut := standin.Result{Status: 200, Took: time.Second}
+	for _, x := range []struct {
+		name                   string
+		result                 standin.Result
+		arrivals               []standin.Arrival
+		fault, reset, linkHeld [][2]time.Time
+		without                []string
+		crashes                []crash
+		want                   bool
+	}{
+		{name: "sound server", result: cut, arrivals: []standin.Arrival{server}, want: true},
+		{name: "complete", result: standin.Result{Status: 200, Complete: true}, arrivals: []standin.Arrival{server}},
+		{name: "one server broke off", result: cut, arrivals: []standin.Arrival{server, hang}},
+		{name: "refused before it began", result: standin.Result{Status: 503, Complete: true}},
+		{name: "may have run at a server silent on accept", result: standin.Result{Status: 502, Complete: true}, want: true},
+		{name: "timeout", result: standin.Result{Status: 504, Complete: true, Took: streamTimeout}, arrivals: []standin.Arrival{server}},
+		{name: "host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(1.5, 0.5)},
+		{name: "earlier host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(9, 3), want: true},
+		{name: "crash of the server", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-1", ago(1.5), ago(1.5)}}},
+		{name: "crash of another server", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-2", ago(1.5), ago(1.5)}}, want: true},
+		{name: "link reset", result: cut, arrivals: []standin.Arrival{server}, reset: window(1.5, 1.5)},
+		{name: "link held", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), want: true},
+		{name: "link held, no silent servers", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), without: []string{silentServer}},
+	} {
+		r.cfg.Without, r.crashes = x.without, x.crashes
+		r.links[0].resets.list, r.links[0].faults.list = x.reset, x.linkHeld
+		sent := &call{Result: x.result, host: &host{}, sentAt: ago(2)}
+		sent.host.cutAllowed.list = x.fault
+		c.Check(r.cutWithoutCause(sent, x.arrivals), qt.Equals, x.want, qt.Commentf(x.name))
+	}
+}
+
 // Guards against kinds of faults that are drawn but have no effect.
 func TestEveryFaultKindIsInjected(t *testing.T) {
 	c := qt.New(t)
-	other := []string{"store", "config", "outage", "reset"}
+	other := []string{"store", "config", "outage", "reset", silentServer, storeSeries, settingsSeries}
 	for _, k := range faultKinds {
 		_, linked := linkFaults[k]
 		known := hostFaults[k] != nil || linked || slices.Contains(other, k)
