Split the conclusion of an attempt; do not complete a stream whose caller has left

Behaviour: a stream that another attempt had ended without an event was counted as answered when its caller had left; it is counted as cancelled now. The rest is moved. Formatting of one import is corrected.

--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -43,8 +43,8 @@
 	otherResponse *response
 	// emptyEnd is the response of an attempt that ended without a new event while another one ran. It completes the stream if
 	// that one fails without a further event.
-	emptyEnd *backendResponse
-	testsParts    bool // the request tests quarantined parts of its prompt
+	emptyEnd   *backendResponse
+	testsParts bool // the request tests quarantined parts of its prompt
 }
 
 // serveStream relays the event stream of an engine. If the engine is lost, the stream is resumed on another
@@ -60,7 +60,7 @@
 	if last == nil {
 		return nil
 	}
-	if st.emptyEnd != nil {
+	if st.emptyEnd != nil && last.Reason != outcome.Cancelled {
 		st.writeHeader(*st.emptyEnd)
 		return nil
 	}
@@ -218,11 +218,8 @@
 	if end.isStream() && end.err == nil {
 		end.err = httpcall.CheckStreamEnd(end.received.resp, x.events > 0)
 	}
-	// A resumed stream may have no event left, so that its end is no evidence against the server.
-	nothingLeft := errors.Is(end.err, httpcall.ErrNoEvent) && st.race.Last() >= 0
-	if !nothingLeft && end.step != stepDial && !end.invalid && end.contextErr == nil && isBreak(end.err) {
-		st.testsParts = false
-		x.recordCrash(h.now())
+	if end.err != nil {
+		st.recordBreak(x, end)
 	}
 	if end.received == nil {
 		st.failed[id] = true
@@ -247,12 +244,27 @@
 	if end.invalid {
 		return h.invalidResponse(end.contextErr, id, end.err)
 	}
-	if !nothingLeft && end.contextErr == nil {
+	if end.contextErr == nil && !st.mayHaveEnded(end.err) {
 		h.excludeServer(id, stepAnswer, end.err)
 	}
 	return backendError(stepAnswer, id, true, end.err)
 }
 
+// recordBreak records a crash of the server if the end of an attempt shows that it broke off.
+func (st *stream) recordBreak(x *engineAttempt, end attemptEnd) {
+	if end.step == stepDial || end.invalid || end.contextErr != nil || !isBreak(end.err) || st.mayHaveEnded(end.err) {
+		return
+	}
+	st.testsParts = false // the crash is the result of the test
+	x.recordCrash(st.host.now())
+}
+
+// mayHaveEnded reports whether a stream that ended with its connection and without a new event may be whole: a resumed one
+// may have no event left. Its end is no evidence against the server.
+func (st *stream) mayHaveEnded(err error) bool {
+	return errors.Is(err, httpcall.ErrNoEvent) && st.race.Last() >= 0
+}
+
 // reserveFailed handles a placement whose memory could not be reserved. Nothing has been sent.
 func (st *stream) reserveFailed(x *engineAttempt, err error) *outcome.Error {
 	st.reserveFailures++
