Do not take the end of a long line for the blank line that ends an event

Callers saw: bytes of a server that are no event, relayed as one: 12 MB of garbage after the last event of a stream, until its time was over. Half of an event could have passed for a whole one. Cause: a line longer than the read buffer arrives in pieces. If its last piece holds the line end only, it looked like a blank line. Change: only a line that begins in the same piece can be blank or hold an id.

--- a/node/entry/events.go
+++ b/node/entry/events.go
@@ -28,6 +28,7 @@
 // io.ErrUnexpectedEOF if it ended inside one.
 func (x *eventReader) next() (event, error) {
 	ev := event{id: -1}
+	continued := false // the line began in an earlier buffer
 	for {
 		line, err := x.r.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
@@ -36,6 +37,7 @@
 			if len(ev.raw) > maxEvent {
 				return ev, Error.New("event of more than %d bytes", maxEvent)
 			}
+			continued = true
 			continue
 		case errors.Is(err, io.EOF) && len(ev.raw) > 0:
 			return ev, io.ErrUnexpectedEOF
@@ -43,14 +45,15 @@
 			return ev, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		if len(text) == 0 && !continued {
 			return ev, nil
 		}
-		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+		if value, found := bytes.CutPrefix(text, []byte("id:")); found && !continued {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				ev.id = id
 			}
 		}
+		continued = false
 		if len(ev.raw) > maxEvent {
 			return ev, Error.New("event of more than %d bytes", maxEvent)
 		}
--- a/node/entry/events_test.go
+++ b/node/entry/events_test.go
@@ -65,3 +65,17 @@
 	}
 	return len(p), nil
 }
+
+// Guards against a long line whose end alone is left after full buffers being taken for the blank line that ends an event.
+func TestLongLineIsNoBlankLine(t *testing.T) {
+	c := qt.New(t)
+	for _, length := range []int{2046, 2047, 2048, 4094, 4096, 16384} {
+		for _, end := range []string{"\n", "\r\n"} {
+			text := strings.Repeat("x", length) + end + "id: 1" + end + end
+			ev, err := newEventReader(strings.NewReader(text)).next()
+			c.Check(err, qt.IsNil)
+			c.Check(string(ev.raw), qt.Equals, text, qt.Commentf("line of %d bytes", length))
+			c.Check(ev.id, qt.Equals, int64(1))
+		}
+	}
+}
