Count higher ranked hosts in one place

The readers of the store and the testers of a prompt part counted live hosts with a higher rank in loops of their own; both use peers.Table.CountHigherRanked now, each with its own hash and condition.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -12,7 +12,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -413,18 +412,14 @@
 	return ahead
 }
 
-// RanksAmong reports whether this host is among the n live hosts that rank first for a key by a hash. Hosts that hear from
-// the same peers agree on the ranks.
-func (t *Table) RanksAmong(now time.Duration, key uint64, n int) bool {
-	own, higher := rank(t.self, key), 0
+// CountHigherRanked counts the live peers that are not leaving, rank higher than this host and satisfy the condition. Hosts
+// that hear from the same peers agree on the ranks.
+func (t *Table) CountHigherRanked(now time.Duration, rank func(member.Addr) uint64, counts func(*Peer) bool) (n int) {
+	own := rank(t.self)
 	for addr, p := range t.peers {
-		if p.Alive(now) && !p.Leaving && rank(addr, key) > own {
-			higher++
+		if p.Alive(now) && !p.Leaving && counts(p) && rank(addr) > own {
+			n++
 		}
 	}
-	return higher < n
-}
-
-func rank(addr member.Addr, key uint64) uint64 {
-	return xxhash.Sum64String(string(addr) + "/" + strconv.FormatUint(key, 16))
+	return n
 }
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -149,18 +149,13 @@
 }
 
 // countHigherRanked counts the live hosts of the own zone with a higher rank that satisfy the condition.
-func (h *Host) countHigherRanked(counts func(*peers.Peer) bool) (n int) {
-	now := h.now()
+func (h *Host) countHigherRanked(counts func(*peers.Peer) bool) int {
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ownRank := readerRank(s.peers.Self())
-	for _, p := range s.peers.Live(now) {
-		if !p.Leaving && p.Zone == s.peers.Zone() && readerRank(p.Addr) > ownRank && counts(p) {
-			n++
-		}
-	}
-	return n
+	return s.peers.CountHigherRanked(h.now(), readerRank, func(p *peers.Peer) bool {
+		return p.Zone == s.peers.Zone() && counts(p)
+	})
 }
 
 // readerRank ranks hosts by a hash, so that the readers of a zone are spread over its hosts.
--- a/node/entry/quarantine.go
+++ b/node/entry/quarantine.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
@@ -52,7 +53,7 @@
 // checkParts refuses a request with a part in its prompt that servers crash on. The state must be locked.
 func (st *stream) checkParts(now time.Duration) *outcome.Error {
 	q, s := st.q, st.host.state
-	v := s.quarantine.Check(now, q.parts, func(p quarantine.Part, n int) bool { return s.peers.RanksAmong(now, uint64(p), n) })
+	v := s.quarantine.Check(now, q.parts, func(p quarantine.Part, n int) bool { return s.isTester(now, p, n) })
 	st.testsParts = st.testsParts || v.Test
 	if v.Admit || st.testsParts {
 		return nil
@@ -62,6 +63,14 @@
 	return e
 }
 
+// isTester reports whether this host is among the n live hosts that rank first for a part. The state must be locked.
+func (s *state) isTester(now time.Duration, part quarantine.Part, n int) bool {
+	rank := func(addr member.Addr) uint64 {
+		return xxhash.Sum64String(string(addr) + "/" + PromptPart(part).String())
+	}
+	return s.peers.CountHigherRanked(now, rank, func(*peers.Peer) bool { return true }) < n
+}
+
 // partName returns the ID of a part of the request's prompt.
 func (q *request) partName(p quarantine.Part) string {
 	for i, key := range q.parts {
