Mark the span of a refused attempt as failed again

What operators saw: the span "send" of an attempt that its server refused ended as successful, and one of a failed reservation named another reason, since attempts run in goroutines of their own. Cause: the status was taken from the error alone; a refusal is an answer without one. Change: one function ends the spans of both kinds of attempts, from the error and the refusal. Evidence: TestRefusedAttemptSpanReportsError failed for streams and plain requests, passes now.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -75,7 +75,7 @@
 	}
 	defer held.release()
 	ctx, span := h.startStepSpan(ctx, stepSend, x.server.ID)
-	defer func() { obs.EndSpan(span, failureOf(end.err)) }()
+	defer func() { endAttemptSpan(span, end.received, end.err) }()
 	received, ran, err := h.send(ctx, q, x.server, x.forward(held))
 	if err != nil {
 		return attemptEnd{step: sendStep(ran), err: err}
@@ -97,14 +97,6 @@
 	return attemptEnd{step: stepAnswer, received: &received, err: x.relay(ctx, received)}
 }
 
-// failureOf returns the status of a span that ended with an error.
-func failureOf(err error) string {
-	if err == nil {
-		return ""
-	}
-	return string(outcome.BackendLost)
-}
-
 // sendStep returns the step at which a request without a response has failed. ran is false if nothing has reached the server.
 func sendStep(ran bool) string {
 	if ran {
@@ -120,8 +112,12 @@
 	}
 	h := x.stream.host
 	ctx, span := h.startStepSpan(ctx, stepReserve, "")
-	defer func() { obs.EndSpan(span, failureOf(err)) }()
-	return h.reserve(ctx, x.choice, x.cancel)
+	if held, err = h.reserve(ctx, x.choice, x.cancel); err != nil {
+		obs.EndSpan(span, string(outcome.Overload))
+		return nil, err
+	}
+	obs.EndSpan(span, "")
+	return held, nil
 }
 
 // forward returns the information that is sent to the engine along with the caller's header.
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -10,7 +10,6 @@
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
-	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
 // The time after which a server counts as silent, so that an idempotent request is sent to another one as well, is
@@ -209,7 +208,7 @@
 	h := r.host
 	end := plainEnd{from: x, step: stepAnswer, memory: share{memory: h.bodies}}
 	ctx, span := h.startStepSpan(r.ctx, stepSend, x.server.ID)
-	defer func() { obs.EndSpan(span, failureOf(end.err)) }()
+	defer func() { endAttemptSpan(span, end.received, end.err) }()
 	received, ran, err := h.send(ctx, r.q, x.server, Forward{})
 	if err != nil {
 		end.step, end.err, end.contextErr = sendStep(ran), err, ctx.Err()
--- a/node/entry/trace.go
+++ b/node/entry/trace.go
@@ -37,3 +37,15 @@
 	}
 	obs.EndSpan(s, string(e.Reason))
 }
+
+// endAttemptSpan ends the span of an attempt: with an error if the server gave no answer or refused the request.
+func endAttemptSpan(s trace.Span, received *backendResponse, err error) {
+	switch {
+	case err != nil:
+		obs.EndSpan(s, string(outcome.BackendLost))
+	case received.reply.NotRun:
+		obs.EndSpan(s, string(outcome.Overload))
+	default:
+		obs.EndSpan(s, "")
+	}
+}
