--- a/review/kit/config.go
+++ b/review/kit/config.go
@@ -38,6 +38,6 @@
 			}},
 		},
 		"tenants": []any{map[string]any{"name": Tenant, "api_keys": keys}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 60000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
