--- a/review/kit/caller.go
+++ b/review/kit/caller.go
@@ -80,9 +80,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{c, bufio.NewReader(c)}, nil
+	return NewConn(c), nil
 }
 
+// NewConn returns a caller's connection.
+func NewConn(c net.Conn) *Conn { return &Conn{c, bufio.NewReader(c)} }
+
 // Do sends a request and reads its answer within the given time.
 func (c *Conn) Do(q Request, within time.Duration) (res Result) {
 	began := time.Now()
