--- a/review/cmd/logstall/main.go
+++ b/review/cmd/logstall/main.go
@@ -21,6 +21,8 @@
 	calm       = 3 * time.Second        // of traffic before the disruption
 	stall      = 30 * time.Second       // for which the reader of the logs stands still
 	afterwards = 4 * time.Second        // of traffic after it
+	// pipeSize is the usual size of a pipe in bytes, and setPipeSize the command that sets it (F_SETPIPE_SZ).
+	pipeSize, setPipeSize = 64 << 10, 1031
 	// answerSlack is the time after a route's timeout by which a final answer is due.
 	answerSlack = 500 * time.Millisecond
 )
@@ -39,6 +41,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if _, _, e := syscall.Syscall(syscall.SYS_FCNTL, w.Fd(), setPipeSize, pipeSize); e != 0 {
+		return nil, nil, e
+	}
 	c := exec.Command(os.Args[0], "collect")
 	c.Stdin = r
 	if err := c.Start(); err != nil {
--- a/review/cmd/staleconfig/main.go
+++ b/review/cmd/staleconfig/main.go
@@ -34,11 +34,15 @@
 	slowTime = 1500 * time.Millisecond
 	// settle is the time from the end of all that to the check: stable_ms, and longer than config_apply_ms.
 	settle = 3200 * time.Millisecond
-	// writeAfter is the time from the start of a host to the new configuration.
-	writeAfter = 400 * time.Millisecond
-	rounds     = 8
+	rounds = 8
 )
 
+// writeAfter is the time from the start of a host to the new configuration, by round. Machines differ in how long the start
+// of a process takes.
+var writeAfter = []time.Duration{
+	400 * time.Millisecond, 520 * time.Millisecond, 460 * time.Millisecond, 640 * time.Millisecond, 580 * time.Millisecond,
+}
+
 func main() { kit.Run(play) }
 
 // watchers records when each host has asked the store for changes last.
@@ -129,7 +133,7 @@
 			s.Record.Say("%v", err)
 			return kit.NotRun
 		}
-		time.Sleep(writeAfter)
+		time.Sleep(writeAfter[round%len(writeAfter)])
 		put()
 		time.Sleep(slowTime)
 		s.Store.SetAnswerTime(fastAnswer)
--- a/review/kit/host.go
+++ b/review/kit/host.go
@@ -60,19 +60,32 @@
 	return hosts, nil
 }
 
+// locks keeps the locks of ports open until the script ends.
+var locks []net.Listener
+
+// portLockIP is the address on which a script listens at its first port, so that another one takes other ports.
+const portLockIP = "127.0.45.1"
+
 // freePorts returns the first of portsPerHost ports that are free on all addresses.
 func freePorts(ips []string) (int, error) {
+	first := 20000 + os.Getpid()%1000*portsPerHost
 search:
-	for port := 20000 + os.Getpid()%8000; port < 32000; port += portsPerHost {
+	for port := first; port < 32000; port += portsPerHost {
+		lock, err := net.Listen("tcp", net.JoinHostPort(portLockIP, fmt.Sprint(port)))
+		if err != nil {
+			continue
+		}
 		for _, ip := range ips {
 			for n := range portsPerHost {
 				ln, err := net.Listen("tcp", net.JoinHostPort(ip, fmt.Sprint(port+n)))
 				if err != nil {
+					_ = lock.Close()
 					continue search
 				}
 				_ = ln.Close()
 			}
 		}
+		locks = append(locks, lock)
 		return port, nil
 	}
 	return 0, fmt.Errorf("no free ports")
