--- a/review/kit/scene.go
+++ b/review/kit/scene.go
@@ -41,12 +41,12 @@
 	s.cleanup = append(s.cleanup, f)
 }
 
-// Run runs a script and exits with its code. The arguments are the folder of the case and the project's root.
+// Run runs a script and exits with its code. The arguments are the file of the record and the project's root.
 func Run(play func(*Scene) int) {
-	folder := flag.String("case", "", "folder of the case")
+	record := flag.String("record", "record.txt", "file of the record")
 	root := flag.String("root", "", "root of the project")
 	flag.Parse()
-	rec, err := NewRecord(filepath.Join(*folder, "record.txt"))
+	rec, err := NewRecord(*record)
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(NotRun)
