Pass configurations and removals on at the revision of their publication

It kept the configuration for other hosts under the revision of the listing. Hosts at revision 29 got the changes 30 to 32 without it, went on to 32, and from there on only asked for what is newer; they passed the hole on to each other. The host that had watched the store all along held version 16, so the store and its watch were not the cause; nor was the reuse of replies for 0.5 s, since the same hosts were stale 10 s later, though it could give out a reply from before a new configuration of the same revision.

Cached replies are dropped with a new configuration too.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -122,9 +122,11 @@
 	Lapsed bool
 }
 
-// Snapshot is the whole published state at a revision.
+// Snapshot is the whole published state. Its source is read in several calls, so it may be of several revisions: it
+// contains all changes up to Revision, any of those after it up to ReadUntil, and none after that.
 type Snapshot struct {
-	Revision uint64
-	Config   *Config // nil when none is published
-	Servers  []Server
+	Revision  uint64
+	ReadUntil uint64  // 0 if all of the snapshot is of Revision
+	Config    *Config // nil when none is published
+	Servers   []Server
 }
--- a/core/catalog/journal.go
+++ b/core/catalog/journal.go
@@ -1,16 +1,26 @@
 package catalog
 
+import (
+	"slices"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
 // maxJournal is the maximum number of changes that are kept for peers. A peer that is further behind gets a snapshot.
 const maxJournal = 1024
 
 // journal keeps the latest changes, so that a peer that is slightly behind does not need a snapshot.
 //
-// Invariant: it holds every change with a revision above start.
+// Invariant: it holds every published change with a revision above start, at the revision at which it was published,
+// whether or not the change had an effect on the table: a peer that does not have the same state may need it.
 type journal struct {
 	changes []Change
 	start   uint64
 }
 
+// restart forgets all changes. The changes up to a revision are known only by their result.
+func (j *journal) restart(revision uint64) { j.changes, j.start = nil, revision }
+
 func (j *journal) add(c Change) {
 	j.changes = append(j.changes, c)
 	if len(j.changes) <= maxJournal {
@@ -48,3 +58,20 @@
 // Since returns the changes after a revision, for a peer that holds everything up to it. ok is false when
 // the peer needs a snapshot.
 func (t *Table) Since(revision uint64) (changes []Change, ok bool) { return t.journal.since(revision) }
+
+// ForPeer returns what a peer lacks that holds everything up to a revision, and a configuration version, 0 for none: the
+// changes, or a snapshot if these are not known or do not contain a newer configuration.
+func (t *Table) ForPeer(revision uint64, config ident.Version) (snapshot *Snapshot, changes []Change) {
+	changes, ok := t.Since(revision)
+	if ok && config != 0 && (!t.hasNewerConfig(config) || slices.ContainsFunc(changes, isConfig)) {
+		return nil, changes
+	}
+	s := t.Snapshot()
+	return &s, nil
+}
+
+func (t *Table) hasNewerConfig(than ident.Version) bool {
+	return t.config != nil && t.config.Version > than
+}
+
+func isConfig(c Change) bool { return c.Config != nil }
--- /dev/null
+++ b/core/catalog/replicas_test.go
@@ -0,0 +1,161 @@
+package catalog
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+// publishedLog is a source of changes, from which readers take snapshots in several calls.
+type publishedLog struct {
+	changes []Change
+	version int
+}
+
+func (l *publishedLog) revision() uint64 { return uint64(len(l.changes)) }
+
+func (l *publishedLog) publish(c Change) {
+	c.Revision = l.revision() + 1
+	if c.Server != nil {
+		c.Server.Revision = c.Revision
+	}
+	l.changes = append(l.changes, c)
+}
+
+func (l *publishedLog) putServer(id ident.BackendID, state ServerState) {
+	s := server(string(id), 0)
+	s.State = state
+	l.publish(Change{Server: &s})
+}
+
+func (l *publishedLog) putConfig() {
+	l.version++
+	l.publish(Change{Config: config(l.version)})
+}
+
+// at returns the state at a revision.
+func (l *publishedLog) at(revision uint64) (servers map[ident.BackendID]Server, cfg *Config) {
+	servers = map[ident.BackendID]Server{}
+	for _, c := range l.changes[:revision] {
+		switch {
+		case c.Config != nil:
+			cfg = c.Config
+		case c.Server != nil:
+			servers[c.Server.ID] = *c.Server
+		default:
+			delete(servers, c.Removed)
+		}
+	}
+	return servers, cfg
+}
+
+// read returns a snapshot: each server, and then the configuration, as of a revision between from and the latest one.
+func (l *publishedLog) read(t *rapid.T, from uint64) Snapshot {
+	s := Snapshot{Revision: from, ReadUntil: from}
+	for _, id := range serverIDs {
+		s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
+		servers, _ := l.at(s.ReadUntil)
+		if srv, listed := servers[id]; listed {
+			s.Servers = append(s.Servers, srv)
+		}
+	}
+	s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
+	_, s.Config = l.at(s.ReadUntil)
+	return s
+}
+
+var serverIDs = []ident.BackendID{"a", "b", "c", "d"}
+
+// update brings a follower up to date from a peer, as hosts do it.
+func update(follower, peer *Table) {
+	held := ident.Version(0)
+	if c := follower.Config(); c != nil {
+		held = c.Version
+	}
+	if peer.Config() == nil || (peer.Revision() <= follower.Revision() && peer.Config().Version <= held) {
+		return
+	}
+	snapshot, changes := peer.ForPeer(follower.Revision(), held)
+	if snapshot != nil {
+		follower.Replace(0, *snapshot)
+		return
+	}
+	follower.Apply(0, changes)
+	follower.Advance(peer.Revision())
+}
+
+// Guards against a host that keeps an old configuration or a removed server for good, after it has followed a host that
+// read the store while both changed: in several calls, or again after the history was dropped.
+func TestHostsConvergeWhateverTheyFollow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &publishedLog{}
+		l.putConfig()
+		tables := []*Table{NewTable(), NewTable(), NewTable(), NewTable()}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			x := rapid.SampledFrom(tables).Draw(t, "host")
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0, 1:
+				l.putServer(rapid.SampledFrom(serverIDs).Draw(t, "id"), ServerState(rapid.IntRange(0, 1).Draw(t, "state")))
+			case 2:
+				l.publish(Change{Removed: rapid.SampledFrom(serverIDs).Draw(t, "id")})
+			case 3:
+				l.putConfig()
+			case 4:
+				x.Replace(0, l.read(t, rapid.Uint64Range(x.Revision(), l.revision()).Draw(t, "from")))
+			case 5:
+				if x.Config() != nil {
+					x.Apply(0, l.changes[x.Revision():rapid.Uint64Range(x.Revision(), l.revision()).Draw(t, "to")])
+				}
+			case 6:
+				update(x, rapid.SampledFrom(tables).Draw(t, "peer"))
+			case 7:
+				*x = *NewTable()
+			}
+		}
+		if tables[0].Config() == nil {
+			tables[0].Replace(0, l.read(t, 0))
+		}
+		tables[0].Apply(0, l.changes[tables[0].Revision():])
+		for _, x := range tables[1:] {
+			update(x, tables[0])
+		}
+		servers, cfg := l.at(l.revision())
+		for i, x := range tables {
+			got := map[ident.BackendID]Server{}
+			for _, s := range x.Snapshot().Servers {
+				got[s.ID] = s
+			}
+			if x.Config().Version != cfg.Version || !reflect.DeepEqual(got, servers) {
+				t.Fatalf("host %d has configuration %d and servers %v, published are %d and %v", i, x.Config().Version, got, cfg.Version, servers)
+			}
+		}
+	})
+}
+
+// Guards against a host at a later revision than a listing that never gets the configuration which was read after it.
+func TestConfigurationNewerThanListing(t *testing.T) {
+	reader, follower := NewTable(), NewTable()
+	follower.Replace(0, Snapshot{Revision: 29, Config: config(13)})
+	reader.Replace(0, Snapshot{Revision: 29, ReadUntil: 32, Config: config(16)})
+	s := server("a", 30)
+	for _, c := range []Change{{Revision: 30, Server: &s}, {Revision: 32, Config: config(16)}, {Revision: 33, Removed: "a"}} {
+		reader.Apply(0, []Change{c})
+		update(follower, reader)
+		if got := follower.Config().Version; got != 16 {
+			t.Fatalf("the follower has configuration %d at revision %d", got, follower.Revision())
+		}
+	}
+	// A host that has passed over a configuration is given it, also if it has reached the latest revision.
+	behind := NewTable()
+	behind.Replace(time.Second, Snapshot{Revision: 29, Config: config(13)})
+	behind.Advance(33)
+	update(behind, reader)
+	if got := fmt.Sprint(behind.Config().Version, behind.Revision()); got != "16 33" {
+		t.Fatalf("configuration and revision are %s", got)
+	}
+}
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -52,9 +52,8 @@
 // Config returns the current configuration, nil before the first one. It must not be changed.
 func (t *Table) Config() *Config { return t.config }
 
-// Apply applies changes in the order of their revisions and skips those that it has already applied. Several
-// of them may have the same revision if a peer derived them from a snapshot. It reports whether it refused an
-// older configuration.
+// Apply applies changes in the order of their revisions and skips those that it has already applied. It reports
+// whether it refused an older configuration.
 func (t *Table) Apply(now time.Duration, changes []Change) (refused bool) {
 	seen := t.revision
 	for _, c := range changes {
@@ -64,12 +63,17 @@
 		t.revision = max(t.revision, c.Revision)
 		switch {
 		case c.Config != nil:
-			refused = !t.setConfig(c.Config, c.Revision) || refused
+			if !t.setConfig(c.Config) {
+				refused = true
+				continue
+			}
 		case c.Server != nil:
 			t.put(now, *c.Server)
 		case c.Removed != "":
+			c.Lapsed = c.Lapsed || t.isOutage(now)
 			t.remove(now, c.Removed, c.Revision, c.Lapsed)
 		}
+		t.journal.add(c)
 	}
 	t.index()
 	return refused
@@ -82,15 +86,13 @@
 // table.
 func (t *Table) Replace(now time.Duration, s Snapshot) (refused bool) {
 	if s.Config != nil {
-		refused = !t.setConfig(s.Config, s.Revision)
+		refused = !t.setConfig(s.Config)
 	}
 	if s.Revision < t.revision {
 		return refused
 	}
-	if t.revision == 0 {
-		t.journal.start = s.Revision
-	}
 	t.revision = s.Revision
+	t.journal.restart(max(s.Revision, s.ReadUntil))
 	listed := make(map[ident.BackendID]bool, len(s.Servers))
 	for _, srv := range s.Servers {
 		listed[srv.ID] = true
@@ -98,7 +100,7 @@
 	}
 	for id := range t.servers {
 		if !listed[id] {
-			t.remove(now, id, s.Revision, false)
+			t.remove(now, id, s.Revision, t.isOutage(now))
 		}
 	}
 	t.index()
@@ -108,6 +110,9 @@
 // Snapshot returns the whole state, for a peer that starts or has lost its connection.
 func (t *Table) Snapshot() Snapshot {
 	s := Snapshot{Revision: t.revision, Config: t.config}
+	if t.journal.start > t.revision {
+		s.ReadUntil = t.journal.start
+	}
 	for _, e := range t.servers {
 		srv := e.Server
 		srv.Lapsed = e.lapsing
@@ -143,12 +148,12 @@
 	return dropped
 }
 
-func (t *Table) setConfig(c *Config, revision uint64) bool {
+// setConfig reports whether the configuration is the given one now.
+func (t *Table) setConfig(c *Config) bool {
 	if t.config != nil && c.Version <= t.config.Version {
 		return c.Version == t.config.Version
 	}
 	t.config = c
-	t.journal.add(Change{Revision: revision, Config: c})
 	t.routes = newRouteIndex(c.Routes)
 	t.keys = make(map[string]*Team)
 	for i := range c.Teams {
@@ -172,17 +177,19 @@
 	lapsed := s.Lapsed
 	s.Lapsed = false
 	t.servers[s.ID] = &serverEntry{Server: s, lapsing: lapsed, until: now + LapseGracePeriod}
-	t.journal.add(Change{Revision: s.Revision, Server: &s})
 }
 
-// remove drops an entry at once, or after LapseGracePeriod when an outage may be the cause.
+// isOutage reports whether an outage may be the cause of a removal.
+func (t *Table) isOutage(now time.Duration) bool {
+	return t.outage || (t.hadOutage && now-t.outageEnd < postOutageWindow)
+}
+
+// remove drops an entry that has been removed at a revision, at once, or after LapseGracePeriod if it has lapsed.
 func (t *Table) remove(now time.Duration, id ident.BackendID, revision uint64, lapsed bool) {
 	e := t.servers[id]
-	if e == nil || e.lapsing {
+	if e == nil || e.lapsing || e.Revision > revision {
 		return
 	}
-	lapsed = lapsed || t.outage || (t.hadOutage && now-t.outageEnd < postOutageWindow)
-	t.journal.add(Change{Revision: revision, Removed: id, Lapsed: lapsed})
 	if e.State == Ready && lapsed {
 		e.lapsing = true
 		e.until = now + LapseGracePeriod
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -233,6 +233,19 @@
 	c.Assert(ask(control.StateRequest{Revision: 10, Config: 3}).Changes, qt.HasLen, 1)
 }
 
+// Guards against a host that gives out a reply from before its configuration changed at the same store revision.
+func TestStateReplyFollowsTheConfiguration(t *testing.T) {
+	c := qt.New(t)
+	h := testHost()
+	behind := control.StateRequest{Revision: 4, Config: 2}
+	for version := ident.Version(3); version < 5; version++ {
+		h.state.catalog.Replace(0, catalog.Snapshot{Revision: 10, Config: &catalog.Config{Version: version}})
+		reply, err := peerHandler{host: h}.State(context.Background(), &behind)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.State.Config.Version, qt.Equals, version)
+	}
+}
+
 // Guards against a request of a less urgent team or route being admitted before a more urgent one.
 func TestUrgency(t *testing.T) {
 	c := qt.New(t)
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -28,10 +28,10 @@
 // stateReplies keeps the replies to other hosts for a short time. After a change all hosts of an availability zone ask
 // for the same, and encoding a large configuration for each of them would take longer than they wait.
 type stateReplies struct {
-	mu       sync.Mutex
-	revision uint64        // of the replies
-	expires  time.Duration // time until which the replies are used
-	replies  map[control.StateRequest]*control.StateReply
+	mu      sync.Mutex
+	of      control.StateRequest // revision and configuration version that the replies lead to
+	expires time.Duration        // time until which the replies are used
+	replies map[control.StateRequest]*control.StateReply
 }
 
 // replyLifetime is how long a reply is used again. It is limited because servers can lapse without a new revision.
@@ -41,9 +41,9 @@
 func (r *stateReplies) get(h *Host, req control.StateRequest) (*control.StateReply, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, revision := h.now(), h.revision()
-	if revision != r.revision || now >= r.expires {
-		r.revision, r.expires = revision, now+replyLifetime
+	now, held := h.now(), h.stateHeld()
+	if held != r.of || now >= r.expires {
+		r.of, r.expires = held, now+replyLifetime
 		r.replies = map[control.StateRequest]*control.StateReply{}
 	}
 	if reply := r.replies[req]; reply != nil {
@@ -64,23 +64,35 @@
 	return h.state.catalog.Revision()
 }
 
+// stateHeld returns the revision and the configuration version that this host holds, as it asks peers for newer ones.
+func (h *Host) stateHeld() control.StateRequest {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.state.stateHeld()
+}
+
+func (s *state) stateHeld() control.StateRequest {
+	held := control.StateRequest{Revision: s.catalog.Revision()}
+	if c := s.catalog.Config(); c != nil {
+		held.Config = c.Version
+	}
+	return held
+}
+
 // stateReply returns what a peer lacks.
 func (h *Host) stateReply(req control.StateRequest) *control.StateReply {
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply := &control.StateReply{Revision: s.catalog.Revision()}
 	c := s.catalog.Config()
-	if c == nil || (c.Version <= req.Config && reply.Revision <= req.Revision) {
-		return reply
+	if c == nil {
+		return &control.StateReply{}
 	}
-	changes, ok := s.catalog.Since(req.Revision)
-	if ok && req.Config != 0 {
-		reply.Changes = changes
+	reply := &control.StateReply{Revision: s.catalog.Revision()}
+	if c.Version <= req.Config && reply.Revision <= req.Revision {
 		return reply
 	}
-	snapshot := s.catalog.Snapshot()
-	reply.State = &snapshot
+	reply.State, reply.Changes = s.catalog.ForPeer(req.Revision, req.Config)
 	return reply
 }
 
@@ -127,10 +139,7 @@
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.Revision = s.catalog.Revision()
-	if c := s.catalog.Config(); c != nil {
-		req.Config = c.Version
-	}
+	req = s.stateHeld()
 	ahead := s.peers.Ahead(now, req.Revision, req.Config)
 	if scope == ownZone {
 		ahead = slices.DeleteFunc(ahead, func(p *peers.Peer) bool { return p.Zone != s.peers.Zone() })
