Move on over changes of the store that no host holds

A reader of the store reports the latest revision, also when what has changed is a key that hosts do not hold, such as one of another writer. Its reply to the other hosts of the zone was empty then, and they did not move on: each asked again with each report of the reader, every 5 ms under load.

Change: an empty reply moves a host on to the revision of the peer. A peer without a configuration, which cannot tell what another host lacks, replies with no revision.

Measured: TestHostMovesOnOverForeignChanges fails without the change at the revision (10 for 12) and passes with it.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -184,8 +184,14 @@
 	h.requestReport()
 }
 
+// advance records that there are no other changes up to a revision.
+func (h *Host) advance(revision uint64) {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	h.state.catalog.Advance(revision)
+}
+
 func (h *Host) readChanges(wait, timeout time.Duration) error {
-	s := h.state
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	defer h.cancelOnResync(ctx, cancel)()
@@ -196,9 +202,7 @@
 	if len(changes) > 0 {
 		h.updateCatalog("changes", func(t *catalog.Table) bool { return t.Apply(h.now(), changes) })
 	}
-	s.mu.Lock()
-	s.catalog.Advance(at)
-	s.mu.Unlock()
+	h.advance(at)
 	if len(changes) > 0 {
 		ctxtime.Sleep(h.ctx, burstTime)
 	}
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -246,6 +246,27 @@
 	}
 }
 
+// Guards against a host that asks its peers again with each of their reports, because a change of the store that no host
+// holds, such as one of a key that is not theirs, does not move it on.
+func TestHostMovesOnOverForeignChanges(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := testHost(), testHost()
+	for _, h := range []*Host{reader, follower} {
+		h.state.catalog.Replace(0, catalog.Snapshot{Revision: 10, Config: &catalog.Config{Version: 3}})
+	}
+	reader.advance(12)
+	req := follower.stateHeld()
+	follower.applyReply("peer", req, reader.stateReply(req))
+	c.Assert(follower.stateHeld(), qt.Equals, control.StateRequest{Revision: 12, Config: 3})
+
+	// A host without a configuration can't tell what another one lacks.
+	young := testHost()
+	young.advance(20)
+	req = follower.stateHeld()
+	follower.applyReply("peer", req, young.stateReply(req))
+	c.Assert(follower.stateHeld(), qt.Equals, req)
+}
+
 // Guards against a request of a less urgent team or route being admitted before a more urgent one.
 func TestUrgency(t *testing.T) {
 	c := qt.New(t)
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -118,7 +118,16 @@
 		h.log.WithFields(fields{"peer": addr, "error": err.Error()}).Warn("peer state not read")
 		return
 	}
+	h.applyReply(addr, req, reply)
+}
+
+// applyReply applies a peer's reply to a request of this host.
+func (h *Host) applyReply(addr string, req control.StateRequest, reply *control.StateReply) {
 	if reply.State == nil && len(reply.Changes) == 0 {
+		// What the store has changed since is nothing that hosts hold. A host that did not move on would ask again.
+		if req.Config != 0 {
+			h.advance(reply.Revision)
+		}
 		return
 	}
 	h.updateCatalog("peer "+addr, func(t *catalog.Table) bool {
