Refuse requests that a stopping host may not finish

Cause: idle connections stay open until the last running request has ended, and admission did not look at the time that the process has left. The streams accepted before the SIGTERM all ended whole, and none of the late ones came from the backlog of the listener, so neither the shutdown time nor the draining of the backlog was at fault.

Change: requests that arrive during a shutdown have its end as their deadline, for placement, servers and the final answer. Once old address lists have expired, a request is taken only if its own deadline is earlier or its plain service is fast enough; anything else is refused with 503 before it is sent.

--- a/node/entry/addresses.go
+++ b/node/entry/addresses.go
@@ -30,7 +30,7 @@
 
 // readyLocked reports whether the host accepts new connections. The state must be locked.
 func (h *Host) readyLocked() bool {
-	return !h.stopping.Load() && h.state.catalog.Config() != nil
+	return !h.stopping() && h.state.catalog.Config() != nil
 }
 
 func (h *Host) ready() bool {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -71,12 +71,12 @@
 	// loggedPartition is the partition of this host and the number of partitions as logged last; used by tick only.
 	loggedPartition [2]int
 	stateReplies    stateReplies
-	peerAhead       chan struct{} // a peer reported a newer revision of the platform state
-	queueNonEmpty   chan struct{} // signals that requests wait for an engine
-	running         atomic.Int64  // requests and memory releases in progress
-	reservationSeq  atomic.Uint64 // last number used in a reservation ID
-	stopping        atomic.Bool
-	ctx             context.Context // cancelled when the process stops
+	peerAhead       chan struct{}            // a peer reported a newer revision of the platform state
+	queueNonEmpty   chan struct{}            // signals that requests wait for an engine
+	running         atomic.Int64             // requests and memory releases in progress
+	reservationSeq  atomic.Uint64            // last number used in a reservation ID
+	stop            atomic.Pointer[stopPlan] // nil until the host shuts down
+	ctx             context.Context          // cancelled when the process stops
 	cancel          context.CancelFunc
 	serving         context.Context // cancelled when the requests that still run must end
 	endRequests     context.CancelFunc
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -106,7 +106,7 @@
 func (h *Host) statusLocked() peers.Status {
 	s := h.state
 	status := peers.Status{
-		Incarnation: h.incarnation, Ready: h.readyLocked(), Leaving: h.stopping.Load(), StoreConnected: s.storeConnected,
+		Incarnation: h.incarnation, Ready: h.readyLocked(), Leaving: h.stopping(), StoreConnected: s.storeConnected,
 		Zone: s.peers.Zone(), Revision: s.catalog.Revision(),
 	}
 	if c := s.catalog.Config(); c != nil {
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -79,7 +79,7 @@
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	if h.stopping.Load() {
+	if h.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now(), memory: share{memory: h.bodies}}
@@ -149,6 +149,9 @@
 		limit = min(limit, q.call.Timeout)
 	}
 	q.deadline = q.arrived + limit
+	if e := h.admitToStopping(q); e != nil {
+		return e
+	}
 	s.budget(q.service).RecordRequest(q.arrived)
 	return nil
 }
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -1,13 +1,11 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
@@ -20,14 +18,6 @@
 	headerTimeout = 5 * time.Second
 	// maxHeader is the maximum size of a request header in bytes.
 	maxHeader = 64 << 10
-	// addressTTLFactor times the TTL is how long callers may go on using an address list.
-	addressTTLFactor = 3
-	// shutdownMargin is reserved at the end of the shutdown time for ending the requests that still run. Within the first
-	// lastAnswerTime of it, their callers get a response, unless a stream has begun.
-	shutdownMargin = 300 * time.Millisecond
-	lastAnswerTime = 200 * time.Millisecond
-	// drainPoll is the interval at which a stopping host checks for running requests.
-	drainPoll = 20 * time.Millisecond
 )
 
 func (h *Host) startServers() error {
@@ -94,38 +84,3 @@
 	}()
 	return draining, nil
 }
-
-// Shutdown removes this host from the address lists, keeps serving for as long as callers may use old lists, answers
-// every request that has arrived by then, and returns when no request runs any more or the shutdown time has passed.
-func (h *Host) Shutdown() error {
-	began := time.Now()
-	h.stopping.Store(true)
-	h.log.WithField("running", h.running.Load()).Info("stopping")
-	h.requestReport()
-	deadline := began.Add(settings.MS(h.settings.ShutdownMS) - shutdownMargin)
-	ctxtime.Sleep(h.ctx, addressTTLFactor*settings.MS(h.settings.AddressTTLMS))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	h.callerListener.Drain(ctx)
-	h.connections.Wait(ctx)
-	err := h.callerServer.Shutdown(ctx)
-	for h.running.Load() > 0 && ctx.Err() == nil {
-		ctxtime.Sleep(ctx, drainPoll)
-	}
-	h.answerRest()
-	h.log.WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
-	h.Close()
-	if err != nil {
-		return Error.New("step=shutdown: %w", err)
-	}
-	return nil
-}
-
-// answerRest ends the requests that still run, and waits until their callers have a response. Closing their connections at
-// once would leave the callers without an answer or a refusal.
-func (h *Host) answerRest() {
-	h.endRequests()
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
-	defer cancel()
-	h.connections.Wait(ctx)
-}
--- /dev/null
+++ b/node/entry/shutdown.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
+	"github.com/rosemaryhill/rosemaryhill/node/settings"
+)
+
+const (
+	// addressTTLFactor times the TTL is how long callers may go on using an address list.
+	addressTTLFactor = 3
+	// shutdownMargin is reserved at the end of the shutdown time for ending the requests that still run. Within the first
+	// lastAnswerTime of it, their callers get a response, unless a stream has begun.
+	shutdownMargin = 300 * time.Millisecond
+	lastAnswerTime = 200 * time.Millisecond
+	// drainPoll is the interval at which a stopping host checks for running requests.
+	drainPoll = 20 * time.Millisecond
+	// otherHostRetry is the retry delay sent to callers that another host can serve at once.
+	otherHostRetry = 50 * time.Millisecond
+)
+
+// stopPlan holds the times of a shutdown, on the clock of Host.now.
+type stopPlan struct {
+	listedUntil time.Duration // callers use old address lists until then
+	end         time.Duration // requests that still run are ended
+}
+
+func (h *Host) newStopPlan() stopPlan {
+	now := h.now()
+	return stopPlan{
+		listedUntil: now + addressTTLFactor*settings.MS(h.settings.AddressTTLMS),
+		end:         now + settings.MS(h.settings.ShutdownMS) - shutdownMargin,
+	}
+}
+
+// stopping reports whether the host shuts down.
+func (h *Host) stopping() bool { return h.stop.Load() != nil }
+
+// Shutdown removes this host from the address lists, keeps serving for as long as callers may use old lists, answers
+// every request that has arrived by then, and returns when no request runs any more or the shutdown time has passed.
+func (h *Host) Shutdown() error {
+	began := time.Now()
+	stop := h.newStopPlan()
+	h.stop.Store(&stop)
+	h.log.WithField("running", h.running.Load()).Info("stopping")
+	h.requestReport()
+	ctxtime.Sleep(h.ctx, stop.listedUntil-h.now())
+	ctx, cancel := context.WithTimeout(context.Background(), stop.end-h.now())
+	defer cancel()
+	h.callerListener.Drain(ctx)
+	h.connections.Wait(ctx)
+	err := h.callerServer.Shutdown(ctx)
+	for h.running.Load() > 0 && ctx.Err() == nil {
+		ctxtime.Sleep(ctx, drainPoll)
+	}
+	h.answerRest()
+	h.log.WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
+	h.Close()
+	if err != nil {
+		return Error.New("step=shutdown: %w", err)
+	}
+	return nil
+}
+
+// answerRest ends the requests that still run, and waits until their callers have a response. Closing their connections at
+// once would leave the callers without an answer or a refusal.
+func (h *Host) answerRest() {
+	h.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
+	defer cancel()
+	h.connections.Wait(ctx)
+}
+
+// admitToStopping bounds the time of a request that arrives during a shutdown, and refuses it if the time may be too short
+// for its answer. While callers may use old address lists, only the placement decides that; later requests come on
+// connections that were kept open, from callers that another host can serve. The state must be locked.
+func (h *Host) admitToStopping(q *request) *outcome.Error {
+	stop := h.stop.Load()
+	if stop == nil || q.deadline <= stop.end {
+		return nil
+	}
+	q.deadline = max(stop.end, q.arrived)
+	if q.arrived < stop.listedUntil || h.isShort(q) {
+		return nil
+	}
+	e := outcome.Refuse("admit", outcome.Draining, "this host stops before the request may be answered")
+	e.RetryAfter = otherHostRetry
+	if len(h.state.peers.Ready(q.arrived, 1)) == 0 {
+		e.RetryAfter = q.deadline - q.arrived + noBackendRetry
+	}
+	return e
+}
+
+// isShort reports whether a request is answered within the time that is left even if its server is slow. How long a stream
+// takes is not known. The state must be locked.
+func (h *Host) isShort(q *request) bool {
+	if q.route.Kind == catalog.Streaming {
+		return false
+	}
+	slowest := maxServerTimeout
+	for _, srv := range h.state.catalog.Usable(q.service) {
+		slowest = max(slowest, serverTimeoutFactor*h.state.health.AnswerTime(srv.ID))
+	}
+	return slowest <= q.timeLeft(q.arrived)
+}
