End calls whose server changes to another protocol

Cause: after status 101 net/http hands over the connection as the body, and the context of the request no longer ends the reading. A dump of the goroutines of a hanging host shows the attempts in httpcall.readBounded with contexts that had ended, and their requests waiting for them. The same bytes in a body with chunks end in time, so neither a timer nor the deadline of the request was at fault.

Change: one transport for all clients of backend servers and platform services refuses status 101 and closes the connection; streams, orders to engines and the two-role deployment had the same fault. A request whose attempts do not end with its time gets its answer 100 ms later all the same.

--- a/node/enginehttp/enginehttp.go
+++ b/node/enginehttp/enginehttp.go
@@ -35,7 +35,7 @@
 type Client struct {
 	cfg  Config
 	base string
-	tr   *http.Transport
+	tr   *httpcall.Transport
 }
 
 // New returns a client for the engine at cfg.Address. Zero values in cfg select the defaults.
@@ -52,7 +52,7 @@
 	if cfg.MaxAnswerBytes == 0 {
 		cfg.MaxAnswerBytes = 4 << 20
 	}
-	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), tr: httpcall.Transport(cfg.DialTimeout)}
+	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), tr: httpcall.NewTransport(cfg.DialTimeout)}
 }
 
 // Cancel ends a session and returns the memory that the engine released. Cancelling an unknown session
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -166,6 +166,18 @@
 	return nil, nil
 }
 
+// attemptEndTime is how long a request waits for the ends of its attempts when its time is over or its caller has left.
+const attemptEndTime = 100 * time.Millisecond
+
+// attemptsOverdue ends a request whose attempts have not ended with its context, so that its caller gets an answer in time.
+func (h *Host) attemptsOverdue(q *request) *outcome.Error {
+	q.mayHaveRun = true
+	h.log.WithFields(fields{"request": q.call.ID, "service": q.service}).Error("attempts go on after the end of their request")
+	return backendError(stepAnswer, "", true, errAttemptsOverdue)
+}
+
+var errAttemptsOverdue = Error.New("attempts did not end with the request")
+
 // Causes of failed attempts, as named in logs and metrics.
 const (
 	causeUnreachable = "unreachable" // no connection
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 )
 
 // The time after which a server counts as silent, so that an idempotent request is sent to another one as well, is
@@ -70,8 +71,12 @@
 	if !r.begin() {
 		return nil, nil
 	}
+	overdue, stop := ctxtime.After(r.ctx, attemptEndTime)
+	defer stop()
 	for {
 		select {
+		case <-overdue:
+			return nil, r.host.attemptsOverdue(r.q)
 		case end := <-r.ends:
 			a, e := r.conclude(end)
 			if a != nil && a.status < http.StatusInternalServerError {
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -45,7 +45,7 @@
 		},
 		Control: setUserTimeout,
 	}
-	t := httpcall.Transport(dialTimeout)
+	t := httpcall.NewTransport(dialTimeout)
 	t.DialContext = httpcall.DialContext(d)
 	// Responses are relayed event by event, so small buffers suffice.
 	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 )
 
@@ -96,10 +97,14 @@
 	if e := st.begin(); e != nil {
 		return e
 	}
+	overdue, stop := ctxtime.After(st.ctx, attemptEndTime)
+	defer stop()
 	for {
 		var e *outcome.Error
 		ended := false
 		select {
+		case <-overdue:
+			return st.host.attemptsOverdue(st.q)
 		case m := <-st.messages:
 			if m.end != nil {
 				e, ended = st.handleEnd(m.from, *m.end)
--- a/node/internal/ctxtime/ctxtime.go
+++ b/node/internal/ctxtime/ctxtime.go
@@ -15,3 +15,10 @@
 	case <-t.C:
 	}
 }
+
+// After returns a channel that is closed the given time after the context has ended, unless stop is called before the end.
+func After(ctx context.Context, d time.Duration) (passed <-chan struct{}, stop func()) {
+	c := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() { time.AfterFunc(d, func() { close(c) }) })
+	return c, func() { cancel() }
+}
--- a/node/internal/httpcall/conn_test.go
+++ b/node/internal/httpcall/conn_test.go
@@ -21,7 +21,7 @@
 	c.Assert(err, qt.IsNil)
 	defer ln.Close()
 	go answerAndReset(ln)
-	client := &http.Client{Transport: Transport(time.Second)}
+	client := &http.Client{Transport: NewTransport(time.Second)}
 	answered, whole := 0, 0
 	for range rounds {
 		resp, err := client.Post("http://"+ln.Addr().String(), "text/plain", bytes.NewReader(make([]byte, requestBytes)))
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -20,10 +19,6 @@
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 )
 
-// maxResponseHeader bounds the header of a response in bytes. The default of net/http, 10 MiB, would let a few calls
-// with endless headers use up the memory of a host.
-const maxResponseHeader = 64 << 10
-
 // BaseURL returns address as a URL without trailing slash; a bare host:port gets the http scheme.
 func BaseURL(address string) string {
 	if !strings.Contains(address, "://") {
@@ -32,22 +27,6 @@
 	return strings.TrimRight(address, "/")
 }
 
-// Transport returns an HTTP/1.1 transport that ignores proxy settings of the environment. Each call has a connection of
-// its own: on a reused one, a second copy of an earlier response that arrives late would be taken for the response to
-// the call.
-func Transport(dialTimeout time.Duration) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
-	http1 := new(http.Protocols)
-	http1.SetHTTP1(true)
-	return &http.Transport{
-		Protocols:              http1,
-		DialContext:            DialContext(d),
-		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: maxResponseHeader,
-		DisableCompression:     true,
-	}
-}
-
 // Call identifies one request in errors and records whether it got a connection.
 type Call struct {
 	Step, Peer string
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -57,7 +57,7 @@
 // Client is a client of the platform. It is safe for concurrent use.
 type Client struct {
 	cfg     Config
-	tr      *http.Transport
+	tr      *httpcall.Transport
 	limiter *rate.Limiter
 
 	mu    sync.Mutex
@@ -70,7 +70,7 @@
 	cfg.setDefaults()
 	return &Client{
 		cfg:     cfg,
-		tr:      httpcall.Transport(cfg.RequestTimeout),
+		tr:      httpcall.NewTransport(cfg.RequestTimeout),
 		limiter: rate.NewLimiter(rate.Limit(cfg.ReadsPerS), cfg.Burst),
 	}
 }
--- a/node/servicehttp/post.go
+++ b/node/servicehttp/post.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 
@@ -49,8 +48,8 @@
 
 // singleUseTransport returns a transport that dials once and checks every write with the gate. net/http resends
 // requests only on reused connections, and this transport never reuses one.
-func (c *Client) singleUseTransport(gate *sendGate) *http.Transport {
-	tr := httpcall.Transport(c.cfg.DialTimeout)
+func (c *Client) singleUseTransport(gate *sendGate) *httpcall.Transport {
+	tr := httpcall.NewTransport(c.cfg.DialTimeout)
 	dial := tr.DialContext
 	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		if !gate.firstDial() {
--- a/node/servicehttp/servicehttp.go
+++ b/node/servicehttp/servicehttp.go
@@ -46,7 +46,7 @@
 type Client struct {
 	cfg       Config
 	base      string
-	transport *http.Transport
+	transport *httpcall.Transport
 }
 
 // New returns a client.
@@ -57,7 +57,7 @@
 	if cfg.MaxResponseBytes == 0 {
 		cfg.MaxResponseBytes = 1 << 20
 	}
-	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), transport: httpcall.Transport(cfg.DialTimeout)}
+	return &Client{cfg: cfg, base: httpcall.BaseURL(cfg.Address), transport: httpcall.NewTransport(cfg.DialTimeout)}
 }
 
 // Lookup sends an idempotent call. It doesn't retry and follows no redirect. A failure before the connection is
