Join only events that continue a stream to it

Both happen here when that server answers with status 200: what comes before the first event of an attempt was kept and sent with that event or with the end of the answer, so the text of an error, or a head, was appended to the caller's stream, and an answer without an event that continues it completed it. Other statuses, refusals, foreign answers and gaps were handled rightly.

Change: an attempt that continues a stream is relayed from its first event on, comments before it are left out. Without an event it completes the stream only if it is empty or has comments alone, and its content type, if it has one, must be that of a stream. The body of the first server is passed on unchanged as before.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	id           hedge.Attempt
 	resumeAfter  string // last event that the caller has, empty for none
+	continues    bool   // the caller has a part of the stream from another attempt
 	cancel       context.CancelFunc
 	began        time.Duration
 	lastProgress time.Duration // when the request was sent or the last event was received
@@ -27,6 +29,7 @@
 	firstEvent   time.Duration // when the first event was received
 	proven       bool          // the server has gone on after it began to answer
 	early        []byte        // what came before the first event
+	foreign      bool          // something else than events and comments came before the first event
 }
 
 // attemptMessage is an event of an attempt, or its end.
@@ -93,6 +96,8 @@
 		return end
 	case !received.reply.Signed:
 		return attemptEnd{step: stepAnswer, received: &received, err: Error.New("stream without the server's signature"), invalid: true}
+	case x.continues && !mayBeStream(received.resp.Header):
+		return attemptEnd{step: stepAnswer, received: &received, err: errNoContinuation, invalid: true}
 	}
 	return attemptEnd{step: stepAnswer, received: &received, err: x.relay(ctx, received)}
 }
@@ -154,12 +159,26 @@
 	}
 }
 
+// errNoContinuation is the error of an answer that the caller can't get as a part of a stream that has begun.
+var errNoContinuation = Error.New("the answer does not continue the stream")
+
+// mayBeStream reports whether a response is a stream of events, or does not say what it is.
+func mayBeStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return h.Get("Content-Type") == "" || (err == nil && mediaType == "text/event-stream")
+}
+
 // hold keeps what comes before the first event, or returns it if the attempt has events. Comments and events without an id
-// are no progress: a server that sends only these is as good as silent.
+// are no progress: a server that sends only these is as good as silent. In the middle of a stream they are left out: they
+// may be the text of an error.
 func (x *engineAttempt) hold(raw []byte) (relayed []byte, err error) {
 	if x.events > 0 {
 		return raw, nil
 	}
+	if x.continues {
+		x.foreign = x.foreign || !isComment(raw)
+		return nil, nil
+	}
 	if x.early = append(x.early, raw...); len(x.early) > maxEvent {
 		return nil, Error.New("more than %d bytes before the first event", maxEvent)
 	}
--- a/node/entry/events.go
+++ b/node/entry/events.go
@@ -59,3 +59,13 @@
 		}
 	}
 }
+
+// isComment reports whether all lines of an event are comments.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -132,7 +132,7 @@
 
 // start starts a placed attempt. It continues after the last event that the caller has.
 func (st *stream) start(a attempt) {
-	x := &engineAttempt{attempt: a, stream: st, id: st.race.Open(), began: st.host.now()}
+	x := &engineAttempt{attempt: a, stream: st, id: st.race.Open(), began: st.host.now(), continues: st.headerWritten}
 	if last := st.race.Last(); last >= 0 {
 		x.resumeAfter = strconv.FormatInt(last, 10)
 	} else {
@@ -222,6 +222,9 @@
 	q.attempts = st.race.Sent()
 	if end.isStream() && end.err == nil {
 		end.err = httpcall.CheckStreamEnd(end.received.resp, x.events > 0)
+		if end.err == nil && x.events == 0 && x.foreign {
+			end.err, end.invalid = errNoContinuation, true
+		}
 	}
 	if end.err != nil {
 		st.recordBreak(x, end)
