Send nothing new to a server that says that it leaves

A server that leaves says so in all its answers, also while its entry still says that it is ready or the store is away. Hosts did not read that, and went on to send it requests until its entry changed.

Change: the adapter decodes the header of answers to requests and orders into a notice. The catalog takes the server out of the usable ones, for the lifetime that said it, so that no first send, retry, hedge, resume, reservation or part of a prompt goes there; the host checks once more just before it sends. Running requests go on, with their renewals and releases. A misdirected request tells nothing, since another server answered it. Orders name their server, so that another one at the address refuses them. If all servers of a service leave, requests are refused at once. Hosts do not tell each other. Counted and logged; rosectl explain names it as a cause.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -89,6 +89,39 @@
 	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"c"})
 }
 
+// Guards against work for a server that has said itself that it leaves, whatever its entry says, and against a new lifetime
+// of it, or another server, that gets none.
+func TestLeavingIsOfOneLifetime(t *testing.T) {
+	c := qt.New(t)
+	tb := NewTable()
+	started := func(id string, rev uint64, at int64) Server {
+		s := server(id, rev)
+		s.Started = at
+		return s
+	}
+	tb.Replace(0, Snapshot{Revision: 5, Config: config(1), Servers: []Server{started("a", 1, 100), started("b", 2, 100), server("c", 3)}})
+	c.Assert(tb.MarkLeaving("a", 100), qt.IsTrue)
+	c.Assert(tb.MarkLeaving("a", 100), qt.IsFalse, qt.Commentf("no news"))
+	c.Assert(tb.MarkLeaving("b", 50), qt.IsFalse, qt.Commentf("said by an earlier lifetime"))
+	c.Assert(tb.MarkLeaving("d", 100), qt.IsFalse)
+	c.Assert(tb.MarkLeaving("c", 0), qt.IsTrue)
+	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"b"})
+	_, usable := tb.Server("a")
+	c.Assert(usable, qt.IsFalse)
+	c.Assert(tb.Snapshot().Servers, qt.HasLen, 3, qt.Commentf("other hosts learn it from the server"))
+
+	again := started("a", 6, 100)
+	tb.Apply(0, []Change{{Revision: 6, Server: &again}})
+	tb.Replace(0, Snapshot{Revision: 7, Servers: []Server{again, started("b", 2, 100), server("c", 3)}})
+	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"b"})
+	tb.Apply(0, []Change{{Revision: 8, Removed: "a"}, {Revision: 9, Removed: "c"}})
+	back, new, unknown := started("a", 10, 100), started("a", 12, 200), server("c", 11)
+	tb.Apply(0, []Change{{Revision: 10, Server: &back}, {Revision: 11, Server: &unknown}})
+	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"b", "c"}, qt.Commentf("the lifetimes of c can't be told apart"))
+	tb.Apply(0, []Change{{Revision: 12, Server: &new}})
+	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"a", "b", "c"})
+}
+
 // Guards against refusing all requests because the entries of running servers lapsed during an outage of the
 // store, and against keeping a server forever whose entry does not return.
 func TestLapseDuringOutage(t *testing.T) {
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,7 +27,8 @@
 	keys     map[string]*Team
 	services map[string]*Service
 	servers  map[ident.BackendID]*serverEntry
-	usable   map[string][]Server // servers that take new work, by service and sorted by id
+	usable   map[string][]Server       // servers that take new work, by service and sorted by id
+	leaving  map[ident.BackendID]int64 // start of the lifetime in which a server has said that it leaves
 	revision uint64
 	journal  journal
 
@@ -43,7 +45,9 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: map[ident.BackendID]*serverEntry{}, usable: map[string][]Server{}}
+	return &Table{
+		servers: map[ident.BackendID]*serverEntry{}, usable: map[string][]Server{}, leaving: map[ident.BackendID]int64{},
+	}
 }
 
 // Revision returns the highest revision that was applied.
@@ -139,6 +143,7 @@
 	for id, e := range t.servers {
 		if e.lapsing && now >= e.until {
 			delete(t.servers, id)
+			t.forgetLifetime(e.Server)
 			dropped = true
 		}
 	}
@@ -196,13 +201,44 @@
 		return
 	}
 	delete(t.servers, id)
+	t.forgetLifetime(e.Server)
+}
+
+// maxLeaving bounds the servers that are known to leave. Those without an entry are forgotten first.
+const maxLeaving = 4096
+
+// MarkLeaving records that a server, in the lifetime that began at the given start, has said itself that it takes no new
+// work. That holds whatever its entry says, until the entry shows another lifetime. It reports whether this is news.
+func (t *Table) MarkLeaving(id ident.BackendID, started int64) (news bool) {
+	e := t.servers[id]
+	if e == nil || e.Started != started || t.isLeaving(e.Server) {
+		return false
+	}
+	if len(t.leaving) >= maxLeaving {
+		maps.DeleteFunc(t.leaving, func(id ident.BackendID, _ int64) bool { return t.servers[id] == nil })
+	}
+	t.leaving[id] = started
+	t.index()
+	return true
+}
+
+func (t *Table) isLeaving(s Server) bool {
+	started, said := t.leaving[s.ID]
+	return said && started == s.Started
+}
+
+// forgetLifetime forgets that a server leaves whose entry is gone, if another lifetime could not be told from this one.
+func (t *Table) forgetLifetime(s Server) {
+	if s.Started == 0 {
+		delete(t.leaving, s.ID)
+	}
 }
 
 // index rebuilds the lists of usable servers.
 func (t *Table) index() {
 	byService := make(map[string][]Server, len(t.usable))
 	for _, e := range t.servers {
-		if e.State == Ready {
+		if e.State == Ready && !t.isLeaving(e.Server) {
 			byService[e.Service] = append(byService[e.Service], e.Server)
 		}
 	}
@@ -215,6 +251,15 @@
 // Usable returns the servers of a service that take new work, sorted by id. The slice must not be changed.
 func (t *Table) Usable(service string) []Server { return t.usable[service] }
 
+// Server returns a server that takes new work.
+func (t *Table) Server(id ident.BackendID) (s Server, usable bool) {
+	e := t.servers[id]
+	if e == nil || e.State != Ready || t.isLeaving(e.Server) {
+		return Server{}, false
+	}
+	return e.Server, true
+}
+
 // Service returns a service of the configuration, nil when there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/lab/explain/findings.go
+++ b/lab/explain/findings.go
@@ -25,6 +25,7 @@
 // causes explains ends by step and reason; an empty step stands for any.
 var causes = map[[2]string]string{
 	{"admit", "not_ready"}:               "The host had no configuration yet, neither from the store nor from a peer.",
+	{"admit", "draining"}:                "The host was stopping and had too little time left for the answer.",
 	{"admit", "overload"}:                "Reading the prompt would have cost other requests more than it earns; see cost, gain and backlog in the error.",
 	{"route", "unknown_model"}:           "The configuration that the host held has no route for the host name and path of the request.",
 	{"authenticate", "unknown_team"}:     "The configuration that the host held has no team with the API key of the request.",
@@ -116,10 +117,20 @@
 			add("Server %s was excluded within %v of the request by another host.", id, clockSlack)
 		}
 	}
+	q.findLeaving(add)
 	q.findManyExclusions(add)
 	q.findUnnamed(add)
 }
 
+// findLeaving finds servers that said that they leave, while the request ran or not long before.
+func (q *Request) findLeaving(add func(string, ...any)) {
+	for _, e := range q.Related[q.Host] {
+		if e.Message == msgLeaving && e.Time.Before(q.Ended) {
+			add("Server %s had said %s before the end that it leaves, so this host sent it nothing new.", e.Get("server"), round(q.Ended.Sub(e.Time)))
+		}
+	}
+}
+
 // findManyExclusions compares the exclusions of this host close to the request with those of the others.
 func (q *Request) findManyExclusions(add func(string, ...any)) {
 	own := len(q.excluded[q.Host])
--- a/lab/explain/request.go
+++ b/lab/explain/request.go
@@ -16,6 +16,7 @@
 	msgRefused     = "server refused request"
 	msgNotReserved = "memory not reserved"
 	msgExcluded    = "server excluded"
+	msgLeaving     = "server leaving"
 	msgPaused      = "process was paused"
 	msgApplied     = "published state applied"
 	msgStoreLost   = "store lost"
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -53,11 +53,23 @@
 	// AtFault names the server that caused a refusal or an aborted response, if this one names it.
 	AtFault string
 	Load    *ServerLoad
+	Notice  Notice
+}
+
+// Notice is what a server says about itself with any of its responses.
+type Notice struct {
+	Leaving bool // it takes no new work until it starts again
 }
 
 // ServerLoad is the load that a plain server reports with a response.
 type ServerLoad struct{ Running, Waiting, Slots int }
 
+// Engine identifies an engine that gets an order.
+type Engine struct {
+	ID      ident.BackendID
+	Address string
+}
+
 // Reservation is a lease on a part of an engine's memory.
 type Reservation struct {
 	ID     string
@@ -74,9 +86,10 @@
 	Forward(h http.Header, f Forward)
 	// Reply decodes the header of a backend server's response.
 	Reply(resp *http.Response) Reply
-	// Reserve reserves memory on the engine at an address, and Release releases it.
-	Reserve(ctx context.Context, client *http.Client, address string, r Reservation) error
-	Release(ctx context.Context, client *http.Client, address, id string) error
+	// Reserve reserves memory on an engine, and Release releases it. The notice is that of the engine's response, if there
+	// was one.
+	Reserve(ctx context.Context, client *http.Client, engine Engine, r Reservation) (Notice, error)
+	Release(ctx context.Context, client *http.Client, engine Engine, id string) (Notice, error)
 	// Directory serves the addresses of entry hosts to callers, and Readiness serves the platform's readiness
 	// check.
 	Directory(addresses func() []string, ttl time.Duration) http.Handler
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -18,6 +18,8 @@
 	attemptsFailed obs.Counter
 	// silences counts servers that were silent for too long, by what the host did about it.
 	silences obs.Counter
+	// notices counts what servers have said about themselves, by kind.
+	notices obs.Counter
 	// quarantines counts the changes of quarantined prompt parts, by kind.
 	quarantines obs.Counter
 }
@@ -31,10 +33,14 @@
 		firstEvent:     o.Latency("rosemaryhill_entry_first_event_seconds", "kind", "time to the first event of a stream"),
 		attemptsFailed: o.Counter("rosemaryhill_entry_attempts_failed", "cause", "attempts at backend servers that gave no complete answer"),
 		silences:       o.Counter("rosemaryhill_entry_silent_servers", "action", "times that a backend server was silent for longer than its load explains, by what the host did"),
+		notices:        o.Counter("rosemaryhill_entry_server_notices", "notice", "times that a backend server said that it leaves"),
 		quarantines:    o.Counter("rosemaryhill_entry_prompt_parts", "change", "changes of the quarantine of prompt parts that crash servers"),
 	}
 }
 
+// Notices of servers, as named in metrics.
+const noticeLeaving = "leaving"
+
 // registerGauges registers the gauges of the peers and of the traffic to them.
 func (h *Host) registerGauges() {
 	locked := func(value func(s *state) int) func() float64 {
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -103,7 +103,9 @@
 func (h *Host) sendFailed(contextErr error, q *request, id ident.BackendID, step string, err error) *outcome.Error {
 	ran := step != stepDial
 	q.mayHaveRun = q.mayHaveRun || ran
-	h.recordSendFailure(contextErr, id, step, err)
+	if !errors.Is(err, errNotWanted) {
+		h.recordSendFailure(contextErr, id, step, err)
+	}
 	return backendError(step, id, ran, err)
 }
 
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -43,8 +43,8 @@
 // heldReservation is a reservation on one engine.
 type heldReservation struct {
 	Reservation
-	engine  ident.BackendID
-	address string
+	engine  Engine
+	started int64 // start of the engine's lifetime
 }
 
 // reserveError reports the engine on which a reservation failed.
@@ -68,9 +68,13 @@
 	r := &reservations{host: h, lease: lease}
 	h.state.mu.Lock()
 	for i, x := range choice.Reservations {
-		address, _ := h.state.engines.Address(x.Engine)
+		srv, usable := h.state.catalog.Server(x.Engine)
+		if !usable {
+			h.state.mu.Unlock()
+			return nil, &reserveError{x.Engine, errNotWanted}
+		}
 		id := fmt.Sprintf("%s-%d-%d", h.incarnation, h.reservationSeq.Add(1), i)
-		r.held = append(r.held, heldReservation{Reservation{id, x.Tokens, lease}, x.Engine, address})
+		r.held = append(r.held, heldReservation{Reservation{id, x.Tokens, lease}, Engine{srv.ID, srv.Address}, srv.Started})
 	}
 	h.state.mu.Unlock()
 	sentAt := h.now()
@@ -92,12 +96,16 @@
 	errs := make([]error, len(r.held))
 	var wg sync.WaitGroup
 	for i, x := range r.held {
-		wg.Go(func() { errs[i] = r.host.cfg.Dialect.Reserve(ctx, r.host.client, x.address, x.Reservation) })
+		wg.Go(func() {
+			n, err := r.host.cfg.Dialect.Reserve(ctx, r.host.client, x.engine, x.Reservation)
+			r.host.recordNotice(x.engine.ID, x.started, n)
+			errs[i] = err
+		})
 	}
 	wg.Wait()
 	for i, err := range errs {
 		if err != nil {
-			return r.held[i].engine, err
+			return r.held[i].engine.ID, err
 		}
 	}
 	return "", nil
@@ -160,14 +168,16 @@
 	var err error
 	for range releaseAttempts {
 		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
-		err = h.cfg.Dialect.Release(ctx, h.client, x.address, x.ID)
+		var n Notice
+		n, err = h.cfg.Dialect.Release(ctx, h.client, x.engine, x.ID)
 		cancel()
+		h.recordNotice(x.engine.ID, x.started, n)
 		if err == nil || h.ctx.Err() != nil {
 			return
 		}
 		ctxtime.Sleep(h.ctx, releaseRetryDelay)
 	}
-	h.log.WithFields(fields{"server": x.engine, "reservation": x.ID, "error": err.Error()}).Warn("memory not released; it is freed when its lease expires")
+	h.log.WithFields(fields{"server": x.engine.ID, "reservation": x.ID, "error": err.Error()}).Warn("memory not released; it is freed when its lease expires")
 }
 
 // idFor returns the ID of the reservation on an engine, or an empty string if there is none.
@@ -176,7 +186,7 @@
 		return ""
 	}
 	for _, x := range r.held {
-		if x.engine == id {
+		if x.engine.ID == id {
 			return x.ID
 		}
 	}
--- a/node/entry/reserve_test.go
+++ b/node/entry/reserve_test.go
@@ -19,11 +19,11 @@
 
 var errSilent = errors.New("no answer")
 
-func (s *silentEngine) Reserve(context.Context, *http.Client, string, Reservation) error {
+func (s *silentEngine) Reserve(context.Context, *http.Client, Engine, Reservation) (n Notice, err error) {
 	if t := time.Since(s.created); t >= s.from && t < s.until {
-		return errSilent
+		return n, errSilent
 	}
-	return nil
+	return n, nil
 }
 
 // Guards against a running request that is given up because a helper engine was silent for a part of its lease, and
@@ -40,7 +40,7 @@
 			c := qt.New(t)
 			h := testHost()
 			h.cfg.Dialect = &silentEngine{created: time.Now(), from: lease / 10, until: test.silentUntil}
-			r := &reservations{host: h, lease: lease, held: []heldReservation{{engine: "i-1"}}}
+			r := &reservations{host: h, lease: lease, held: []heldReservation{{engine: Engine{ID: "i-1"}}}}
 			ctx, stop := context.WithCancel(context.Background())
 			defer r.renewal.Wait()
 			defer stop()
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -71,6 +71,9 @@
 // send sends the caller's request to a server. On an error, ran is false only if nothing has reached the
 // server. The context bounds the request and the reading of its response.
 func (h *Host) send(ctx context.Context, q *request, srv catalog.Server, f Forward) (s backendResponse, ran bool, err error) {
+	if !h.wants(srv) {
+		return backendResponse{}, false, errNotWanted
+	}
 	req, err := http.NewRequestWithContext(ctx, q.http.Method, "http://"+srv.Address, nil)
 	if err != nil {
 		return backendResponse{}, false, err
@@ -98,7 +101,11 @@
 		connected := !(errors.As(err, &op) && op.Op == "dial")
 		return backendResponse{}, connected, err
 	}
-	return backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}, true, nil
+	s = backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}
+	if s.reply.ID == q.call.ID {
+		h.recordNotice(srv.ID, srv.Started, s.reply.Notice)
+	}
+	return s, true, nil
 }
 
 // check returns an error unless the response names this request and was not re-encoded on the way. Nothing that a response
