Keep to the pauses that servers ask for

A server may refuse a request with 503 and Retry-After: it wants none from this host for so long. Hosts did not read that. The server that refuses has the least load, so it was chosen again for the next request; each refusal took an attempt and a share of the retry budget.

Change: the adapter decodes the time, fractions included, of answers to requests and orders. While all servers of a service want no requests, a request waits for the first one if it may still be on time, and a queued one if its wait allows; else it is refused at once and told to return after that pause, at a time spread by a draw. Counted, logged, and named by rosectl explain.

--- a/lab/explain/explain_test.go
+++ b/lab/explain/explain_test.go
@@ -169,7 +169,7 @@
 		}
 	}
 	names := []string{
-		msgAnswered, msgFailed, msgRefused, msgNotReserved, msgExcluded, msgLeaving, msgPaused, msgApplied, msgStoreLost, msgStoreBack, msgPartition,
+		msgAnswered, msgFailed, msgRefused, msgNotReserved, msgExcluded, msgLeaving, msgServerPause, "pause_ms", msgPaused, msgApplied, msgStoreLost, msgStoreBack, msgPartition,
 		msgStarted, msgPeerSilent, msgMember, "request", "outcome", "reason", "step", "peer", "engine", "server", "config", "attempts", "took_ms",
 		"first_ms", "predicted_ms", "omitted", "gap_ms", "revision", "source", "member", "state", "partition", "partitions", "peers",
 	}
--- a/lab/explain/findings.go
+++ b/lab/explain/findings.go
@@ -33,6 +33,7 @@
 	{"read_body", "too_large"}:           "The body exceeds the limit of the configuration.",
 	{"read_body", "bad_request"}:         "The body could not be read.",
 	{"read_body", "deadline"}:            "The caller did not send the body in time.",
+	{"pause", "overload"}:                "All servers of the service that this host uses had asked for a pause.",
 	{"place", "overload"}:                "No engine had room for the prompt; memory was short.",
 	{"place", "no_backend"}:              "The service had no usable server at this host.",
 	{"quarantine", "prompt_quarantined"}: "Servers crash on a part of the prompt, so requests with it are refused; see the lines about the part.",
@@ -117,16 +118,23 @@
 			add("Server %s was excluded within %v of the request by another host.", id, clockSlack)
 		}
 	}
-	q.findLeaving(add)
+	q.findNotices(add)
 	q.findManyExclusions(add)
 	q.findUnnamed(add)
 }
 
-// findLeaving finds servers that said that they leave, while the request ran or not long before.
-func (q *Request) findLeaving(add func(string, ...any)) {
+// findNotices finds servers that said, while the request ran or not long before, that they leave or want no requests.
+func (q *Request) findNotices(add func(string, ...any)) {
 	for _, e := range q.Related[q.Host] {
-		if e.Message == msgLeaving && e.Time.Before(q.Ended) {
-			add("Server %s had said %s before the end that it leaves, so this host sent it nothing new.", e.Get("server"), round(q.Ended.Sub(e.Time)))
+		ago := q.Ended.Sub(e.Time)
+		switch {
+		case ago < 0:
+		case e.Message == msgLeaving:
+			add("Server %s had said %s before the end that it leaves, so this host sent it nothing new.", e.Get("server"), round(ago))
+		case e.Message == msgServerPause:
+			if ms, ok := e.Int("pause_ms"); ok && ago <= time.Duration(ms)*time.Millisecond {
+				add("Server %s had asked %s before the end for a pause of %d ms.", e.Get("server"), round(ago), ms)
+			}
 		}
 	}
 }
--- a/lab/explain/request.go
+++ b/lab/explain/request.go
@@ -17,6 +17,7 @@
 	msgNotReserved = "memory not reserved"
 	msgExcluded    = "server excluded"
 	msgLeaving     = "server leaving"
+	msgServerPause = "server wants no requests"
 	msgPaused      = "process was paused"
 	msgApplied     = "published state applied"
 	msgStoreLost   = "store lost"
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -58,7 +58,8 @@
 
 // Notice is what a server says about itself with any of its responses.
 type Notice struct {
-	Leaving bool // it takes no new work until it starts again
+	Leaving bool          // it takes no new work until it starts again
+	Pause   time.Duration // it wants no requests from this host for so long; zero for none
 }
 
 // ServerLoad is the load that a plain server reports with a response.
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -64,7 +64,7 @@
 			h.log.WithField("gap_ms", gap.Milliseconds()).Warn("process was paused")
 			signal(h.resync)
 		}
-		h.dropLapsed()
+		h.dropExpired()
 		h.evaluateQuarantine()
 		if reason != reportOnChange {
 			h.refreshPeers()
@@ -73,8 +73,8 @@
 	}
 }
 
-// dropLapsed drops servers whose store entries have lapsed.
-func (h *Host) dropLapsed() {
+// dropExpired drops servers whose store entries have lapsed.
+func (h *Host) dropExpired() {
 	now := h.now()
 	s := h.state
 	s.mu.Lock()
@@ -82,6 +82,7 @@
 	if s.catalog.Tick(now) {
 		s.syncEngines(now)
 	}
+	s.pauses.Forget(now)
 }
 
 // refreshPeers drops the load of peers that no longer report and recomputes the partitions.
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -45,10 +45,6 @@
 
 // finalError turns the last failure of a request into the error that the caller gets.
 func (h *Host) finalError(ctx context.Context, q *request, last *outcome.Error) *outcome.Error {
-	if last == nil {
-		last = outcome.Refuse(stepPlace, outcome.NoBackend, "no server of "+q.service+" is usable")
-		last.RetryAfter = noBackendRetry
-	}
 	switch {
 	case q.http.Context().Err() != nil:
 		last.Reason = outcome.Cancelled
@@ -59,7 +55,7 @@
 		last.Kind = outcome.MayHaveRun
 	}
 	if last.Kind == outcome.NotRun && last.RetryAfter == 0 {
-		last.RetryAfter = noBackendRetry
+		last.RetryAfter = h.returnDelay(q.service)
 	}
 	return last
 }
@@ -155,7 +151,7 @@
 		h.excludeServer(id, stepSend, errReplaced)
 	}
 	e := &outcome.Error{
-		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepSend, Peer: string(id), RetryAfter: noBackendRetry,
+		Kind: outcome.NotRun, Reason: outcome.Overload, Step: stepSend, Peer: string(id),
 		Detail: "the server refused the request: status " + strconv.Itoa(s.resp.StatusCode),
 	}
 	return e
@@ -175,9 +171,11 @@
 func (h *Host) checkResponse(id ident.BackendID, s backendResponse, body []byte, took time.Duration) (*response, *outcome.Error) {
 	status := s.resp.StatusCode
 	h.state.mu.Lock()
-	if status >= http.StatusInternalServerError {
+	switch {
+	case status >= http.StatusInternalServerError && s.reply.Notice.Pause > 0: // no failure: it has asked for a pause
+	case status >= http.StatusInternalServerError:
 		h.state.health.RecordFailure(id)
-	} else {
+	default:
 		h.state.health.RecordSuccess(id, took)
 	}
 	if l := s.reply.Load; l != nil {
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -68,8 +68,8 @@
 
 // serve runs attempts until a server has answered or no further attempt is made. It returns the answer or the last failure.
 func (r *plainRequest) serve() (*response, *outcome.Error) {
-	if !r.begin() {
-		return nil, nil
+	if e := r.begin(); e != nil {
+		return nil, e
 	}
 	overdue, stop := ctxtime.After(r.ctx, attemptEndTime)
 	defer stop()
@@ -89,7 +89,7 @@
 				r.watch(minServerTimeout) // another server may still answer, or be silent
 				continue
 			}
-			if !r.host.mayRetry(r.ctx, r.q, e) || !r.begin() {
+			if !r.host.mayRetry(r.ctx, r.q, e) || r.begin() != nil {
 				return nil, e
 			}
 		case <-r.silence.C:
@@ -98,9 +98,12 @@
 	}
 }
 
-// begin starts an attempt at another server. It reports false if there is none.
-func (r *plainRequest) begin() bool {
+// begin starts an attempt at another server. It returns a refusal if there is none.
+func (r *plainRequest) begin() *outcome.Error {
 	h := r.host
+	if e := h.awaitPause(r.ctx, r.q); e != nil {
+		return e
+	}
 	s := h.state
 	s.mu.Lock()
 	srv, ok := r.choose(h.now(), true)
@@ -110,10 +113,11 @@
 		srv, ok = r.choose(h.now(), false)
 	}
 	s.mu.Unlock()
-	if ok {
-		r.start(srv)
+	if !ok {
+		return outcome.Refuse(stepPlace, outcome.NoBackend, "no server of "+r.q.service+" is usable")
 	}
-	return ok
+	r.start(srv)
+	return nil
 }
 
 // choose returns a server that has not been tried and adds the request to its load. The state must be locked.
@@ -121,7 +125,7 @@
 	s := r.host.state
 	srv, ok := s.loadBalancer.Choose(now, s.catalog.Usable(r.q.service), func(id ident.BackendID) placement.ServerHealth {
 		return placement.ServerHealth{
-			Excluded:    r.tried[id] || (useExclusions && s.health.Excluded(now, id)),
+			Excluded:    r.tried[id] || s.pauses.Active(now, id) || (useExclusions && s.health.Excluded(now, id)),
 			FailureRate: s.health.FailureRate(id),
 			AnswerTime:  s.health.AnswerTime(id),
 		}
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -135,6 +135,9 @@
 		return true
 	}
 	a, e := w.Value.stream.choose(now)
+	if end, all := h.state.pauseEnd(now, w.Value.stream.q.service); all && end < w.WaitUntil {
+		return false
+	}
 	if e == nil {
 		if now < w.WaitUntil && !engines.ShouldPlaceNow(a.choice) {
 			return false
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -69,7 +69,7 @@
 	h.state.mu.Lock()
 	for i, x := range choice.Reservations {
 		srv, usable := h.state.catalog.Server(x.Engine)
-		if !usable {
+		if !usable || h.state.pauses.Active(h.now(), x.Engine) {
 			h.state.mu.Unlock()
 			return nil, &reserveError{x.Engine, errNotWanted}
 		}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -27,6 +27,7 @@
 	health       *health.Tracker
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
+	pauses       retry.Pauses // that servers have asked for
 	peers        *peers.Table
 	quarantine   *quarantine.Table
 	partNames    map[quarantine.Part]PromptPart // IDs of parts that were suspects, for the log
