Keep to the pauses that plain services ask a gateway for

A gateway passed a 503 of a plain service on with its Retry-After, and sent the next call there again, although another server of the service was free. For model engines the scheduler already keeps to the time that they ask for.

Change: the gateway keeps the pauses of instances and leaves them out; if all want none, callers are refused with a delay after the first one's end. The decoder of Retry-After is one for both protocols, and no longer reads infinity or exponents.

--- a/core/retry/pauses.go
+++ b/core/retry/pauses.go
@@ -1,6 +1,9 @@
 package retry
 
 import (
+	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -56,6 +59,23 @@
 	}
 }
 
+// maxDelaySeconds is the longest delay that is decoded, so that it fits a duration.
+const maxDelaySeconds = 1e6
+
+// ParseDelay decodes the value of a Retry-After header in seconds, which may have a fraction. Anything else, a date included,
+// is no delay.
+func ParseDelay(value string) time.Duration {
+	value = strings.TrimSpace(value)
+	if strings.Trim(value, "0123456789.") != "" {
+		return 0 // ParseFloat would also read signs, exponents, infinity and other notations
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxDelaySeconds) * float64(time.Second))
+}
+
 const (
 	// minSpread and maxSpread bound the time over which callers return that were refused because of a pause. Between them
 	// it is a quarter of the pause.
--- a/core/retry/pauses_test.go
+++ b/core/retry/pauses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,3 +61,15 @@
 	_, all := p.FirstEnd(0, slices.Values([]ident.BackendID(nil)))
 	c.Assert(all, qt.IsFalse)
 }
+
+// Guards against a delay that is misread, such as one without end that lasts for no time.
+func TestParseDelay(t *testing.T) {
+	c := qt.New(t)
+	for value, want := range map[string]time.Duration{
+		"3": 3 * time.Second, "0.25": 250 * time.Millisecond, " 2 ": 2 * time.Second, ".5": 500 * time.Millisecond, "0": 0, "": 0, "-1": 0,
+		"+1": 0, "1e3": 0, "NaN": 0, "inf": 0, "0x10": 0, "1_0": 0, "1.2.3": 0, ".": 0, "Wed, 21 Oct 2026 07:28:00 GMT": 0, "3 s": 0,
+		"99999999": maxDelaySeconds * time.Second, strings.Repeat("9", 400): maxDelaySeconds * time.Second,
+	} {
+		c.Check(ParseDelay(value), qt.Equals, want, qt.Commentf("%q", value))
+	}
+}
--- a/node/gateway/lookup.go
+++ b/node/gateway/lookup.go
@@ -161,7 +161,7 @@
 		p.release(resultOf(e))
 		return nil, e
 	}
-	p.release(limits.Success)
+	p.answered(resp)
 	return responseOf(resp), nil
 }
 
--- a/node/gateway/posting.go
+++ b/node/gateway/posting.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
-	"github.com/rosemaryhill/rosemaryhill/core/limits"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/ticket"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
@@ -206,7 +205,7 @@
 		p.release(resultOf(e))
 		return nil, e
 	}
-	p.release(limits.Success)
+	p.answered(resp)
 	return responseOf(resp), nil
 }
 
--- a/node/gateway/services.go
+++ b/node/gateway/services.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"iter"
 	"math/rand"
+	"net/http"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/owner"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
 	"github.com/rosemaryhill/rosemaryhill/core/retry"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 	"github.com/rosemaryhill/rosemaryhill/node/servicehttp"
 	"github.com/rosemaryhill/rosemaryhill/node/view"
 )
@@ -32,6 +35,8 @@
 	g    *Gateway
 	mu   sync.Mutex
 	byID map[ident.BackendID]*instance
+	// pauses are those that instances have asked for.
+	pauses retry.Pauses
 }
 
 // instance is one server of a plain service. Its Backend never changes.
@@ -140,6 +145,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best, full := s.leastLoaded(service, now, excluded)
+	if best == nil && len(excluded) == 0 {
+		if end, all := s.pauses.FirstEnd(now, s.usable(service)); all {
+			e := outcome.Refuse("choose_service", outcome.Overload, "all servers of the service have asked for a pause")
+			e.RetryAfter = retry.ReturnAfter(end-now, s.g.rng().Float64())
+			return nil, e
+		}
+	}
 	if best == nil {
 		reason, detail := outcome.NoBackend, "no server of the service takes new calls"
 		if full {
@@ -154,11 +166,25 @@
 	return &permit{s: s, in: best, lease: lease, serviceTime: best.serviceTime, start: now}, nil
 }
 
+// usable returns the instances of a service that take new calls, paused ones included.
+func (s *services) usable(service string) iter.Seq[ident.BackendID] {
+	return func(yield func(ident.BackendID) bool) {
+		for _, b := range s.g.view.Config().Services[service] {
+			in := s.byID[b.ID]
+			if in == nil || s.g.view.BackendLeaving(string(b.ID)) || b.Region != s.g.cfg.Settings.Region {
+				continue
+			}
+			if !yield(b.ID) {
+				return
+			}
+		}
+	}
+}
+
 func (s *services) leastLoaded(service string, now time.Duration, excluded map[ident.BackendID]bool) (best *instance, full bool) {
-	snap := s.g.view.Config()
-	for _, b := range snap.Services[service] {
-		in := s.byID[b.ID]
-		if in == nil || excluded[b.ID] || s.g.view.BackendLeaving(string(b.ID)) || b.Region != s.g.cfg.Settings.Region {
+	for id := range s.usable(service) {
+		in := s.byID[id]
+		if excluded[id] || s.pauses.Active(now, id) {
 			continue
 		}
 		if in.permits.Free(now) == 0 {
@@ -192,6 +218,17 @@
 	}
 }
 
+// answered returns the permit of a call that the instance has answered. One that refuses the call may ask for a pause, which
+// is no failure.
+func (p *permit) answered(r *servicehttp.Response) {
+	if r.Status == http.StatusServiceUnavailable {
+		p.s.mu.Lock()
+		p.s.pauses.Begin(p.s.g.view.Now(), p.in.ID, httpcall.RetryAfter(r.Header))
+		p.s.mu.Unlock()
+	}
+	p.release(limits.Success)
+}
+
 // nextRetry asks the retry budget of the failed instance for another attempt.
 func (p *permit) nextRetry(rng *rand.Rand, tries int, left time.Duration) (wait time.Duration, ok bool) {
 	p.s.mu.Lock()
--- a/node/internal/httpcall/httpcall.go
+++ b/node/internal/httpcall/httpcall.go
@@ -11,12 +11,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
+	"github.com/rosemaryhill/rosemaryhill/core/retry"
 )
 
 // BaseURL returns address as a URL without trailing slash; a bare host:port gets the http scheme.
@@ -96,13 +96,7 @@
 }
 
 // RetryAfter returns the value of the Retry-After header, or zero if it is missing or is a date.
-func RetryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s * float64(time.Second))
-}
+func RetryAfter(h http.Header) time.Duration { return retry.ParseDelay(h.Get("Retry-After")) }
 
 // ErrTooLarge is the error of a response body that exceeds its size limit.
 var ErrTooLarge = errors.New("answer exceeds its size bound")
