Soak: servers that leave or ask for pauses

The soak had no servers that say in their answers that they leave, nor any that ask for a pause.

Change: a kind of fault, "server notice", with a source of random numbers of its own: servers leave, while their entries say that they are ready, and start again as a new lifetime; single ones, or all of a service, refuse with pauses of 0.05 to 3 s. What callers and servers see is checked: no request that was sent 2 s or more after the first answer of a leaving server, at most two within a pause from 0.5 s on, unless the host's process had a fault since.

TestNoticeViolations checks the check.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -97,7 +97,9 @@
 )
 
 // FaultKinds returns the kinds of faults, which Config.Without may name.
-func FaultKinds() []string { return append(slices.Clone(faultKinds), rawAnswers, badPart) }
+func FaultKinds() []string {
+	return append(slices.Clone(faultKinds), rawAnswers, badPart, serverNotice)
+}
 
 // silentServer is the kind of fault in which sound servers fall silent and go on.
 const silentServer = "silent server"
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -147,6 +147,7 @@
 	r.result.Requests = len(r.calls)
 	r.checkBadPart(streams)
 	r.checkBudget()
+	r.checkNotices()
 }
 
 // violations returns the guarantees that the result of a request violates, given its arrivals at all servers.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -113,7 +113,12 @@
 	rng := rand.New(rand.NewSource(cfg.Seed))
 	r.began = time.Now()
 	stop := r.startCallers()
+	noticing, endNotices := context.WithCancel(ctx)
+	var notices sync.WaitGroup
+	notices.Go(func() { r.injectNotices(noticing) })
 	r.injectFaults(ctx, rng)
+	endNotices()
+	notices.Wait()
 	stop()
 	r.reviving.Wait()
 	r.checkCalls()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -175,6 +175,37 @@
 	}
 }
 
+// Guards against requests for servers that leave or want none which the soak does not report, and against any that it reports
+// although the host's process had a fault, or they came before the notice or after its end.
+func TestNoticeViolations(t *testing.T) {
+	c := qt.New(t)
+	began := time.Now().Add(-time.Minute)
+	h := &host{}
+	h.cutAllowed.list = [][2]time.Time{{began.Add(20 * time.Second), began.Add(21 * time.Second)}}
+	at := func(seconds float64, a standin.Arrival) contact {
+		a.At = began.Add(time.Duration(seconds * float64(time.Second)))
+		served := standin.Result{ID: "q", Status: 200, Complete: true, Took: 10 * time.Millisecond}
+		return contact{a, &call{Result: served, host: h, sentAt: a.At.Add(-time.Millisecond)}, true}
+	}
+	leaving, paused := standin.Arrival{Leaving: true}, standin.Arrival{Failure: standin.Shed, Pause: 3 * time.Second}
+	plain := standin.Arrival{}
+	for _, x := range []struct {
+		name string
+		all  []contact
+		want int
+	}{
+		{"soon after it left", []contact{at(1, leaving), at(2.9, leaving)}, 0},
+		{"long after it left", []contact{at(1, leaving), at(3.2, plain)}, 1},
+		{"after a restart of the host", []contact{at(19, leaving), at(23, plain)}, 0},
+		{"two within a pause", []contact{at(1, paused), at(2, plain), at(3, plain)}, 0},
+		{"three within a pause", []contact{at(1, paused), at(2, plain), at(3, plain), at(3.5, plain)}, 1},
+		{"on the way and after the end", []contact{at(1, paused), at(1.1, plain), at(1.2, plain), at(1.3, plain), at(4.1, plain), at(4.2, plain)}, 0},
+		{"within a pause over a restart of the host", []contact{at(19, paused), at(21.1, plain), at(21.2, plain), at(21.3, plain)}, 0},
+	} {
+		c.Check(noticeViolations(x.all), qt.HasLen, x.want, qt.Commentf(x.name))
+	}
+}
+
 // Guards against kinds of faults that are drawn but have no effect.
 func TestEveryFaultKindIsInjected(t *testing.T) {
 	c := qt.New(t)
