Answer callers that have closed only their sending direction

Cause: net/http ends the context of a request at the end of what the caller sends. The host took that for a caller that has left and wrote no response, for which net/http sends an empty success. The servers' records show that no server had answered.

Change: a response is always written. Requests that may be repeated and streams go on for 0.3 s after the end of what the caller sends, streams as long as writes show that it reads; then they are cancelled. Requests that must not be repeated go on to their end, and are not sent again.

--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -46,7 +46,7 @@
 // finalError turns the last failure of a request into the error that the caller gets.
 func (h *Host) finalError(ctx context.Context, q *request, last *outcome.Error) *outcome.Error {
 	switch {
-	case q.http.Context().Err() != nil:
+	case q.caller.cancelled.Load():
 		last.Reason = outcome.Cancelled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		last.Reason = outcome.Deadline
@@ -63,7 +63,7 @@
 // mayRetry reports whether the request may go to another server after a failure. A nil error stands for a
 // complete response with a 5xx status.
 func (h *Host) mayRetry(ctx context.Context, q *request, e *outcome.Error) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || q.caller.gone.Load() {
 		return false
 	}
 	if e != nil && e.Step == stepDial {
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return outcome.Fail(stepAnswer, "", outcome.Cancelled, err)
 	}
+	st.q.caller.wrote(st.host.now())
 	return nil
 }
 
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -52,6 +52,7 @@
 	mayHaveRun  bool           // a server may have started to process it
 	queueTime   time.Duration  // time spent waiting for an engine; streams only
 	placement   placementStats // statistics of the last placement; streams only
+	caller      callerState
 }
 
 // placementStats compares a placement's prediction with the observed timing.
@@ -106,6 +107,7 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(q.timeLeft(h.now())-responseMargin))
 	defer cancel()
 	defer context.AfterFunc(h.serving, cancel)()
+	defer h.watchCaller(q, cancel)()
 	if q.route.Kind == catalog.Streaming {
 		return h.serveStream(ctx, w, q)
 	}
@@ -176,9 +178,7 @@
 // writeError records the failure of a request and writes the error response.
 func (h *Host) writeError(w http.ResponseWriter, q *request, e *outcome.Error) {
 	h.recordEnd(q, e.Kind.String(), string(e.Reason), e)
-	if q.http.Context().Err() != nil {
-		return // the caller has disconnected
-	}
+	// The caller may only have closed its side of the connection. Without a response net/http would send an empty success.
 	httpend.WriteError(w, e, fractionalSeconds)
 }
 
--- a/node/entry/trace.go
+++ b/node/entry/trace.go
@@ -15,9 +15,10 @@
 // trace context is not rewritten for backend servers, which get the caller's header unchanged.
 const spanRequest = "request"
 
-// startRequestSpan starts the span of a caller's request, as part of the caller's trace if the header names one.
+// startRequestSpan starts the span of a caller's request, as part of the caller's trace if the header names one. The returned
+// context does not end when the caller closes its side of the connection, see watchCaller.
 func (h *Host) startRequestSpan(q *request) (context.Context, trace.Span) {
-	ctx := obs.FromHTTP(q.http.Context(), q.http.Header)
+	ctx := obs.FromHTTP(context.WithoutCancel(q.http.Context()), q.http.Header)
 	return h.obs.Span(ctx, spanRequest, trace.SpanKindServer, attribute.String("request", q.call.ID))
 }
 
