Write the log in a goroutine of its own

Cause: each line was written under the lock of the logger by the goroutine that logs it, in a handler before its answer is flushed. The volume is bounded, but a pipe is full after some seconds, and then everything that logs waits.

Room is kept for a start, a stop, new settings and a store that is lost or regained.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -130,7 +130,7 @@
 		return ExitSettings
 	}
 	h, err := entry.Start(entry.Config{
-		Settings: s, SettingsFile: c.settings, Dialect: platform.Dialect{}, LogTo: stdout,
+		Settings: s, SettingsFile: c.settings, Dialect: platform.Dialect{}, LogTo: stdout, LogAside: true,
 		OpenStore: func(log *logrus.Entry) entry.Store { return platform.NewStore(s.Entry.StoreAddress, log) },
 	})
 	if err != nil {
@@ -150,7 +150,7 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
-	p, err := process.Start(process.Config{Settings: s, Role: role, LogTo: stderr, TraceTo: stdout})
+	p, err := process.Start(process.Config{Settings: s, Role: role, LogTo: stderr, LogAside: true, TraceTo: stdout})
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -46,6 +46,7 @@
 	// OpenStore returns a client of the platform's store.
 	OpenStore func(*logrus.Entry) Store
 	LogTo     io.Writer
+	LogAside  bool // see obs.Config
 }
 
 // Host is a running entry host.
@@ -92,7 +93,7 @@
 	s := cfg.Settings
 	o, err := obs.New(obs.Config{
 		HostID: s.HostID, Role: string(settings.RoleEntry), Zone: s.AvailabilityZone,
-		LogLevel: s.Log.Level, LogTo: cfg.LogTo, Exporter: s.Trace.Exporter, OTLPURL: s.Trace.OTLPURL,
+		LogLevel: s.Log.Level, LogTo: cfg.LogTo, LogAside: cfg.LogAside, Exporter: s.Trace.Exporter, OTLPURL: s.Trace.OTLPURL,
 		TraceTo: cfg.LogTo, SampleRatio: s.Trace.SampleRatio,
 	})
 	if err != nil {
@@ -130,7 +131,7 @@
 		"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress, "peers": len(s.Entry.Peers),
 		"retry_ratio": s.Entry.RetryRatio, "retry_slack": s.Entry.RetrySlack, "shutdown_ms": s.Entry.ShutdownMS,
 		"release_ms": s.Entry.ReleaseMS, "memory_mb": s.Entry.MemoryMB,
-	}).Info("started")
+	}).WithContext(obs.Essential).Info("started")
 	return h, nil
 }
 
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
 const (
@@ -270,8 +271,8 @@
 	s.mu.Unlock()
 	switch {
 	case connected && !was:
-		h.log.Info("store regained")
+		h.log.WithContext(obs.Essential).Info("store regained")
 	case !connected && was:
-		h.log.WithField("error", cause.Error()).Warn("store lost")
+		h.log.WithContext(obs.Essential).WithField("error", cause.Error()).Warn("store lost")
 	}
 }
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -53,7 +54,7 @@
 	}
 	h.setSeeds(s.Entry.Peers)
 	h.requestReport()
-	h.log.WithField("peers", len(s.Entry.Peers)).Info("settings reloaded")
+	h.log.WithContext(obs.Essential).WithField("peers", len(s.Entry.Peers)).Info("settings reloaded")
 }
 
 // fileFingerprint returns a value that changes with the modification time and size of a file, or zero when the
--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -7,6 +7,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
+	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -46,7 +47,7 @@
 	began := time.Now()
 	stop := h.newStopPlan()
 	h.stop.Store(&stop)
-	h.log.WithField("running", h.running.Load()).Info("stopping")
+	h.log.WithContext(obs.Essential).WithField("running", h.running.Load()).Info("stopping")
 	h.requestReport()
 	ctxtime.Sleep(h.ctx, stop.listedUntil-h.now())
 	ctx, cancel := context.WithTimeout(context.Background(), stop.end-h.now())
@@ -58,7 +59,7 @@
 		ctxtime.Sleep(ctx, drainPoll)
 	}
 	h.answerRest()
-	h.log.WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
+	h.log.WithContext(obs.Essential).WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
 	h.Close()
 	if err != nil {
 		return Error.New("step=shutdown: %w", err)
--- a/node/obs/obs.go
+++ b/node/obs/obs.go
@@ -36,6 +36,9 @@
 	Zone     string
 	LogLevel string    // "debug", "info", "warn" or "error"
 	LogTo    io.Writer // nil discards the log
+	// LogAside writes the log in a goroutine of its own and drops lines that its reader is too slow for. Without it, each line
+	// is written before the call that logs it returns.
+	LogAside bool
 	// Exporter is the trace exporter: "none", "stdout" or "otlp". An empty string means "none".
 	Exporter    string
 	OTLPURL     string
@@ -50,6 +53,7 @@
 	Meter  metric.Meter
 	Tracer trace.Tracer
 
+	logs     *logWriter // nil if lines are written at once
 	registry *prometheus.Registry
 	meters   *sdkmetric.MeterProvider
 	traces   *sdktrace.TracerProvider
@@ -57,7 +61,7 @@
 
 // New creates the logger, meter and tracer. Call Shutdown to flush traces.
 func New(cfg Config) (*Obs, error) {
-	entry, err := newLog(cfg)
+	entry, logs, err := newLog(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -77,14 +81,20 @@
 		return nil, err
 	}
 	const scope = "github.com/rosemaryhill/rosemaryhill/node"
-	return &Obs{
+	o := &Obs{
 		Log:      entry,
+		logs:     logs,
 		Meter:    meters.Meter(scope),
 		Tracer:   traces.Tracer(scope),
 		registry: registry,
 		meters:   meters,
 		traces:   traces,
-	}, nil
+	}
+	if logs != nil {
+		o.Gauge("rosemaryhill_log_lines_dropped", "log lines that found no room since the start, as the reader of the log was too slow",
+			func() float64 { return float64(logs.Dropped()) })
+	}
+	return o, nil
 }
 
 // StdLog returns a standard library logger that writes to Log, for libraries that require one.
@@ -103,28 +113,42 @@
 	return promhttp.HandlerFor(o.registry, promhttp.HandlerOpts{})
 }
 
-// Shutdown flushes traces and stops the trace and meter providers.
+// FlushLog waits until the lines of the log are written or the context ends.
+func (o *Obs) FlushLog(ctx context.Context) {
+	if o.logs != nil {
+		o.logs.flush(ctx)
+	}
+}
+
+// Shutdown writes the lines of the log that wait, flushes traces and stops the trace and meter providers.
 func (o *Obs) Shutdown(ctx context.Context) error {
+	o.FlushLog(ctx)
 	return errs.Combine(o.traces.Shutdown(ctx), o.meters.Shutdown(ctx))
 }
 
-func newLog(cfg Config) (*logrus.Entry, error) {
+func newLog(cfg Config) (*logrus.Entry, *logWriter, error) {
 	level, err := logrus.ParseLevel(cfg.LogLevel)
 	if err != nil {
-		return nil, Error.New("log level: %w", err)
+		return nil, nil, Error.New("log level: %w", err)
 	}
 	l := logrus.New()
 	l.SetLevel(level)
-	l.SetOutput(io.Discard)
-	if cfg.LogTo != nil {
-		l.SetOutput(cfg.LogTo)
-	}
-	l.SetFormatter(&logrus.TextFormatter{
+	text := &logrus.TextFormatter{
 		DisableColors:   true,
 		FullTimestamp:   true,
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
-	})
-	return l.WithFields(logrus.Fields{"host": cfg.HostID, "role": cfg.Role}), nil
+	}
+	l.SetFormatter(text)
+	l.SetOutput(io.Discard)
+	var aside *logWriter
+	switch {
+	case cfg.LogTo != nil && cfg.LogAside:
+		aside = newLogWriter(cfg.LogTo, text)
+		l.SetFormatter(aside)
+	case cfg.LogTo != nil:
+		l.SetOutput(cfg.LogTo)
+	}
+	return l.WithFields(logrus.Fields{"host": cfg.HostID, "role": cfg.Role}), aside, nil
 }
 
 func newTraces(cfg Config, res *resource.Resource) (*sdktrace.TracerProvider, error) {
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -26,6 +26,7 @@
 	Settings settings.Settings
 	Role     settings.Role
 	LogTo    io.Writer // nil discards the log
+	LogAside bool      // see obs.Config
 	TraceTo  io.Writer // for trace.exporter "stdout"
 }
 
@@ -68,7 +69,7 @@
 func (p *Process) start() (err error) {
 	s, addr := p.cfg.Settings, p.cfg.addresses()
 	p.Obs, err = obs.New(obs.Config{
-		HostID: s.HostID, Role: string(p.cfg.Role), Zone: s.AvailabilityZone, LogLevel: s.Log.Level, LogTo: p.cfg.LogTo,
+		HostID: s.HostID, Role: string(p.cfg.Role), Zone: s.AvailabilityZone, LogLevel: s.Log.Level, LogTo: p.cfg.LogTo, LogAside: p.cfg.LogAside,
 		Exporter: s.Trace.Exporter, OTLPURL: s.Trace.OTLPURL, TraceTo: p.cfg.TraceTo, SampleRatio: s.Trace.SampleRatio,
 	})
 	if err != nil {
@@ -118,7 +119,7 @@
 
 // Run waits until the context ends, which the caller triggers on SIGTERM, and then shuts down.
 func (p *Process) Run(ctx context.Context) error {
-	p.Obs.Log.WithField("incarnation", p.View.Incarnation().String()).Info("started")
+	p.Obs.Log.WithContext(obs.Essential).WithField("incarnation", p.View.Incarnation().String()).Info("started")
 	<-ctx.Done()
 	p.Obs.Log.Info("shutting down")
 	err := p.Shutdown(context.Background())
@@ -126,7 +127,10 @@
 		p.Obs.Log.WithField("error", err.Error()).Error("shutdown failed")
 		return err
 	}
-	p.Obs.Log.Info("stopped")
+	p.Obs.Log.WithContext(obs.Essential).Info("stopped")
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	p.Obs.FlushLog(ctx)
 	return nil
 }
 
