Accept bounds of a deployment with fractions

Operators saw (review): with grace_s = 7.5 the settings are refused and the process does not start. The template appended three zeros to seconds, and 7.5000 is no whole number.

Times in ms and sizes in MB may have a fraction and are rounded.

--- a/node/settings/load.go
+++ b/node/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"reflect"
 	"slices"
@@ -98,12 +99,7 @@
 	case reflect.String:
 		c.setIf(field, key, value, "a string", func(v any) bool { _, ok := v.(string); return ok })
 	case reflect.Int, reflect.Int64:
-		n, ok := value.(int64)
-		if !ok {
-			c.add(key, value, "a whole number")
-			return
-		}
-		field.SetInt(n)
+		c.setInt(field, key, value)
 	case reflect.Float64:
 		c.setFloat(field, key, value)
 	case reflect.Slice:
@@ -119,6 +115,23 @@
 	field.Set(reflect.ValueOf(value))
 }
 
+// setInt sets a whole number, which may be written as a float, such as 8e3. Times in ms and sizes in MB are rounded.
+func (c *checker) setInt(field reflect.Value, key string, value any) {
+	const maxExact = 1 << 53 // floats hold whole numbers up to this exactly
+	switch n := value.(type) {
+	case int64:
+		field.SetInt(n)
+		return
+	case float64:
+		whole := math.Round(n)
+		if math.Abs(n) <= maxExact && (n == whole || strings.HasSuffix(key, "_ms") || strings.HasSuffix(key, "_mb")) {
+			field.SetInt(int64(whole))
+			return
+		}
+	}
+	c.add(key, value, "a whole number")
+}
+
 func (c *checker) setFloat(field reflect.Value, key string, value any) {
 	switch n := value.(type) {
 	case float64:
