Take streams whose numbers leave some out

Operators saw (review): a stream with the event IDs 1, 5, 9 is cut after its first event. IDs increase, and the decision between attempts took each number that is left out for a lost event.

Change: hosts learn for each service whether its complete streams number their events consecutively. If they do, a number that is left out is a fault as before. If a tenth of them or more do not, numbers may be left out anywhere, and while that is not known, between the first two events, which show how a stream is numbered; its later events, also from another server, may leave some out then.

--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -28,17 +28,24 @@
 type Race struct {
 	limit      int  // servers that the request may be sent to
 	repeatable bool // the request may run at several servers
+	gaps       Gaps // where numbers of events may be left out
 	last       int64
+	delivered  int     // events
+	winner     Attempt // whose event was delivered last
+	left       bool    // a number has been left out
 	opened     Attempt
 	sent       int // attempts that were sent or will be
 	open       []Attempt
 }
 
 // NewRace returns a race without attempts. last is the last event that the caller has, -1 if there is none.
-func NewRace(limit int, repeatable bool, last int64) *Race {
-	return &Race{limit: max(1, limit), repeatable: repeatable, last: last}
+func NewRace(limit int, repeatable bool, last int64, gaps Gaps) *Race {
+	return &Race{limit: max(1, limit), repeatable: repeatable, last: last, gaps: gaps}
 }
 
+// LeftOut reports whether events that were delivered have left out a number.
+func (r *Race) LeftOut() bool { return r.left }
+
 // Last returns the last event that the caller has, -1 if there is none. A new attempt continues after it.
 func (r *Race) Last() int64 { return r.last }
 
@@ -80,16 +87,32 @@
 // Event decides about an event of an attempt. An attempt whose event is delivered wins: all others are closed and returned,
 // and must be cancelled.
 func (r *Race) Event(a Attempt, id int64) (v Verdict, losers []Attempt) {
-	switch {
-	case !r.IsOpen(a) || id <= r.last:
+	if !r.IsOpen(a) || id <= r.last {
 		return Drop, nil
-	case r.last >= 0 && id != r.last+1:
-		return Gap, nil
 	}
-	r.last = id
+	if r.last >= 0 && id != r.last+1 {
+		if !r.mayLeaveOut(a) {
+			return Gap, nil
+		}
+		r.left = true
+	}
+	r.last, r.winner = id, a
+	r.delivered++
 	return Deliver, r.closeOthers(a)
 }
 
+// mayLeaveOut reports whether the next event of an attempt may leave out numbers after the last one. Between events of two
+// attempts, nothing but the numbers of the stream so far says whether an event is missing.
+func (r *Race) mayLeaveOut(a Attempt) bool {
+	switch {
+	case r.left || r.gaps == Anywhere:
+		return true
+	case r.gaps == AtFirst:
+		return r.delivered == 0 || (r.delivered == 1 && a == r.winner)
+	}
+	return false
+}
+
 func (r *Race) closeOthers(a Attempt) (losers []Attempt) {
 	for _, x := range r.open {
 		if x != a {
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -58,7 +58,7 @@
 
 func (h *Host) newPlainRequest(ctx context.Context, q *request) *plainRequest {
 	r := &plainRequest{
-		host: h, ctx: ctx, q: q, race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), -1),
+		host: h, ctx: ctx, q: q, race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), -1, hedge.Nowhere),
 		running: map[hedge.Attempt]*plainAttempt{}, tried: map[ident.BackendID]bool{},
 		ends: make(chan plainEnd), done: make(chan struct{}), silence: time.NewTimer(time.Hour),
 	}
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -93,6 +93,11 @@
 	if !x.proven && x.events > 0 {
 		x.recordAnswered(st.host.now())
 	}
+	if x.events > 1 {
+		st.host.state.mu.Lock()
+		st.host.state.numberingOf(st.q.service).Record(st.race.LeftOut())
+		st.host.state.mu.Unlock()
+	}
 	if len(x.early) > 0 {
 		return st.write(s, x.early)
 	}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/health"
+	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/partition"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
@@ -27,7 +28,8 @@
 	health       *health.Tracker
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
-	pauses       retry.Pauses // that servers have asked for
+	pauses       retry.Pauses                // that servers have asked for
+	numbering    map[string]*hedge.Numbering // of the streams' events, by service name
 	peers        *peers.Table
 	quarantine   *quarantine.Table
 	partNames    map[quarantine.Part]PromptPart // IDs of parts that were suspects, for the log
@@ -47,6 +49,7 @@
 		queues:       map[string]*placement.Queue[queueEntry]{},
 		loadBalancer: placement.NewLoadBalancer(),
 		budgets:      map[string]*retry.FleetBudget{},
+		numbering:    map[string]*hedge.Numbering{},
 		peers:        peers.NewTable(),
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
 		partNames:    map[quarantine.Part]PromptPart{},
@@ -123,6 +126,16 @@
 	return q
 }
 
+// numberingOf returns the numbering of a service and creates it on first use.
+func (s *state) numberingOf(service string) *hedge.Numbering {
+	n := s.numbering[service]
+	if n == nil {
+		n = &hedge.Numbering{}
+		s.numbering[service] = n
+	}
+	return n
+}
+
 func (s *state) budget(service string) *retry.FleetBudget {
 	b := s.budgets[service]
 	if b == nil {
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -82,9 +82,12 @@
 	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
 		last = id
 	}
+	h.state.mu.Lock()
+	gaps := h.state.numberingOf(q.service).Gaps()
+	h.state.mu.Unlock()
 	st := &stream{
 		host: h, ctx: ctx, w: w, flush: http.NewResponseController(w), q: q,
-		race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), last), running: map[hedge.Attempt]*engineAttempt{},
+		race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), last, gaps), running: map[hedge.Attempt]*engineAttempt{},
 		messages: make(chan attemptMessage), done: make(chan struct{}), failed: map[ident.BackendID]bool{},
 		silence: time.NewTimer(time.Hour),
 	}
