--- a/lab/soak/badpart.go
+++ b/lab/soak/badpart.go
@@ -154,7 +154,7 @@
 	served := 0
 	for _, c := range r.calls {
 		other := c.parts.first != firstParts[0] || c.parts.bad() || c.sentAt.Before(from) || c.sentAt.After(to)
-		end := c.sentAt.Add(c.Took)
+		end := c.endedAt
 		if other || !soundRequest(c.ID) || r.outages.overlap(c.sentAt, end) || c.host.cutAllowed.overlap(c.sentAt, end) {
 			continue
 		}
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -17,9 +17,10 @@
 // call is a request of the soak and its result.
 type call struct {
 	standin.Result
-	host   *host
-	sentAt time.Time
-	parts  parts // of a stream's prompt
+	host    *host
+	sentAt  time.Time // before the request was sent
+	endedAt time.Time // after its end
+	parts   parts     // of a stream's prompt
 }
 
 // cause says why the request was not served, as its caller sees it.
@@ -96,6 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	sent.Result = r.caller.Call(ctx, h.callerLink.Addr(), path, header...)
+	sent.endedAt = time.Now()
 	if sent.Status == 0 {
 		c.avoided[h] = time.Now().Add(avoidTime)
 	}
@@ -135,7 +137,7 @@
 			r.reportViolation("%s", v)
 		}
 		late := c.Took > timeoutOf(c.Path)+answerSlack
-		if late && !c.host.lateAllowed.overlap(c.sentAt, c.sentAt.Add(c.Took)) {
+		if late && !c.host.lateAllowed.overlap(c.sentAt, c.endedAt) {
 			r.reportViolation("late answer of host %s: %+v", c.host.settings.HostID, c.Result)
 		}
 		if c.Served() {
@@ -187,7 +189,7 @@
 // A request that the host says may have run began, also if no server has read it: then a server was silent on accept.
 func (r *run) cutWithoutCause(c *call, arrivals []standin.Arrival) bool {
 	began := len(arrivals) > 0 || c.Status == http.StatusBadGateway || c.Status == http.StatusGatewayTimeout
-	end := c.sentAt.Add(c.Took)
+	end := c.endedAt
 	if c.Served() || !began || c.Took >= streamTimeout || c.host.cutAllowed.overlap(c.sentAt, end) {
 		return false
 	}
--- a/lab/soak/notice.go
+++ b/lab/soak/notice.go
@@ -152,7 +152,7 @@
 // since a notice excuses it, as it may have forgotten it.
 func noticeViolations(all []contact) (violations []string) {
 	for _, told := range all {
-		end := told.sentAt.Add(told.Took)
+		end := told.endedAt
 		if told.Leaving && told.alone && told.Failure == standin.NoFailure && told.Served() {
 			for _, x := range all {
 				if x.sentAt.After(end.Add(leavingBound)) && !x.host.cutAllowed.overlap(told.sentAt, x.At) {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -162,6 +162,8 @@
 		{name: "host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(1.5, 0.5)},
 		{name: "earlier host fault", result: cut, arrivals: []standin.Arrival{server}, fault: window(9, 3), want: true},
 		{name: "crash of the server", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-1", ago(1.5), ago(1.5)}}},
+		{name: "crash in the last ms", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-1", ago(0.999), ago(0.998)}}},
+		{name: "crash after the end", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-1", ago(0.5), ago(0.5)}}, want: true},
 		{name: "crash of another server", result: cut, arrivals: []standin.Arrival{server}, crashes: []crash{{"i-2", ago(1.5), ago(1.5)}}, want: true},
 		{name: "link reset", result: cut, arrivals: []standin.Arrival{server}, reset: window(1.5, 1.5)},
 		{name: "link held", result: cut, arrivals: []standin.Arrival{server}, linkHeld: window(1.5, 1), want: true},
@@ -169,7 +171,8 @@
 	} {
 		r.cfg.Without, r.crashes = x.without, x.crashes
 		r.links[0].resets.list, r.links[0].faults.list = x.reset, x.linkHeld
-		sent := &call{Result: x.result, host: &host{}, sentAt: ago(2)}
+		// The caller takes 3 ms from the decision to send to the begin of the call, and so ends later than sentAt and Took say.
+		sent := &call{Result: x.result, host: &host{}, sentAt: ago(2), endedAt: ago(2).Add(x.result.Took + 3*time.Millisecond)}
 		sent.host.cutAllowed.list = x.fault
 		c.Check(r.cutWithoutCause(sent, x.arrivals), qt.Equals, x.want, qt.Commentf(x.name))
 	}
@@ -185,7 +188,7 @@
 	at := func(seconds float64, a standin.Arrival) contact {
 		a.At = began.Add(time.Duration(seconds * float64(time.Second)))
 		served := standin.Result{ID: "q", Status: 200, Complete: true, Took: 10 * time.Millisecond}
-		return contact{a, &call{Result: served, host: h, sentAt: a.At.Add(-time.Millisecond)}, true}
+		return contact{a, &call{Result: served, host: h, sentAt: a.At.Add(-time.Millisecond), endedAt: a.At.Add(served.Took)}, true}
 	}
 	leaving, paused := standin.Arrival{Leaving: true}, standin.Arrival{Failure: standin.Shed, Pause: 3 * time.Second}
 	plain := standin.Arrival{}
