Cancel streams that may not be resumed when their callers have left

A stream that may not be resumed went on at its engine until its next event could not be written.

Change: all streams are cancelled then, unless writes show that the caller reads; only plain requests that must not be repeated go on.

--- a/node/entry/caller.go
+++ b/node/entry/caller.go
@@ -4,12 +4,14 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 )
 
 const (
 	// closedGrace is how long work for a request goes on after its caller has closed the connection, or only the direction
 	// to this host, which looks the same: answers that come within it reach a caller that still reads. Only a failed write
-	// tells the two apart, so a request that may be repeated is cancelled then, unless writes show that its caller reads.
+	// tells the two apart.
 	closedGrace = 300 * time.Millisecond
 	// minReadTime is the minimum time between two successful writes that show that the caller reads: the first write to a
 	// closed connection succeeds, and the reset that it causes makes the next one fail.
@@ -25,8 +27,8 @@
 	cancelled             atomic.Bool  // the request was cancelled for that
 }
 
-// watchCaller cancels a request that may be repeated some time after its caller has closed the connection. One that must not
-// be repeated goes on, so that its outcome is known, but is not sent again. The returned function ends the watch.
+// watchCaller cancels a stream, or a request that may be repeated, some time after its caller has closed the connection. Any
+// other one goes on, so that its outcome is known, but is not sent again. The returned function ends the watch.
 func (h *Host) watchCaller(q *request, cancel context.CancelFunc) (stop func()) {
 	stopped := context.AfterFunc(q.http.Context(), func() {
 		q.caller.closedAt.Store(int64(h.now()))
@@ -35,7 +37,7 @@
 				return
 			}
 			q.caller.gone.Store(true)
-			if q.route.Repeatable() {
+			if q.route.Repeatable() || q.route.Kind == catalog.Streaming {
 				q.caller.cancelled.Store(true)
 				cancel()
 			}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// dropExpired drops servers whose store entries have lapsed.
+// dropExpired drops servers whose store entries have lapsed, and pauses that have ended.
 func (h *Host) dropExpired() {
 	now := h.now()
 	s := h.state
