--- a/lab/soak/notice.go
+++ b/lab/soak/notice.go
@@ -79,13 +79,11 @@
 		return // it leaves already
 	}
 	time.Sleep(length)
-	s.Started.Store(time.Now().UnixMilli())
-	s.Leaving.Store(false)
 	r.mu.Lock()
 	down := slices.ContainsFunc(r.crashes, func(x crash) bool { return x.server == s.ID })
 	r.mu.Unlock()
 	if !down {
-		r.fleet.Register(s, service, "ready")
+		r.fleet.StartAgain(s, service)
 	}
 }
 
