State once which servers take work

Cause: the catalog's table tested twice whether an entry takes new work, and entry hosts tested twice whether a server does and is not paused: before a request is sent and before memory is reserved.

Change: Table.takesWork and state.wanting serve both. No behaviour changes.

--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -234,11 +234,13 @@
 	}
 }
 
+func (t *Table) takesWork(e *serverEntry) bool { return e.State == Ready && !t.isLeaving(e.Server) }
+
 // index rebuilds the lists of usable servers.
 func (t *Table) index() {
 	byService := make(map[string][]Server, len(t.usable))
 	for _, e := range t.servers {
-		if e.State == Ready && !t.isLeaving(e.Server) {
+		if t.takesWork(e) {
 			byService[e.Service] = append(byService[e.Service], e.Server)
 		}
 	}
@@ -254,7 +256,7 @@
 // Server returns a server that takes new work.
 func (t *Table) Server(id ident.BackendID) (s Server, usable bool) {
 	e := t.servers[id]
-	if e == nil || e.State != Ready || t.isLeaving(e.Server) {
+	if e == nil || !t.takesWork(e) {
 		return Server{}, false
 	}
 	return e.Server, true
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -58,8 +58,14 @@
 func (h *Host) wants(srv catalog.Server) bool {
 	h.state.mu.Lock()
 	defer h.state.mu.Unlock()
-	now, usable := h.state.catalog.Server(srv.ID)
-	return usable && now.Started == srv.Started && !h.state.pauses.Active(h.now(), srv.ID)
+	current, ok := h.state.wanting(h.now(), srv.ID)
+	return ok && current.Started == srv.Started
+}
+
+// wanting returns a server if it takes new work and has not asked for a pause.
+func (s *state) wanting(now time.Duration, id ident.BackendID) (srv catalog.Server, ok bool) {
+	srv, ok = s.catalog.Server(id)
+	return srv, ok && !s.pauses.Active(now, id)
 }
 
 // pauseEnd returns when the first server of a service wants requests again. all is false if one does now, or if there is no
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -68,8 +68,8 @@
 	r := &reservations{host: h, lease: lease}
 	h.state.mu.Lock()
 	for i, x := range choice.Reservations {
-		srv, usable := h.state.catalog.Server(x.Engine)
-		if !usable || h.state.pauses.Active(h.now(), x.Engine) {
+		srv, ok := h.state.wanting(h.now(), x.Engine)
+		if !ok {
 			h.state.mu.Unlock()
 			return nil, &reserveError{x.Engine, errNotWanted}
 		}
