--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -36,7 +36,20 @@
 	plan, err := NewPlan(smallSpec())
 	c.Assert(err, qt.IsNil)
 	modify(plan)
-	cl, err := StartWith(plan, Options{Traces: traces})
+	return start(c, plan, Options{Traces: traces})
+}
+
+// startSmallSystemWith starts the small system with servers of services.
+func startSmallSystemWith(c *qt.C, services ...ServiceSpec) *Cluster {
+	spec := smallSpec()
+	spec.Services = services
+	plan, err := NewPlan(spec)
+	c.Assert(err, qt.IsNil)
+	return start(c, plan, Options{})
+}
+
+func start(c *qt.C, plan *Plan, o Options) *Cluster {
+	cl, err := StartWith(plan, o)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = cl.Close() })
 	return cl
--- a/lab/cluster/halfclosed_test.go
+++ b/lab/cluster/halfclosed_test.go
@@ -19,15 +19,9 @@
 // Guards against an empty success for a caller that has closed its sending direction while its request runs.
 func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
 	c := qt.New(t)
-	spec := smallSpec()
-	spec.Services = []ServiceSpec{{ID: "l1", Name: "ledger", Zone: "z1", Service: service.Config{Delay: 400 * time.Millisecond}}}
-	plan, err := NewPlan(spec)
-	c.Assert(err, qt.IsNil)
-	cl, err := StartWith(plan, Options{})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = cl.Close() })
+	cl := startSmallSystemWith(c, ServiceSpec{ID: "l1", Name: "ledger", Zone: "z1", Service: service.Config{Delay: 400 * time.Millisecond}})
 	waitReady(c, cl)
-	address := strings.TrimPrefix(plan.GatewayURL("h1"), "http://")
+	address := strings.TrimPrefix(cl.Plan.GatewayURL("h1"), "http://")
 	for _, request := range []string{
 		"GET /v1/services/ledger/lots/1 HTTP/1.1\r\n",
 		"GET /v1/addresses?model=m HTTP/1.1\r\n",
--- a/lab/cluster/pause_test.go
+++ b/lab/cluster/pause_test.go
@@ -16,16 +16,10 @@
 // while another one is free, and against callers that are told to return before the pause of the last one is over.
 func TestGatewayKeepsToPausesOfServices(t *testing.T) {
 	c := qt.New(t)
-	spec := smallSpec()
-	spec.Services = []ServiceSpec{{ID: "l1", Name: "ledger", Zone: "z1"}, {ID: "l2", Name: "ledger", Zone: "z1"}}
-	plan, err := NewPlan(spec)
-	c.Assert(err, qt.IsNil)
-	cl, err := StartWith(plan, Options{})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = cl.Close() })
+	cl := startSmallSystemWith(c, ServiceSpec{ID: "l1", Name: "ledger", Zone: "z1"}, ServiceSpec{ID: "l2", Name: "ledger", Zone: "z1"})
 	ctx := waitReady(c, cl)
 	lookup := func() (status int, retryAfter float64) {
-		req, err := http.NewRequestWithContext(ctx, "GET", plan.GatewayURL("h1")+"/v1/services/ledger/lots/1", nil)
+		req, err := http.NewRequestWithContext(ctx, "GET", cl.Plan.GatewayURL("h1")+"/v1/services/ledger/lots/1", nil)
 		c.Assert(err, qt.IsNil)
 		req.Header.Set(gateway.TeamHeader, "t")
 		resp, err := http.DefaultClient.Do(req)
--- a/lab/soak/badpart.go
+++ b/lab/soak/badpart.go
@@ -73,7 +73,7 @@
 func (r *run) crash(s *standin.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if slices.ContainsFunc(r.crashes, func(x crash) bool { return x.server == s.ID }) {
+	if r.hasCrashedLocked(s.ID) {
 		return
 	}
 	n := len(r.crashes)
@@ -82,6 +82,11 @@
 	r.reviving.Go(func() { r.crashAndRevive(n, s) })
 }
 
+// hasCrashedLocked reports whether a lifetime of an engine has ended in a crash. r.mu must be locked.
+func (r *run) hasCrashedLocked(id string) bool {
+	return slices.ContainsFunc(r.crashes, func(x crash) bool { return x.server == id })
+}
+
 // crash records a crash of an engine.
 type crash struct {
 	server    string
--- a/lab/soak/notice.go
+++ b/lab/soak/notice.go
@@ -80,7 +80,7 @@
 	}
 	time.Sleep(length)
 	r.mu.Lock()
-	down := slices.ContainsFunc(r.crashes, func(x crash) bool { return x.server == s.ID })
+	down := r.hasCrashedLocked(s.ID)
 	r.mu.Unlock()
 	if !down {
 		r.fleet.StartAgain(s, service)
