Share the process of an entry host between programs that run hosts

The soak holds the code that writes settings, starts, signals and ends an entry host. A run of planned work needs the same. No change in what the soak does.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -44,8 +44,8 @@
 // hostFaults are the faults that affect a host's process.
 var hostFaults = map[string]func(r *run, h *host, length time.Duration){
 	"kill": func(r *run, h *host, length time.Duration) {
-		h.signal(syscall.SIGKILL)
-		<-h.exited
+		h.Signal(syscall.SIGKILL)
+		<-h.Exited
 		time.Sleep(length)
 		h.restart(r)
 	},
@@ -54,23 +54,23 @@
 		h.restart(r)
 	},
 	"pause": func(_ *run, h *host, length time.Duration) {
-		h.signal(syscall.SIGSTOP)
+		h.Signal(syscall.SIGSTOP)
 		time.Sleep(length)
-		h.signal(syscall.SIGCONT)
+		h.Signal(syscall.SIGCONT)
 	},
 	"reload": func(_ *run, h *host, _ time.Duration) { h.reload() },
 	"settings": func(r *run, h *host, _ time.Duration) {
-		h.settings.Entry.AddressTTLMS = 300 - h.settings.Entry.AddressTTLMS // alternates between 100 and 200
-		if err := h.writeSettings(); err != nil {
-			r.reportViolation("write settings of host %s: %v", h.settings.HostID, err)
+		h.Settings.Entry.AddressTTLMS = 300 - h.Settings.Entry.AddressTTLMS // alternates between 100 and 200
+		if err := h.WriteSettings(); err != nil {
+			r.reportViolation("write settings of host %s: %v", h.Settings.HostID, err)
 		}
 		h.reload()
 	},
 }
 
 func (h *host) reload() {
-	h.reloadedEarly = h.reloadedEarly || h.starting()
-	h.signal(syscall.SIGHUP)
+	h.reloadedEarly = h.reloadedEarly || h.Starting()
+	h.Signal(syscall.SIGHUP)
 }
 
 // linkFaults are the faults that affect all connections of a link.
@@ -226,7 +226,7 @@
 		for n, h := range r.hosts {
 			if x.onHost == 0 || x.onHost == n+1 {
 				h.injectFault(r, "settings", func() {
-					if !h.starting() { // else SIGHUP would end the process again and again
+					if !h.Starting() { // else SIGHUP would end the process again and again
 						hostFaults["settings"](r, h, x.length)
 					}
 				})
--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -1,33 +1,20 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
-	"io"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
-	"github.com/rosemaryhill/rosemaryhill/node/settings"
+	"github.com/rosemaryhill/rosemaryhill/lab/internal/hostprocess"
 )
 
 // host is an entry host in a separate process. Faults of one host do not overlap; those of several hosts do.
 type host struct {
-	settings     settings.Settings
-	program      string
-	settingsFile string // path of the settings
-	callerLink   *link  // from callers to this host
-
-	mu        sync.Mutex // held during a fault
-	cmd       *exec.Cmd
-	started   time.Time
-	exited    chan error // receives the result of cmd.Wait once
-	logOffset int64      // size of the log when the process started
+	*hostprocess.Process
+	callerLink *link // from callers to this host
+
+	mu sync.Mutex // held during a fault
 	// reloadedEarly is set when SIGHUP was sent while the process was starting.
 	reloadedEarly bool
 
@@ -46,56 +33,26 @@
 
 // addHost starts entry host n.
 func (r *run) addHost(n int) error {
-	h := &host{program: r.cfg.Program, settingsFile: filepath.Join(r.cfg.Dir, fmt.Sprintf("h%d.toml", n))}
-	h.settings = r.fleet.HostSettings(n, r.cfg.Port+2)
-	h.settings.Entry.RetryRatio, h.settings.Entry.RetrySlack = retryRatio, retrySlack
-	if err := h.writeSettings(); err != nil {
+	h := &host{Process: &hostprocess.Process{Program: r.cfg.Program, File: filepath.Join(r.cfg.Dir, fmt.Sprintf("h%d.toml", n))}}
+	h.Settings = r.fleet.HostSettings(n, r.cfg.Port+2)
+	h.Settings.Entry.RetryRatio, h.Settings.Entry.RetrySlack = retryRatio, retrySlack
+	if err := h.WriteSettings(); err != nil {
 		return err
 	}
-	l, err := r.addLink(fmt.Sprintf("%s%d:%d", callerIPPrefix, n, r.cfg.Port), h.settings.Entry.HTTPAddress)
+	l, err := r.addLink(fmt.Sprintf("%s%d:%d", callerIPPrefix, n, r.cfg.Port), h.Settings.Entry.HTTPAddress)
 	if err != nil {
 		return err
 	}
 	h.callerLink = l
 	r.hosts = append(r.hosts, h)
-	return h.start()
-}
-
-func (h *host) writeSettings() error {
-	var text bytes.Buffer
-	if err := toml.NewEncoder(&text).Encode(h.settings); err != nil {
-		return err
-	}
-	next := h.settingsFile + ".next"
-	if err := os.WriteFile(next, text.Bytes(), 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, h.settingsFile)
-}
-
-func (h *host) start() error {
-	log, err := os.OpenFile(h.settingsFile+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	if h.logOffset, err = log.Seek(0, io.SeekEnd); err != nil {
-		return err
-	}
-	cmd, ended := exec.Command(h.program, "entry", "--settings", h.settingsFile), make(chan error, 1)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	h.cmd, h.exited, h.started, h.reloadedEarly = cmd, ended, time.Now(), false
-	go func() { ended <- cmd.Wait() }()
-	return nil
+	return h.Start()
 }
 
 // restart starts the process again after a fault terminated it.
 func (h *host) restart(r *run) {
-	if err := h.start(); err != nil {
-		r.reportViolation("host %s failed to restart: %v", h.settings.HostID, err)
+	h.reloadedEarly = false
+	if err := h.Start(); err != nil {
+		r.reportViolation("host %s failed to restart: %v", h.Settings.HostID, err)
 	}
 }
 
@@ -103,9 +60,9 @@
 // is a violation unless SIGHUP arrived before the process had installed its signal handlers.
 func (h *host) restartIfExited(r *run) {
 	select {
-	case err := <-h.exited:
+	case err := <-h.Exited:
 		if !h.killedByReload(err) {
-			r.reportViolation("host %s exited unexpectedly after %v: %v", h.settings.HostID, time.Since(h.started), err)
+			r.reportViolation("host %s exited unexpectedly after %v: %v", h.Settings.HostID, time.Since(h.Started), err)
 		}
 		h.restart(r)
 	default:
@@ -122,19 +79,11 @@
 	}
 }
 
-// starting reports whether the process may not handle signals yet: it installs the handlers before its first log line.
-func (h *host) starting() bool {
-	info, err := os.Stat(h.settingsFile + ".log")
-	return err == nil && info.Size() == h.logOffset
-}
-
 // killedByReload reports whether SIGHUP terminated the process before it had installed its handler.
 func (h *host) killedByReload(err error) bool {
 	return h.reloadedEarly && err != nil && err.Error() == "signal: hangup"
 }
 
-func (h *host) signal(s syscall.Signal) { _ = h.cmd.Process.Signal(s) } // fails if the process has exited
-
 // injectFault runs a fault of the process. Late answers are permitted until recoveryTime after it, and streams may be cut
 // as long unless the fault is a change of the settings.
 func (h *host) injectFault(r *run, kind string, fault func()) {
@@ -150,29 +99,12 @@
 
 // stop sends SIGTERM, and SIGKILL if the process is still running after the shutdown time of its settings.
 func (h *host) stop(r *run) {
-	starting := h.starting()
-	h.signal(syscall.SIGTERM)
-	var err error
-	select {
-	case err = <-h.exited:
-	case <-time.After(time.Duration(h.settings.Entry.ShutdownMS) * time.Millisecond):
-		h.signal(syscall.SIGKILL)
-		err = <-h.exited
-	}
+	starting := h.Starting()
+	err := h.Terminate(time.Duration(h.Settings.Entry.ShutdownMS) * time.Millisecond)
 	early := h.killedByReload(err) || (starting && err != nil && err.Error() == "signal: terminated")
 	if err != nil && !early {
-		r.reportViolation("host %s did not shut down cleanly: %v", h.settings.HostID, err)
-	}
-}
-
-// kill sends SIGKILL and waits for the process to exit.
-func (h *host) kill() {
-	if h.cmd == nil {
-		return
+		r.reportViolation("host %s did not shut down cleanly: %v", h.Settings.HostID, err)
 	}
-	h.signal(syscall.SIGKILL)
-	<-h.exited
-	h.cmd = nil
 }
 
 // timeWindows is a list of time intervals.
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -122,7 +122,7 @@
 func (r *run) callDirect(ctx context.Context, h *host, path string) standin.Result {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.caller.Call(ctx, h.settings.Entry.HTTPAddress, path)
+	return r.caller.Call(ctx, h.Settings.Entry.HTTPAddress, path)
 }
 
 // checkCalls checks the results of all requests against what the servers executed.
@@ -131,14 +131,14 @@
 	for _, c := range r.calls {
 		if c.Path == standin.StreamPath && r.cutWithoutCause(&c, streams[c.ID]) {
 			r.reportViolation("stream cut at host %s while its server would have gone on: %+v, %s, arrivals %+v",
-				c.host.settings.HostID, c.Result, c.cause(), streams[c.ID])
+				c.host.Settings.HostID, c.Result, c.cause(), streams[c.ID])
 		}
 		for _, v := range r.violations(c.Result, append(streams[c.ID], plain[c.ID]...), runs[c.ID]) {
 			r.reportViolation("%s", v)
 		}
 		late := c.Took > timeoutOf(c.Path)+answerSlack
 		if late && !c.host.lateAllowed.overlap(c.sentAt, c.endedAt) {
-			r.reportViolation("late answer of host %s: %+v", c.host.settings.HostID, c.Result)
+			r.reportViolation("late answer of host %s: %+v", c.host.Settings.HostID, c.Result)
 		}
 		if c.Served() {
 			r.result.Served++
@@ -213,7 +213,7 @@
 
 // checkBudget checks that in every window all hosts together retry no more often than the settings allow.
 func (r *run) checkBudget() {
-	set := r.hosts[0].settings.Entry
+	set := r.hosts[0].Settings.Entry
 	window := time.Duration(set.RetryWindowMS) * time.Millisecond
 	for service, paths := range map[string][]string{
 		"ledger": {standin.SafePath, standin.UnsafePath}, "models": {standin.StreamPath},
--- a/lab/soak/notice.go
+++ b/lab/soak/notice.go
@@ -141,7 +141,7 @@
 	}
 	for key, all := range contacts {
 		for _, text := range noticeViolations(all) {
-			r.reportViolation("host %s, server %s: %s", key.host.settings.HostID, key.server, text)
+			r.reportViolation("host %s, server %s: %s", key.host.Settings.HostID, key.server, text)
 		}
 	}
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -157,7 +157,7 @@
 	}
 	for _, h := range r.hosts {
 		if !eventually(ctx, func() bool { return ready(h) }) {
-			return fmt.Errorf("host %s is not ready", h.settings.HostID)
+			return fmt.Errorf("host %s is not ready", h.Settings.HostID)
 		}
 	}
 	return nil
@@ -226,7 +226,7 @@
 }
 
 func ready(h *host) bool {
-	resp, err := http.Get(standin.ReadyURL(h.settings))
+	resp, err := http.Get(standin.ReadyURL(h.Settings))
 	if err != nil {
 		return false
 	}
@@ -250,12 +250,12 @@
 		h.restartIfExited(r)
 		for _, path := range []string{standin.SafePath, standin.StreamPath} {
 			if !eventually(ctx, func() bool { return r.callDirect(ctx, h, path).Served() }) && ctx.Err() == nil {
-				r.reportViolation("host %s does not serve %s after the faults", h.settings.HostID, path)
+				r.reportViolation("host %s does not serve %s after the faults", h.Settings.HostID, path)
 			}
 		}
 	}
 	// The reservations of the last requests expire last, after the release time.
-	release := time.Duration(r.hosts[0].settings.Entry.ReleaseMS) * time.Millisecond
+	release := time.Duration(r.hosts[0].Settings.Entry.ReleaseMS) * time.Millisecond
 	for end := time.Now().Add(release); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		if n, _ := r.fleet.Reservations(); n == 0 {
 			break
@@ -273,7 +273,7 @@
 func (r *run) close() error {
 	var all []error
 	for _, h := range r.hosts {
-		h.kill()
+		h.Kill()
 	}
 	for _, l := range r.links {
 		all = append(all, l.Close())
