--- a/cmd/rosectl/soak.go
+++ b/cmd/rosectl/soak.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"time"
 
@@ -50,8 +47,8 @@
 	sc.Int(&o.hosts, "", "hosts", fmt.Sprintf("entry hosts, 2 to %d", soak.MaxHosts))
 	sc.Int(&o.port, "", "port", fmt.Sprintf("first of %d free ports on the loopback network", soak.PortCount))
 	sc.StringSlice(&o.without, "", "without", "kind of fault to leave out, such as \"silent server\"; may be given several times")
-	sc.String(&o.program, "", "program", "path of the rosemaryhill binary; default: next to rosectl, or built from the source tree")
-	sc.String(&o.dir, "d", "dir", "directory for settings and logs; default: a new temporary directory, which is kept")
+	sc.String(&o.program, "", "program", programUsage)
+	sc.String(&o.dir, "d", "dir", dirUsage)
 }
 
 // run returns a check error if a guarantee to callers was violated.
@@ -87,7 +84,7 @@
 func (o *soakOptions) config() (soak.Config, error) {
 	cfg := soak.Config{
 		Seed: o.seed, Duration: time.Duration(o.minutes * float64(time.Minute)), Hosts: o.hosts,
-		Program: o.program, Dir: o.dir, Port: o.port, Without: o.without,
+		Port: o.port, Without: o.without,
 	}
 	if o.hosts < 2 || o.hosts > soak.MaxHosts {
 		return cfg, usageError.New("--hosts %d is not between 2 and %d", o.hosts, soak.MaxHosts)
@@ -103,41 +100,7 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = time.Now().UnixNano()
 	}
-	if cfg.Program != "" {
-		if _, err := os.Stat(cfg.Program); err != nil {
-			return cfg, usageError.New("rosemaryhill binary not found: %v; build it and give its path with --program", err)
-		}
-	}
-	err := makeDir(&cfg)
-	if err == nil && cfg.Program == "" {
-		err = findProgram(&cfg)
-	}
+	var err error
+	cfg.Program, cfg.Dir, err = prepareProgram(o.program, o.dir)
 	return cfg, err
 }
-
-func makeDir(cfg *soak.Config) (err error) {
-	if cfg.Dir != "" {
-		return os.MkdirAll(cfg.Dir, 0o755)
-	}
-	cfg.Dir, err = os.MkdirTemp("", "soak")
-	return err
-}
-
-// findProgram sets the program to the binary next to rosectl. If there is none, as with go run, it builds the binary from
-// the source tree of the working directory.
-func findProgram(cfg *soak.Config) error {
-	self, err := os.Executable()
-	if err != nil {
-		return err
-	}
-	cfg.Program = filepath.Join(filepath.Dir(self), "rosemaryhill")
-	if _, err := os.Stat(cfg.Program); err == nil {
-		return nil
-	}
-	cfg.Program = filepath.Join(cfg.Dir, "rosemaryhill")
-	out, err := exec.Command("go", "build", "-o", cfg.Program, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill").CombinedOutput()
-	if err != nil {
-		return usageError.New("no rosemaryhill binary next to rosectl, and building it failed: %v: %s; give its path with --program", err, out)
-	}
-	return nil
-}
