Name the end of the shutdown time as the reason of requests that it ends

Such requests end with reason draining now, those that arrived during the stop too, and the line "stopped" counts them. rosectl explain has a sentence for it.

--- a/lab/explain/findings.go
+++ b/lab/explain/findings.go
@@ -44,6 +44,7 @@
 	{"send", "backend_lost"}:             "The connection to the server broke after the request was sent and before it answered.",
 	{"answer", "backend_lost"}:           "The server broke off its answer, or the answer can't be trusted; see the error.",
 	{"", "deadline"}:                     "The time of the route or of the caller was over.",
+	{"", "draining"}:                     "The host was stopping, and its shutdown time was over before the answer.",
 	{"", "cancelled"}:                    "The caller left before the end.",
 }
 
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -48,6 +48,8 @@
 	switch {
 	case q.caller.cancelled.Load():
 		last.Reason = outcome.Cancelled
+	case h.endedByShutdown(ctx, q):
+		last.Reason = outcome.Draining
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		last.Reason = outcome.Deadline
 	}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -47,6 +47,7 @@
 	memory      share // of the host's memory for bodies
 	arrived     time.Duration
 	deadline    time.Duration  // on the clock of Host.now
+	stopBound   bool           // the deadline is the end of the shutdown time
 	attempts    int            // servers that the request was sent to
 	failedDials int            // failed attempts to connect to a server
 	mayHaveRun  bool           // a server may have started to process it
--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
@@ -58,8 +59,11 @@
 	for h.running.Load() > 0 && ctx.Err() == nil {
 		ctxtime.Sleep(ctx, drainPoll)
 	}
+	ended := h.running.Load()
 	h.answerRest()
-	h.log.WithContext(obs.Essential).WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
+	h.log.WithContext(obs.Essential).WithFields(fields{
+		"ended": ended, "running": h.running.Load(), "took_ms": time.Since(began).Milliseconds(),
+	}).Info("stopped")
 	h.Close()
 	if err != nil {
 		return Error.New("step=shutdown: %w", err)
@@ -76,6 +80,11 @@
 	h.connections.Wait(ctx)
 }
 
+// endedByShutdown reports whether a request whose context has ended did so because the shutdown time is over.
+func (h *Host) endedByShutdown(ctx context.Context, q *request) bool {
+	return h.serving.Err() != nil || q.stopBound && errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // admitToStopping bounds the time of a request that arrives during a shutdown, and refuses it if the time may be too short
 // for its answer. While callers may use old address lists, only the placement decides that; later requests come on
 // connections that were kept open, from callers that another host can serve. The state must be locked.
@@ -84,7 +93,7 @@
 	if stop == nil || q.deadline <= stop.end {
 		return nil
 	}
-	q.deadline = max(stop.end, q.arrived)
+	q.deadline, q.stopBound = max(stop.end, q.arrived), true
 	if q.arrived < stop.listedUntil || h.isShort(q) {
 		return nil
 	}
