Close the listener of a stopping host in time when its shutdown time is short

A host that was told to stop took requests for three times the validity of address lists (3 s), whatever time it had: with a shutdown time of 2 s it still listened when it was killed, and every request in progress ended without an answer. Found while looking for other ways in which planned work can lose requests; the site that reported losses has 8 s.

A third of the shutdown time is kept for requests in progress now. Callers whose connection is refused use another host.

--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -19,6 +19,9 @@
 	// lastAnswerTime of it, their callers get a response, unless a stream has begun.
 	shutdownMargin = 300 * time.Millisecond
 	lastAnswerTime = 200 * time.Millisecond
+	// finishShare is the part of the shutdown time that is kept for requests in progress, although callers may use old address
+	// lists for longer: a listener that is closed sends them to other hosts, a killed process cuts their requests.
+	finishShare = 1.0 / 3
 	// drainPoll is the interval at which a stopping host checks for running requests.
 	drainPoll = 20 * time.Millisecond
 	// otherHostRetry is the retry delay sent to callers that another host can serve at once.
@@ -27,16 +30,15 @@
 
 // stopPlan holds the times of a shutdown, on the clock of Host.now.
 type stopPlan struct {
-	listedUntil time.Duration // callers use old address lists until then
+	listedUntil time.Duration // new connections are accepted, since callers use old address lists
 	end         time.Duration // requests that still run are ended
 }
 
 func (h *Host) newStopPlan() stopPlan {
-	now := h.now()
-	return stopPlan{
-		listedUntil: now + addressTTLFactor*settings.MS(h.settings.AddressTTLMS),
-		end:         now + settings.MS(h.settings.ShutdownMS) - shutdownMargin,
-	}
+	now, shutdown := h.now(), settings.MS(h.settings.ShutdownMS)
+	end := now + shutdown - shutdownMargin
+	lists := now + addressTTLFactor*settings.MS(h.settings.AddressTTLMS)
+	return stopPlan{listedUntil: min(lists, end-time.Duration(finishShare*float64(shutdown))), end: end}
 }
 
 // stopping reports whether the host shuts down.
