--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
@@ -18,6 +19,9 @@
 	// lastAnswerTime of it, their callers get a response, unless a stream has begun.
 	shutdownMargin = 300 * time.Millisecond
 	lastAnswerTime = 200 * time.Millisecond
+	// finishShare is the part of the shutdown time that is kept for requests in progress, although callers may use old address
+	// lists for longer: a listener that is closed sends them to other hosts, a killed process cuts their requests.
+	finishShare = 1.0 / 3
 	// drainPoll is the interval at which a stopping host checks for running requests.
 	drainPoll = 20 * time.Millisecond
 	// otherHostRetry is the retry delay sent to callers that another host can serve at once.
@@ -26,16 +30,15 @@
 
 // stopPlan holds the times of a shutdown, on the clock of Host.now.
 type stopPlan struct {
-	listedUntil time.Duration // callers use old address lists until then
+	listedUntil time.Duration // new connections are accepted, since callers use old address lists
 	end         time.Duration // requests that still run are ended
 }
 
 func (h *Host) newStopPlan() stopPlan {
-	now := h.now()
-	return stopPlan{
-		listedUntil: now + addressTTLFactor*settings.MS(h.settings.AddressTTLMS),
-		end:         now + settings.MS(h.settings.ShutdownMS) - shutdownMargin,
-	}
+	now, shutdown := h.now(), settings.MS(h.settings.ShutdownMS)
+	end := now + shutdown - shutdownMargin
+	lists := now + addressTTLFactor*settings.MS(h.settings.AddressTTLMS)
+	return stopPlan{listedUntil: min(lists, end-time.Duration(finishShare*float64(shutdown))), end: end}
 }
 
 // stopping reports whether the host shuts down.
@@ -58,8 +61,11 @@
 	for h.running.Load() > 0 && ctx.Err() == nil {
 		ctxtime.Sleep(ctx, drainPoll)
 	}
+	ended := h.running.Load()
 	h.answerRest()
-	h.log.WithContext(obs.Essential).WithFields(fields{"running": h.running.Load(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
+	h.log.WithContext(obs.Essential).WithFields(fields{
+		"ended": ended, "running": h.running.Load(), "took_ms": time.Since(began).Milliseconds(),
+	}).Info("stopped")
 	h.Close()
 	if err != nil {
 		return Error.New("step=shutdown: %w", err)
@@ -76,6 +82,11 @@
 	h.connections.Wait(ctx)
 }
 
+// endedByShutdown reports whether a request whose context has ended did so because the shutdown time is over.
+func (h *Host) endedByShutdown(ctx context.Context, q *request) bool {
+	return h.serving.Err() != nil || q.stopBound && errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // admitToStopping bounds the time of a request that arrives during a shutdown, and refuses it if the time may be too short
 // for its answer. While callers may use old address lists, only the placement decides that; later requests come on
 // connections that were kept open, from callers that another host can serve. The state must be locked.
@@ -84,7 +95,7 @@
 	if stop == nil || q.deadline <= stop.end {
 		return nil
 	}
-	q.deadline = max(stop.end, q.arrived)
+	q.deadline, q.stopBound = max(stop.end, q.arrived), true
 	if q.arrived < stop.listedUntil || h.isShort(q) {
 		return nil
 	}
