Rollout: count failed requests by kind and status

The sum of complete answers that are failures did not tell a timeout of a slow server from a stop that ends a request. No change in what counts as lost.

--- a/lab/rollout/check.go
+++ b/lab/rollout/check.go
@@ -43,10 +43,10 @@
 // Result is what a run has shown.
 type Result struct {
 	Requests, Served int
-	Refused          int // as not run
-	Failed           int // with another complete answer
-	Unread           int // requests whose connection ended before the host had read them, or whose time was over
-	Expired          int // stops that ended with requests in progress
+	Refused          int            // as not run
+	Failures         map[string]int // with another complete answer, by kind and status
+	Unread           int            // requests whose connection ended before the host had read them, or whose time was over
+	Expired          int            // stops that ended with requests in progress
 	Losses           []Loss
 	Broken           []string // promises that do not hold: requests that ran twice, or ran and were refused
 	Problems         []string
@@ -64,7 +64,7 @@
 }
 
 func (r *run) check() Result {
-	res := Result{Requests: len(r.exchanges), Problems: r.problems, Expired: r.expired, Work: map[string]int{}}
+	res := Result{Requests: len(r.exchanges), Problems: r.problems, Expired: r.expired, Failures: map[string]int{}, Work: map[string]int{}}
 	for _, w := range r.work {
 		res.Work[string(w.kind)]++
 	}
@@ -81,7 +81,7 @@
 				res.Broken = append(res.Broken, fmt.Sprintf("request %s was refused as not run, but ran", x.ID))
 			}
 		case x.Complete:
-			res.Failed++
+			res.Failures[fmt.Sprintf("%s, status %d", x.kind.Name, x.Status)]++
 		case r.isLost(&x, passed):
 			res.Losses = append(res.Losses, r.loss(&x, passed))
 		default:
@@ -147,8 +147,11 @@
 			accepted++
 		}
 	}
-	fmt.Fprintf(w, "%d requests, %d served, %d refused, %d failed, %d unread or out of time, %d lost\n",
-		r.Requests, r.Served, r.Refused, r.Failed, r.Unread, r.Lost())
+	fmt.Fprintf(w, "%d requests, %d served, %d refused, %d unread or out of time, %d lost\n",
+		r.Requests, r.Served, r.Refused, r.Unread, r.Lost())
+	for _, what := range slices.Sorted(maps.Keys(r.Failures)) {
+		fmt.Fprintf(w, "failed: %2d %s\n", r.Failures[what], what)
+	}
 	fmt.Fprintf(w, "%d of the stops ended with requests in progress; %d requests were cut as allowed, %d of them sent after the SIGTERM\n",
 		r.Expired, allowed, accepted)
 	counts := map[string]int{}
