Give the host of the entry tests the context that ends its requests

TestUnreachableServersFailRequest panicked with a nil pointer since finalError asks whether the shutdown time is over: the host that the tests build has no such context. It has one now.

--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -30,7 +30,10 @@
 	if err != nil {
 		panic(err)
 	}
-	h := &Host{obs: o, log: o.Log, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1)))}
+	h := &Host{
+		obs: o, log: o.Log, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1))),
+		serving: context.Background(),
+	}
 	h.settings.HTTPAddress, h.settings.ControlAddress = "10.0.0.1:80", "10.0.0.1:83"
 	return h
 }
