Admit a request to a stopping host when its body has arrived

A stream whose header came before a stop, or while callers could use old address lists, was admitted although its body arrived later. It was passed on to a server and broken off at the end of the shutdown time. A request whose header came before the stop was not even bound to that time.

During a shutdown, requests are now admitted when their body has arrived, by that moment. Their body must arrive before the end of the shutdown time, as before.

TestStoppingHostRefusesBodiesThatArriveLate (platform) failed before, in both variants: one arrival at the server, status 200, unexpected EOF.

--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -44,8 +44,8 @@
 	config      ident.Version     // configuration version that determined the route and the team
 	parts       []quarantine.Part // keys of the shared parts of the prompt
 	body        []byte
-	memory      share // of the host's memory for bodies
-	arrived     time.Duration
+	memory      share          // of the host's memory for bodies
+	arrived     time.Duration  // of the header; of the whole body where that came during a shutdown
 	deadline    time.Duration  // on the clock of Host.now
 	stopBound   bool           // the deadline is the end of the shutdown time
 	attempts    int            // servers that the request was sent to
@@ -105,6 +105,9 @@
 	if e := h.readBody(w, q); e != nil {
 		return e
 	}
+	if e := h.admitWhole(q); e != nil {
+		return e
+	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(q.timeLeft(h.now())-responseMargin))
 	defer cancel()
 	defer context.AfterFunc(h.serving, cancel)()
@@ -152,6 +155,18 @@
 		limit = min(limit, q.call.Timeout)
 	}
 	q.deadline = q.arrived + limit
+	return nil
+}
+
+// admitWhole admits a request whose body has arrived. During a shutdown only that moment counts: the header may have come
+// long before, when there was still time for an answer.
+func (h *Host) admitWhole(q *request) *outcome.Error {
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.stopping() {
+		q.arrived = h.now()
+	}
 	if e := h.admitToStopping(q); e != nil {
 		return e
 	}
@@ -159,8 +174,17 @@
 	return nil
 }
 
+// timeForBody returns the time in which the body of a request must arrive.
+func (h *Host) timeForBody(q *request) time.Duration {
+	end := q.deadline
+	if stop := h.stop.Load(); stop != nil {
+		end = min(end, stop.end)
+	}
+	return min(defaultBodyTime, end-h.now())
+}
+
 func (h *Host) readBody(w http.ResponseWriter, q *request) *outcome.Error {
-	limit, within := int64(defaultMaxBody), defaultBodyTime
+	limit := int64(defaultMaxBody)
 	h.state.mu.Lock()
 	if c := h.state.catalog.Config(); c != nil && c.Limits.MaxBodyBytes > 0 {
 		limit = c.Limits.MaxBodyBytes
@@ -168,7 +192,7 @@
 	h.state.mu.Unlock()
 	var e *outcome.Error
 	q.http.Body = q.memory.body(q.http.Body)
-	q.body, e = httpend.ReadBody(w, q.http, limit, min(within, q.timeLeft(h.now())))
+	q.body, e = httpend.ReadBody(w, q.http, limit, h.timeForBody(q))
 	if e != nil && q.memory.exhausted {
 		e = outcome.Refuse("read_body", outcome.Overload, errBodyMemory.Error())
 		e.RetryAfter = noBackendRetry
