Rollout: excuse only requests at a server at the end of a stop

A request that a stopping host ended without an answer in the last sixth of its shutdown time counted as allowed, even if it had reached no server: a host that forgot queued requests would have passed. Only a server that is still at work excuses that. TestWhichRequestsAreLost has the case and failed before.

Requests out of time have a count of their own.

--- a/lab/rollout/check.go
+++ b/lab/rollout/check.go
@@ -45,7 +45,8 @@
 	Requests, Served int
 	Refused          int // as not run
 	Failed           int // with another complete answer
-	Unread           int // requests whose connection ended before the host had read them, or whose time was over
+	Unread           int // requests whose connection ended before the host had read them, or may have
+	OutOfTime        int // requests that ended without a complete answer when their time was over
 	Expired          int // stops that ended with requests in progress
 	Losses           []Loss
 	Broken           []string // promises that do not hold: requests that ran twice, or ran and were refused
@@ -84,6 +85,8 @@
 			res.Failed++
 		case r.isLost(&x, passed):
 			res.Losses = append(res.Losses, r.loss(&x, passed))
+		case x.Sent && x.outOfTime():
+			res.OutOfTime++
 		default:
 			res.Unread++
 		}
@@ -96,13 +99,15 @@
 
 // isLost reports whether a host has read a request whole and ended its connection without a complete answer.
 func (r *run) isLost(x *exchange, passed []standin.Arrival) bool {
-	took := x.EndedAt.Sub(x.SentAt)
-	if !x.Sent || took >= x.Timeout-limitSlack {
+	if !x.Sent || x.outOfTime() {
 		return false
 	}
-	return len(passed) > 0 || x.Status != 0 || took > lossSlack
+	return len(passed) > 0 || x.Status != 0 || x.EndedAt.Sub(x.SentAt) > lossSlack
 }
 
+// outOfTime reports whether the request ended when its time was over, so that its host may have ended it.
+func (x *exchange) outOfTime() bool { return x.EndedAt.Sub(x.SentAt) >= x.Timeout-limitSlack }
+
 func (r *run) loss(x *exchange, passed []standin.Arrival) Loss {
 	l := Loss{
 		Request: x.ID, Kind: x.kind.Name, Host: x.host.Settings.HostID, Kept: x.Kept, Passed: len(passed) > 0, Begun: x.Status != 0,
@@ -119,14 +124,14 @@
 		// A stop explains a loss better than other work.
 		if x.EndedAt.Before(w.at.Add(within)) && (w.kind == stopWork || l.Cause != string(stopWork)) {
 			l.Cause, l.AfterWork = string(w.kind), x.SentAt.Sub(w.at)
-			l.Allowed = w.kind == stopWork && r.mayBeCut(w.at, x)
+			l.Allowed = w.kind == stopWork && l.Passed && r.mayBeCut(w.at, x)
 			l.AfterStop = w.kind == stopWork && l.AfterWork > 0
 		}
 	}
 	return l
 }
 
-// mayBeCut reports whether a stop may cut a request because its server has not ended it in time.
+// mayBeCut reports whether a stop may cut a request that is at a server because the server has not ended it in time.
 func (r *run) mayBeCut(stop time.Time, x *exchange) bool {
 	shutdown := time.Duration(r.Profile.ShutdownMS) * time.Millisecond
 	late := stop.Add(shutdown - time.Duration(lateShare*float64(shutdown)))
@@ -147,8 +152,8 @@
 			accepted++
 		}
 	}
-	fmt.Fprintf(w, "%d requests, %d served, %d refused, %d failed, %d unread or out of time, %d lost\n",
-		r.Requests, r.Served, r.Refused, r.Failed, r.Unread, r.Lost())
+	fmt.Fprintf(w, "%d requests, %d served, %d refused, %d failed, %d unread, %d out of time, %d lost\n",
+		r.Requests, r.Served, r.Refused, r.Failed, r.Unread, r.OutOfTime, r.Lost())
 	fmt.Fprintf(w, "%d of the stops ended with requests in progress; %d requests were cut as allowed, %d of them sent after the SIGTERM\n",
 		r.Expired, allowed, accepted)
 	counts := map[string]int{}
--- a/lab/rollout/rollout_test.go
+++ b/lab/rollout/rollout_test.go
@@ -66,6 +66,7 @@
 		{"sent early, cut in the middle", 2 * time.Second, 5 * time.Second, 200, arrived, true, false},
 		{"crossed a close", 4 * time.Second, 4100 * time.Millisecond, 0, nil, false, false},
 		{"read and not passed on", 4 * time.Second, 4300 * time.Millisecond, 0, nil, true, false},
+		{"sent early, not passed on, ended at the end", 2 * time.Second, 7700 * time.Millisecond, 0, nil, true, false},
 		{"out of time", -3 * time.Second, 7 * time.Second, 200, arrived, false, false},
 	} {
 		e := exchange{kind: &Kind{Route: "stream"}, host: h}
