Rollout: compare answers with those of the servers

An answer that a host ended early in a way that looks complete counted as served. Each body is compared with the one that the server sends now. TestShortAnswerIsBroken fails without the comparison.

--- a/lab/rollout/check.go
+++ b/lab/rollout/check.go
@@ -76,6 +76,9 @@
 		switch {
 		case x.Complete && x.Status == http.StatusOK:
 			res.Served++
+			if x.Body != r.Profile.body(&x.KeptRequest) {
+				res.Broken = append(res.Broken, fmt.Sprintf("request %s got %d bytes that are not the body of its server", x.ID, len(x.Body)))
+			}
 		case x.Complete && x.Status == http.StatusServiceUnavailable:
 			res.Refused++
 			if x.kind.Route == "unsafe" && runs[x.ID] > 0 {
--- a/lab/rollout/profile.go
+++ b/lab/rollout/profile.go
@@ -152,6 +152,14 @@
 	}
 }
 
+// body returns the body that a server answers a request with.
+func (p *Profile) body(q *standin.KeptRequest) string {
+	if q.OutputTokens == 0 {
+		return standin.Body(q.ID)
+	}
+	return standin.StreamBody(p.streamTime(q.PromptTokens, q.OutputTokens).Events)
+}
+
 // serviceTime returns the time that a plain server takes for a request.
 func (p *Profile) serviceTime(id string) time.Duration {
 	for _, k := range p.Kinds {
--- a/lab/rollout/rollout_test.go
+++ b/lab/rollout/rollout_test.go
@@ -79,3 +79,16 @@
 		}
 	}
 }
+
+// Guards against an answer that a host ends early and that looks complete counting as served.
+func TestShortAnswerIsBroken(t *testing.T) {
+	c := qt.New(t)
+	p, err := LoadProfile("linen-lantern")
+	c.Assert(err, qt.IsNil)
+	q := standin.KeptRequest{ID: "q", PromptTokens: 5000, OutputTokens: 3 * p.TokensPerEvent}
+	for body, broken := range map[string]int{standin.StreamBody(3): 0, standin.StreamBody(2): 1} {
+		x := exchange{Exchange: standin.Exchange{KeptRequest: q, Status: 200, Complete: true, Body: body}, kind: &Kind{Route: "stream"}}
+		r := &run{Config: Config{Profile: p}, fleet: &standin.Fleet{}, exchanges: []exchange{x}}
+		c.Check(r.check().Broken, qt.HasLen, broken)
+	}
+}
