--- a/lab/rollout/check.go
+++ b/lab/rollout/check.go
@@ -45,7 +45,8 @@
 	Requests, Served int
 	Refused          int            // as not run
 	Failures         map[string]int // with another complete answer, by kind and status
-	Unread           int            // requests whose connection ended before the host had read them, or whose time was over
+	Unread           int            // requests whose connection ended before the host had read them, or may have
+	OutOfTime        int            // requests that ended without a complete answer when their time was over
 	Expired          int            // stops that ended with requests in progress
 	Losses           []Loss
 	Broken           []string // promises that do not hold: requests that ran twice, or ran and were refused
@@ -75,6 +76,9 @@
 		switch {
 		case x.Complete && x.Status == http.StatusOK:
 			res.Served++
+			if x.Body != r.Profile.body(&x.KeptRequest) {
+				res.Broken = append(res.Broken, fmt.Sprintf("request %s got %d bytes that are not the body of its server", x.ID, len(x.Body)))
+			}
 		case x.Complete && x.Status == http.StatusServiceUnavailable:
 			res.Refused++
 			if x.kind.Route == "unsafe" && runs[x.ID] > 0 {
@@ -84,6 +88,8 @@
 			res.Failures[fmt.Sprintf("%s, status %d", x.kind.Name, x.Status)]++
 		case r.isLost(&x, passed):
 			res.Losses = append(res.Losses, r.loss(&x, passed))
+		case x.Sent && x.outOfTime():
+			res.OutOfTime++
 		default:
 			res.Unread++
 		}
@@ -96,13 +102,15 @@
 
 // isLost reports whether a host has read a request whole and ended its connection without a complete answer.
 func (r *run) isLost(x *exchange, passed []standin.Arrival) bool {
-	took := x.EndedAt.Sub(x.SentAt)
-	if !x.Sent || took >= x.Timeout-limitSlack {
+	if !x.Sent || x.outOfTime() {
 		return false
 	}
-	return len(passed) > 0 || x.Status != 0 || took > lossSlack
+	return len(passed) > 0 || x.Status != 0 || x.EndedAt.Sub(x.SentAt) > lossSlack
 }
 
+// outOfTime reports whether the request ended when its time was over, so that its host may have ended it.
+func (x *exchange) outOfTime() bool { return x.EndedAt.Sub(x.SentAt) >= x.Timeout-limitSlack }
+
 func (r *run) loss(x *exchange, passed []standin.Arrival) Loss {
 	l := Loss{
 		Request: x.ID, Kind: x.kind.Name, Host: x.host.Settings.HostID, Kept: x.Kept, Passed: len(passed) > 0, Begun: x.Status != 0,
@@ -119,14 +127,14 @@
 		// A stop explains a loss better than other work.
 		if x.EndedAt.Before(w.at.Add(within)) && (w.kind == stopWork || l.Cause != string(stopWork)) {
 			l.Cause, l.AfterWork = string(w.kind), x.SentAt.Sub(w.at)
-			l.Allowed = w.kind == stopWork && r.mayBeCut(w.at, x)
+			l.Allowed = w.kind == stopWork && l.Passed && r.mayBeCut(w.at, x)
 			l.AfterStop = w.kind == stopWork && l.AfterWork > 0
 		}
 	}
 	return l
 }
 
-// mayBeCut reports whether a stop may cut a request because its server has not ended it in time.
+// mayBeCut reports whether a stop may cut a request that is at a server because the server has not ended it in time.
 func (r *run) mayBeCut(stop time.Time, x *exchange) bool {
 	shutdown := time.Duration(r.Profile.ShutdownMS) * time.Millisecond
 	late := stop.Add(shutdown - time.Duration(lateShare*float64(shutdown)))
@@ -147,8 +155,8 @@
 			accepted++
 		}
 	}
-	fmt.Fprintf(w, "%d requests, %d served, %d refused, %d unread or out of time, %d lost\n",
-		r.Requests, r.Served, r.Refused, r.Unread, r.Lost())
+	fmt.Fprintf(w, "%d requests, %d served, %d refused, %d unread, %d out of time, %d lost\n",
+		r.Requests, r.Served, r.Refused, r.Unread, r.OutOfTime, r.Lost())
 	for _, what := range slices.Sorted(maps.Keys(r.Failures)) {
 		fmt.Fprintf(w, "failed: %2d %s\n", r.Failures[what], what)
 	}
--- a/lab/rollout/rollout_test.go
+++ b/lab/rollout/rollout_test.go
@@ -66,6 +66,7 @@
 		{"sent early, cut in the middle", 2 * time.Second, 5 * time.Second, 200, arrived, true, false},
 		{"crossed a close", 4 * time.Second, 4100 * time.Millisecond, 0, nil, false, false},
 		{"read and not passed on", 4 * time.Second, 4300 * time.Millisecond, 0, nil, true, false},
+		{"sent early, not passed on, ended at the end", 2 * time.Second, 7700 * time.Millisecond, 0, nil, true, false},
 		{"out of time", -3 * time.Second, 7 * time.Second, 200, arrived, false, false},
 	} {
 		e := exchange{kind: &Kind{Route: "stream"}, host: h}
@@ -78,3 +79,16 @@
 		}
 	}
 }
+
+// Guards against an answer that a host ends early and that looks complete counting as served.
+func TestShortAnswerIsBroken(t *testing.T) {
+	c := qt.New(t)
+	p, err := LoadProfile("linen-lantern")
+	c.Assert(err, qt.IsNil)
+	q := standin.KeptRequest{ID: "q", PromptTokens: 5000, OutputTokens: 3 * p.TokensPerEvent}
+	for body, broken := range map[string]int{standin.StreamBody(3): 0, standin.StreamBody(2): 1} {
+		x := exchange{Exchange: standin.Exchange{KeptRequest: q, Status: 200, Complete: true, Body: body}, kind: &Kind{Route: "stream"}}
+		r := &run{Config: Config{Profile: p}, fleet: &standin.Fleet{}, exchanges: []exchange{x}}
+		c.Check(r.check().Broken, qt.HasLen, broken)
+	}
+}
