Decode the request limits that servers name

Cause: a server may name in its answers how many requests a second it takes from all hosts together. Hosts did not decode that header, and nothing in their logs told that a server had named a limit.

Change: entry.Notice has the limit, or that an answer named none. A host logs "server limits requests" or "server limit ended" when it hears a change, and counts it as a notice. Placement does not use the limit yet.

--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -60,6 +60,13 @@
 type Notice struct {
 	Leaving bool          // it takes no new work until it starts again
 	Pause   time.Duration // it wants no requests from this host for so long; zero for none
+	Limit   *Limit        // nil if the response does not tell
+}
+
+// Limit says how many requests a server takes from all hosts together.
+type Limit struct {
+	Limited   bool    // false for a server that names no limit
+	PerSecond float64 // may be a fraction; zero or more
 }
 
 // ServerLoad is the load that a plain server reports with a response.
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -33,7 +33,7 @@
 		firstEvent:     o.Latency("rosemaryhill_entry_first_event_seconds", "kind", "time to the first event of a stream"),
 		attemptsFailed: o.Counter("rosemaryhill_entry_attempts_failed", "cause", "attempts at backend servers that gave no complete answer"),
 		silences:       o.Counter("rosemaryhill_entry_silent_servers", "action", "times that a backend server was silent for longer than its load explains, by what the host did"),
-		notices:        o.Counter("rosemaryhill_entry_server_notices", "notice", "times that a backend server said that it leaves, or wants no requests for a time"),
+		notices:        o.Counter("rosemaryhill_entry_server_notices", "notice", "times that a backend server said that it leaves or wants no requests for a time, or named another limit"),
 		quarantines:    o.Counter("rosemaryhill_entry_prompt_parts", "change", "changes of the quarantine of prompt parts that crash servers"),
 	}
 }
@@ -42,6 +42,7 @@
 const (
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
+	noticeLimit   = "limit"
 )
 
 // registerGauges registers the gauges of the peers and of the traffic to them.
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -38,6 +38,7 @@
 	s := h.state
 	s.mu.Lock()
 	paused := s.pauses.Begin(now, id, n.Pause)
+	limited := s.hearLimit(id, n.Limit)
 	left := n.Leaving && s.catalog.MarkLeaving(id, started)
 	if left {
 		s.syncEngines(now)
@@ -47,6 +48,9 @@
 		h.metrics.notices.Add(1, noticePause)
 		h.decisions.write(fields{"server": id, "pause_ms": n.Pause.Milliseconds()}, "server wants no requests")
 	}
+	if limited {
+		h.recordLimit(id, *n.Limit)
+	}
 	if left {
 		h.metrics.notices.Add(1, noticeLeaving)
 		h.log.WithField("server", id).Info("server leaving")
@@ -54,6 +58,29 @@
 	}
 }
 
+// hearLimit records what a server has said about its limit and reports whether that differs from what it had said before. The
+// state must be locked.
+func (s *state) hearLimit(id ident.BackendID, l *Limit) (changed bool) {
+	if l == nil || s.limits[id] == *l {
+		return false
+	}
+	s.limits[id] = *l
+	if !l.Limited {
+		delete(s.limits, id)
+	}
+	return true
+}
+
+// recordLimit logs and counts that a server has named another limit, or none any more.
+func (h *Host) recordLimit(id ident.BackendID, l Limit) {
+	h.metrics.notices.Add(1, noticeLimit)
+	if !l.Limited {
+		h.decisions.write(fields{"server": id}, "server limit ended")
+		return
+	}
+	h.decisions.write(fields{"server": id, "per_second": l.PerSecond}, "server limits requests")
+}
+
 // wants reports whether a server still takes new work, in the lifetime in which it was chosen.
 func (h *Host) wants(srv catalog.Server) bool {
 	h.state.mu.Lock()
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
 	pauses       retry.Pauses                // that servers have asked for
+	limits       map[ident.BackendID]Limit   // that servers have named
 	numbering    map[string]*hedge.Numbering // of the streams' events, by service name
 	peers        *peers.Table
 	quarantine   *quarantine.Table
@@ -49,6 +51,7 @@
 		queues:       map[string]*placement.Queue[queueEntry]{},
 		loadBalancer: placement.NewLoadBalancer(),
 		budgets:      map[string]*retry.FleetBudget{},
+		limits:       map[ident.BackendID]Limit{},
 		numbering:    map[string]*hedge.Numbering{},
 		peers:        peers.NewTable(),
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
@@ -80,6 +83,7 @@
 	keep := func(id ident.BackendID) bool { return listed[id] }
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
+	maps.DeleteFunc(s.limits, func(id ident.BackendID, _ Limit) bool { return !keep(id) })
 }
 
 // setOwnEngines makes the engines of this host's partition those that it places requests on.
