Hold all hosts together to the limit that a server names

Callers: a server in need may name the number of requests a second that it accepts from all entry hosts together. No host knows what the others send.

Change: core/serverlimit keeps a token bucket of the whole limit for each limited server on each host. Own requests drain it, and those of other hosts that cumulative counts tell. Limits, their end and the lifetime of the server travel in the same updates. Nothing uses it yet.

Measured: unit tests only.

--- /dev/null
+++ b/core/serverlimit/serverlimit_test.go
@@ -0,0 +1,128 @@
+package serverlimit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+)
+
+const second = time.Second
+
+func limit(perSecond float64) Statement { return Statement{Limited: true, PerSecond: perSecond} }
+
+// limited returns a table with a server "a" of lifetime 1 that has had a limit since 0.
+func limited(perSecond float64) *Table {
+	t := NewTable(Config{})
+	t.Hear(0, "a", 1, limit(perSecond))
+	return t
+}
+
+// Guards against limits that outlive the server's statement or its lifetime, and against old statements that bring one back.
+func TestStatementsReplaceEachOther(t *testing.T) {
+	c := qt.New(t)
+	x := NewTable(Config{})
+	c.Assert(x.Hear(0, "a", 5, Statement{}), qt.IsFalse)
+	c.Assert(x.Empty(), qt.IsTrue)
+	c.Assert(x.Hear(0, "a", 5, limit(2)), qt.IsTrue)
+	c.Assert(x.Hear(second, "a", 5, limit(2)), qt.IsFalse)
+	c.Assert(x.Hear(second, "a", 4, Statement{}), qt.IsFalse) // an older lifetime
+	l, ok := x.Limit("a")
+	c.Assert(l == 2 && ok && x.Limited() == 1, qt.IsTrue)
+	c.Assert(x.Hear(2*second, "a", 6, Statement{}), qt.IsTrue)
+	c.Assert(x.Hear(2*second, "a", 5, limit(2)), qt.IsFalse)
+	c.Assert(x.Allows(2*second, "a"), qt.IsTrue)
+
+	// Another host that heard the limit earlier or from an older lifetime does not bring it back, and is told.
+	now := 4 * second
+	for _, u := range []ServerUpdate{{"a", 5, limit(2), 0, 1, 0, 0}, {"a", 6, limit(2), 5 * second, 1, 0, 0}} {
+		x.TakeUpdate(now, false)
+		now += second
+		c.Assert(x.Apply(now, "b", 1, Update{[]ServerUpdate{u}}), qt.HasLen, 0)
+		c.Assert(x.TakeUpdate(now, false).Servers, qt.HasLen, 1)
+	}
+	x.TakeUpdate(2*second+endedTTL, true)
+	c.Assert(x.Empty(), qt.IsTrue)
+}
+
+// Guards against requests beyond the limit of a host on its own, tokens that are lost, and a FreeAt that comes too early
+// or too late.
+func TestOneHost(t *testing.T) {
+	c := qt.New(t)
+	for _, l := range []float64{0, 1e-9, 0.3, 1.1, 12, 1000} {
+		x, sent := limited(l), 0
+		used := max(l, 1/ProbeInterval.Seconds())
+		for now := x.FreeAt(0, "a"); now < 100*second; now = x.FreeAt(now, "a") {
+			c.Assert(x.Allows(now-2*time.Microsecond, "a"), qt.IsFalse)
+			c.Assert(x.Allows(now, "a"), qt.IsTrue)
+			x.Take(now, "a")
+			sent++
+		}
+		c.Assert(math.Abs(float64(sent)-100*used) <= 1+0.01*100*used, qt.IsTrue, qt.Commentf("%d at %g/s", sent, l))
+	}
+}
+
+// Guards against limits that make levels or times unusable.
+func TestAnyNumberIsSafe(t *testing.T) {
+	c := qt.New(t)
+	for _, l := range []float64{math.NaN(), -1, math.Inf(-1), math.Inf(1), math.MaxFloat64, math.SmallestNonzeroFloat64} {
+		x := limited(l)
+		for i := range 20 {
+			x.Apply(0, "b", 1, Update{[]ServerUpdate{{"a", 1, limit(l), -second, 1, uint64(i) << 60, l}}})
+			x.Take(0, "a")
+		}
+		s := x.servers["a"]
+		c.Assert(s.level >= s.lowest(x), qt.IsTrue)
+		at := x.FreeAt(0, "a")
+		c.Assert(at > 0 && at < time.Hour, qt.IsTrue, qt.Commentf("%v at %g/s", at, l))
+		c.Assert(x.Allows(at, "a"), qt.IsTrue)
+	}
+}
+
+// Guards against a lost datagram whose requests are never counted, and against requests that are counted twice.
+func TestCountsAreCumulative(t *testing.T) {
+	c := qt.New(t)
+	a, b := limited(1), limited(1)
+	a.SetHosts(0, 1, 1)
+	b.SetHosts(0, 1, 1)
+	now := second
+	a.Take(now, "a")
+	b.Apply(now, "a", 7, a.TakeUpdate(now, false))
+	a.Take(now, "a")
+	a.TakeUpdate(now, false) // lost
+	a.Take(now, "a")
+	u := a.TakeUpdate(now, false)
+	for range 3 {
+		b.Apply(now, "a", 7, u)
+	}
+	c.Assert(math.Abs(b.servers["a"].level-a.servers["a"].level) < 0.2, qt.IsTrue)
+	_, due := a.NextUpdate()
+	c.Assert(due, qt.IsTrue)
+	c.Assert(a.TakeUpdate(now, false).Empty(), qt.IsTrue) // the copies follow later
+	c.Assert(a.TakeUpdate(now+copySpacing, false).Empty(), qt.IsFalse)
+}
+
+// Guards against updates that do not fit a datagram, servers that are never told, and tables that grow without bound.
+func TestUpdatesAndTablesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	x, peer := NewTable(Config{}), NewTable(Config{})
+	for i := range 2 * maxServers {
+		x.Hear(0, ident.BackendID(fmt.Sprintf("server-%0100d", i)), 1, limit(1))
+	}
+	c.Assert(x.Limited(), qt.Equals, maxServers)
+	c.Assert(x.Whole(0).Bytes() <= MaxUpdateBytes, qt.IsTrue)
+	for range maxServers / 4 {
+		u := x.TakeUpdate(0, false)
+		c.Assert(u.Bytes() <= MaxUpdateBytes, qt.IsTrue)
+		peer.Apply(0, "x", 1, u)
+	}
+	c.Assert(peer.Limited(), qt.Equals, maxServers)
+	c.Assert(x.TakeUpdate(0, false).Empty(), qt.IsTrue)
+	c.Assert(x.Hear(0, ident.BackendID(make([]byte, maxIDBytes+1)), 1, limit(1)), qt.IsFalse)
+	x.Retain(func(id ident.BackendID) bool { return false })
+	c.Assert(x.Empty() && x.Limited() == 0, qt.IsTrue)
+}
