Keep all hosts together to the request limits of servers

A server in need names in its answers how many requests a second it takes from all hosts together. Hosts ignored that, so it got many times as much and its callers failed.

Cause: the limit was decoded and logged, but it was no input of placing, and hosts did not know what the others send.

A request is taken from the limit under the lock of the choice; orders are counted when they are sent. Hosts tell each other at once, and with the report intervals, the receivers are those of the load, by partition. Waiting for the end of a pause becomes waiting for a server that takes a request: each waiting request counts on the room after those before it, here and as many at each other host, so that requests which can't be served in time are refused at once with the time to return. rosectl explain names the limits, and a gauge counts limited servers.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -295,6 +295,9 @@
 	return out
 }
 
+// Near returns the near peers: those that get the changes of load.
+func (t *Table) Near() []member.Addr { return t.near }
+
 // Targets are the receivers of a report.
 type Targets struct {
 	Near        []member.Addr // get the changes of load too
--- a/core/retry/pauses.go
+++ b/core/retry/pauses.go
@@ -36,6 +36,12 @@
 // Active reports whether a server wants no requests now.
 func (p *Pauses) Active(now time.Duration, id ident.BackendID) bool { return now < p.until[id] }
 
+// Any reports whether there may be a server that wants no requests.
+func (p *Pauses) Any() bool { return len(p.until) > 0 }
+
+// Until returns the time from which on a server wants requests again.
+func (p *Pauses) Until(id ident.BackendID) time.Duration { return p.until[id] }
+
 // FirstEnd returns the time at which the first of the servers wants requests again. all is false if one of them does now,
 // or if there are none.
 func (p *Pauses) FirstEnd(now time.Duration, servers func(yield func(ident.BackendID) bool)) (end time.Duration, all bool) {
--- a/lab/explain/explain_test.go
+++ b/lab/explain/explain_test.go
@@ -132,6 +132,22 @@
 	c.Assert(strings.Join(read(c, "r1", dial).Requests[0].Findings(), "\n"), qt.Contains, "its lines name i-2, i-3; while it ran, this host excluded i-1.")
 }
 
+// Guards against a request that was refused because of a limit without the server that named it, and against a limit that had ended.
+func TestLimitIsNamed(t *testing.T) {
+	c := qt.New(t)
+	line := func(at, rest string) string {
+		return `time="2026-01-02T10:00:` + at + `Z" level=info host=edge-1 role=entry ` + rest + "\n"
+	}
+	log := line("05.000", `msg="server limits requests" server=i-1 per_second=1.4 from=server`) +
+		line("06.000", `msg="server limits requests" server=i-2 per_second=3 from=10.0.0.2:7000`) +
+		line("07.000", `msg="server limit ended" server=i-2 from=server`) +
+		line("10.000", `msg="request failed" request=r1 outcome=not-run reason=overload step=limit attempts=0 took_ms=1 service=s`)
+	findings := strings.Join(read(c, "r1", log).Requests[0].Findings(), "\n")
+	c.Assert(findings, qt.Contains, "had reached the request limits that they name")
+	c.Assert(findings, qt.Contains, "Server i-1 had a limit of 1.4 requests a second for all hosts, which this host knew for 5s.")
+	c.Assert(findings, qt.Not(qt.Contains), "i-2")
+}
+
 // Guards against events that are sorted by a clock that was set back, and against a step that goes unmentioned.
 func TestClockStepsBack(t *testing.T) {
 	c := qt.New(t)
@@ -169,7 +185,7 @@
 		}
 	}
 	names := []string{
-		msgAnswered, msgFailed, msgRefused, msgNotReserved, msgExcluded, msgLeaving, msgServerPause, "pause_ms", msgPaused, msgApplied, msgStoreLost, msgStoreBack, msgPartition,
+		msgAnswered, msgFailed, msgRefused, msgNotReserved, msgExcluded, msgLeaving, msgServerPause, "pause_ms", msgLimit, msgLimitEnded, "per_second", msgPaused, msgApplied, msgStoreLost, msgStoreBack, msgPartition,
 		msgStarted, msgPeerSilent, msgMember, "request", "outcome", "reason", "step", "peer", "engine", "server", "config", "attempts", "took_ms",
 		"first_ms", "predicted_ms", "omitted", "gap_ms", "revision", "source", "member", "state", "partition", "partitions", "peers",
 	}
--- a/lab/explain/findings.go
+++ b/lab/explain/findings.go
@@ -34,6 +34,7 @@
 	{"read_body", "bad_request"}:         "The body could not be read.",
 	{"read_body", "deadline"}:            "The caller did not send the body in time.",
 	{"pause", "overload"}:                "All servers of the service that this host uses had asked for a pause.",
+	{"limit", "overload"}:                "All servers of the service that this host uses had reached the request limits that they name, or had asked for a pause.",
 	{"place", "overload"}:                "No engine had room for the prompt; memory was short.",
 	{"place", "no_backend"}:              "The service had no usable server at this host.",
 	{"quarantine", "prompt_quarantined"}: "Servers crash on a part of the prompt, so requests with it are refused; see the lines about the part.",
@@ -123,8 +124,10 @@
 	q.findUnnamed(add)
 }
 
-// findNotices finds servers that said, while the request ran or not long before, that they leave or want no requests.
+// findNotices finds servers that said, while the request ran or not long before, that they leave or want no requests, or that
+// named a limit.
 func (q *Request) findNotices(add func(string, ...any)) {
+	q.findLimits(add)
 	for _, e := range q.Related[q.Host] {
 		ago := q.Ended.Sub(e.Time)
 		switch {
@@ -139,6 +142,21 @@
 	}
 }
 
+// findLimits finds the servers that had a request limit at the end of the request.
+func (q *Request) findLimits(add func(string, ...any)) {
+	last := map[string]Event{}
+	for _, e := range q.Related[q.Host] {
+		if (e.Message == msgLimit || e.Message == msgLimitEnded) && !e.Time.After(q.Ended) {
+			last[e.Get("server")] = e
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(last)) {
+		if e := last[id]; e.Message == msgLimit {
+			add("Server %s had a limit of %s requests a second for all hosts, which this host knew for %s.", id, e.Get("per_second"), round(q.Ended.Sub(e.Time)))
+		}
+	}
+}
+
 // findManyExclusions compares the exclusions of this host close to the request with those of the others.
 func (q *Request) findManyExclusions(add func(string, ...any)) {
 	own := len(q.excluded[q.Host])
--- a/lab/explain/request.go
+++ b/lab/explain/request.go
@@ -18,6 +18,8 @@
 	msgExcluded    = "server excluded"
 	msgLeaving     = "server leaving"
 	msgServerPause = "server wants no requests"
+	msgLimit       = "server limits requests"
+	msgLimitEnded  = "server limit ended"
 	msgPaused      = "process was paused"
 	msgApplied     = "published state applied"
 	msgStoreLost   = "store lost"
--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -32,7 +32,7 @@
 		MaxPause:     q.route.MaxPause,
 		TimeLeft:     q.timeLeft(now),
 		Returned:     q.hasReturned(),
-		Excluded:     func(id ident.BackendID) bool { return s.pauses.Active(now, id) || excluded(id) },
+		Excluded:     func(id ident.BackendID) bool { return !s.takes(now, id) || excluded(id) },
 	})
 	if !ok {
 		return attempt{}, refusePlacement(outcome.Overload, "no engine has room")
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/serverlimit"
 )
 
 // Call is the information in a caller's request header.
@@ -58,15 +59,9 @@
 
 // Notice is what a server says about itself with any of its responses.
 type Notice struct {
-	Leaving bool          // it takes no new work until it starts again
-	Pause   time.Duration // it wants no requests from this host for so long; zero for none
-	Limit   *Limit        // nil if the response does not tell
-}
-
-// Limit says how many requests a server takes from all hosts together.
-type Limit struct {
-	Limited   bool    // false for a server that names no limit
-	PerSecond float64 // may be a fraction; zero or more
+	Leaving bool                   // it takes no new work until it starts again
+	Pause   time.Duration          // it wants no requests from this host for so long; zero for none
+	Limit   *serverlimit.Statement // nil if the response does not tell
 }
 
 // ServerLoad is the load that a plain server reports with a response.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -67,6 +67,7 @@
 	control        *control.Server
 	peerClient     *control.Client
 	reportNeeded   chan struct{} // requests a load report
+	limitNews      chan struct{} // requests an update on limited servers
 	resync         chan struct{} // cancels the current watch after the process was paused
 	watchCancelled atomic.Bool   // set when the host itself cancelled the last watch
 	// loggedPartition is the partition of this host and the number of partitions as logged last; used by tick only.
@@ -101,7 +102,7 @@
 	}
 	h := &Host{
 		cfg: cfg, settings: s.Entry, log: o.Log, obs: o, decisions: newDecisionLog(o.Log), metrics: newMetrics(o), start: time.Now(),
-		incarnation: ident.NewIncarnation(), reportNeeded: make(chan struct{}, 1), resync: make(chan struct{}, 1), peerAhead: make(chan struct{}, 1),
+		incarnation: ident.NewIncarnation(), reportNeeded: make(chan struct{}, 1), limitNews: make(chan struct{}, 1), resync: make(chan struct{}, 1), peerAhead: make(chan struct{}, 1),
 		queueNonEmpty: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
@@ -126,6 +127,7 @@
 	h.registerGauges()
 	go h.followStore()
 	go h.tick()
+	go h.reportLimits()
 	go h.serveQueue()
 	h.log.WithFields(fields{
 		"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress, "peers": len(s.Entry.Peers),
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -7,6 +7,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
+	"github.com/rosemaryhill/rosemaryhill/core/serverlimit"
 	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
 )
 
@@ -28,6 +29,7 @@
 	owner := placement.Owner(from)
 	if s.peers.Observe(now, from, peers.Report{Status: r.Status, Validity: r.Validity, Known: r.KnownAddrs}) {
 		s.engines.RemovePeer(owner)
+		s.setLimitHosts(now)
 		h.requestReport()
 	}
 	s.engines.ApplyPeerUpdate(now, owner, r.Update)
@@ -53,6 +55,7 @@
 	to       []member.Addr
 	report   gossip.LoadReport
 	evidence quarantine.Update
+	limits   serverlimit.Update // for hosts that have just started
 }
 
 // report sends a load report.
@@ -64,6 +67,7 @@
 	for _, o := range out {
 		h.gossip.SendLoad(o.to, o.report)
 		h.gossip.SendEvidence(o.to, o.evidence)
+		h.gossip.SendLimits(o.to, h.incarnation, o.limits)
 	}
 }
 
@@ -87,7 +91,7 @@
 	far := gossip.LoadReport{Status: status, Validity: targets.FarValidity}
 	now := h.now()
 	evidence := s.quarantine.TakeUpdate(now, reason != reportOnChange)
-	out := []outgoing{{targets.Near, near, evidence}, {targets.Far, far, evidence}}
+	out := []outgoing{{to: targets.Near, report: near, evidence: evidence}, {to: targets.Far, report: far, evidence: evidence}}
 	for part, update := range shared {
 		report := far
 		report.Update = update
@@ -97,7 +101,7 @@
 		introduction := far
 		introduction.Update.Loads = s.engines.OwnLoads()
 		introduction.KnownAddrs = s.peers.Sample(gossip.MaxKnownAddrs)
-		out = append(out, outgoing{started, introduction, s.quarantine.Whole(now)})
+		out = append(out, outgoing{to: started, report: introduction, evidence: s.quarantine.Whole(now), limits: s.limits.Whole(now)})
 	}
 	return out
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -60,6 +60,8 @@
 		locked(func(s *state) int { return s.peers.Partitions() }))
 	h.obs.Gauge("rosemaryhill_entry_partition", "partition of this host, from 0",
 		locked(func(s *state) int { return s.peers.Partition() }))
+	h.obs.Gauge("rosemaryhill_entry_limited_servers", "backend servers that name a request limit",
+		locked(func(s *state) int { return s.limits.Limited() }))
 	h.obs.Gauge("rosemaryhill_entry_gossip_bytes_out", "bytes of membership and load reports sent since the start",
 		func() float64 { return float64(h.gossip.Stats().BytesOut) })
 	h.obs.Gauge("rosemaryhill_entry_gossip_bytes_in", "bytes of membership and load reports received since the start",
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -62,7 +62,7 @@
 		}
 		if gap, paused := pauses.Tick(h.now()); paused {
 			h.log.WithField("gap_ms", gap.Milliseconds()).Warn("process was paused")
-			signal(h.resync)
+			h.afterPause()
 		}
 		h.dropExpired()
 		h.evaluateQuarantine()
@@ -70,9 +70,20 @@
 			h.refreshPeers()
 		}
 		h.report(reason)
+		if reason != reportOnChange {
+			h.sendLimits(true)
+		}
 	}
 }
 
+// afterPause catches up on what happened while the process did not run.
+func (h *Host) afterPause() {
+	signal(h.resync)
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	h.state.limits.AfterPause(h.now())
+}
+
 // dropExpired drops servers whose store entries have lapsed, and pauses that have ended.
 func (h *Host) dropExpired() {
 	now := h.now()
@@ -96,6 +107,7 @@
 		s.engines.RemovePeer(placement.Owner(addr))
 	}
 	s.peers.SetMembers(members)
+	s.setLimitHosts(now)
 	if c := s.catalog.Config(); s.replan(now) && c != nil {
 		s.setOwnEngines(c)
 	}
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -101,18 +101,21 @@
 // begin starts an attempt at another server. It returns a refusal if there is none.
 func (r *plainRequest) begin() *outcome.Error {
 	h := r.host
-	if e := h.awaitPause(r.ctx, r.q); e != nil {
+	var srv catalog.Server
+	var ok bool
+	e := h.whenOpen(r.ctx, r.q, func(now time.Duration) {
+		if srv, ok = r.choose(now, true); !ok {
+			// All servers are excluded or tried. Ignore the exclusions, so that wrongly excluding every server does
+			// not refuse all requests.
+			srv, ok = r.choose(now, false)
+		}
+		if ok {
+			r.account(now, srv.ID)
+		}
+	})
+	if e != nil {
 		return e
 	}
-	s := h.state
-	s.mu.Lock()
-	srv, ok := r.choose(h.now(), true)
-	if !ok {
-		// All servers are excluded or tried. Ignore the exclusions, so that wrongly excluding every server does
-		// not refuse all requests.
-		srv, ok = r.choose(h.now(), false)
-	}
-	s.mu.Unlock()
 	if !ok {
 		return outcome.Refuse(stepPlace, outcome.NoBackend, "no server of "+r.q.service+" is usable")
 	}
@@ -120,20 +123,22 @@
 	return nil
 }
 
-// choose returns a server that has not been tried and adds the request to its load. The state must be locked.
+// account adds the request to the load of a server and takes it from its limit. The state must be locked.
+func (r *plainRequest) account(now time.Duration, id ident.BackendID) {
+	r.host.state.loadBalancer.Begin(id)
+	r.host.countSent(now, id)
+}
+
+// choose returns a server that has not been tried and takes requests. The state must be locked.
 func (r *plainRequest) choose(now time.Duration, useExclusions bool) (catalog.Server, bool) {
 	s := r.host.state
-	srv, ok := s.loadBalancer.Choose(now, s.catalog.Usable(r.q.service), func(id ident.BackendID) placement.ServerHealth {
+	return s.loadBalancer.Choose(now, s.catalog.Usable(r.q.service), func(id ident.BackendID) placement.ServerHealth {
 		return placement.ServerHealth{
-			Excluded:    r.tried[id] || s.pauses.Active(now, id) || (useExclusions && s.health.Excluded(now, id)),
+			Excluded:    r.tried[id] || !s.takes(now, id) || (useExclusions && s.health.Excluded(now, id)),
 			FailureRate: s.health.FailureRate(id),
 			AnswerTime:  s.health.AnswerTime(id),
 		}
 	}, s.rng.Float64())
-	if ok {
-		s.loadBalancer.Begin(srv.ID)
-	}
-	return srv, ok
 }
 
 func (r *plainRequest) start(srv catalog.Server) {
@@ -193,9 +198,9 @@
 		return catalog.Server{}, silentNoServer
 	}
 	if !s.allowRetry(now, r.q.service) {
-		s.loadBalancer.End(srv.ID)
 		return catalog.Server{}, silentNoRetry
 	}
+	r.account(now, srv.ID)
 	return srv, silentHedged
 }
 
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -39,26 +39,38 @@
 // place chooses engines for a stream and accounts for its load. A request that would miss its objective, or
 // make others miss theirs, is queued until an engine is available.
 func (st *stream) place(ctx context.Context) (attempt, *outcome.Error) {
+	var a attempt
+	var w *waitingStream
+	var e *outcome.Error
+	if closed := st.host.whenOpen(ctx, st.q, func(now time.Duration) { a, w, e = st.placeOrQueue(now) }); closed != nil {
+		return attempt{}, closed
+	}
+	switch {
+	case e != nil:
+		return attempt{}, e
+	case w != nil:
+		signal(st.host.queueNonEmpty)
+		return st.wait(ctx, w)
+	}
+	st.host.requestReport()
+	return a, nil
+}
+
+// placeOrQueue places a stream, or adds it to the queue of its service. The state must be locked.
+func (st *stream) placeOrQueue(now time.Duration) (a attempt, w *waitingStream, e *outcome.Error) {
 	h, q := st.host, st.q
-	now := h.now()
 	s := h.state
-	s.mu.Lock()
 	if e := st.checkParts(now); e != nil {
-		s.mu.Unlock()
-		return attempt{}, e
+		return attempt{}, nil, e
 	}
-	a, e := st.choose(now)
-	if e != nil {
-		s.mu.Unlock()
-		return a, e
+	if a, e = st.choose(now); e != nil {
+		return attempt{}, nil, e
 	}
 	if q.mayHaveRun || s.engines.ShouldPlaceNow(a.choice) || !s.engines.MayWait(a.choice) {
-		a.placed = s.engines.Place(now, a.choice)
-		s.mu.Unlock()
-		h.requestReport()
-		return a, nil
+		a.placed = h.place(now, a.choice)
+		return a, nil, nil
 	}
-	w := &waitingStream{
+	w = &waitingStream{
 		Value:     queueEntry{stream: st, result: make(chan queueResult, 1)},
 		Team:      q.team,
 		Priority:  q.priority,
@@ -67,9 +79,7 @@
 		WaitUntil: placement.WaitUntil(q.arrived, q.deadline-q.arrived),
 	}
 	s.queue(q.service).Add(w)
-	s.mu.Unlock()
-	signal(h.queueNonEmpty)
-	return st.wait(ctx, w)
+	return attempt{}, w, nil
 }
 
 // wait blocks until the request has been placed, refused, or cancelled by its caller.
@@ -134,15 +144,20 @@
 		w.Value.result <- queueResult{err: e}
 		return true
 	}
-	a, e := w.Value.stream.choose(now)
-	if end, all := h.state.pauseEnd(now, w.Value.stream.q.service); all && end < w.WaitUntil {
-		return false
+	service := w.Value.stream.q.service
+	if next, closed := h.state.nextOpening(now, service, len(h.state.openWaiters[service])); closed {
+		if next.at < w.WaitUntil {
+			return false
+		}
+		w.Value.result <- queueResult{err: h.state.refuseClosed(now, service, next)}
+		return true
 	}
+	a, e := w.Value.stream.choose(now)
 	if e == nil {
 		if now < w.WaitUntil && !engines.ShouldPlaceNow(a.choice) {
 			return false
 		}
-		a.placed = engines.Place(now, a.choice)
+		a.placed = h.place(now, a.choice)
 		h.requestReport()
 	}
 	w.Value.result <- queueResult{a, e}
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -97,6 +97,7 @@
 	var wg sync.WaitGroup
 	for i, x := range r.held {
 		wg.Go(func() {
+			r.host.countOrder(x.engine.ID)
 			n, err := r.host.cfg.Dialect.Reserve(ctx, r.host.client, x.engine, x.Reservation)
 			r.host.recordNotice(x.engine.ID, x.started, n)
 			errs[i] = err
@@ -169,6 +170,7 @@
 	for range releaseAttempts {
 		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
 		var n Notice
+		h.countOrder(x.engine.ID)
 		n, err = h.cfg.Dialect.Release(ctx, h.client, x.engine, x.ID)
 		cancel()
 		h.recordNotice(x.engine.ID, x.started, n)
--- a/node/entry/stall.go
+++ b/node/entry/stall.go
@@ -73,7 +73,7 @@
 	case !s.allowRetry(now, q.service):
 		return attempt{}, silentNoRetry
 	}
-	a.placed = s.engines.Place(now, a.choice)
+	a.placed = st.host.place(now, a.choice)
 	st.host.requestReport()
 	return a, silentHedged
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"maps"
 	"math/rand"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
 	"github.com/rosemaryhill/rosemaryhill/core/retry"
+	"github.com/rosemaryhill/rosemaryhill/core/serverlimit"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
@@ -30,7 +30,9 @@
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
 	pauses       retry.Pauses                // that servers have asked for
-	limits       map[ident.BackendID]Limit   // that servers have named
+	limits       *serverlimit.Table          // that servers have named
+	sharingHosts int                         // live hosts that share the limits, this one included
+	openWaiters  map[string][]*request       // requests that wait for a server, in order, by service name
 	numbering    map[string]*hedge.Numbering // of the streams' events, by service name
 	peers        *peers.Table
 	quarantine   *quarantine.Table
@@ -51,7 +53,9 @@
 		queues:       map[string]*placement.Queue[queueEntry]{},
 		loadBalancer: placement.NewLoadBalancer(),
 		budgets:      map[string]*retry.FleetBudget{},
-		limits:       map[ident.BackendID]Limit{},
+		limits:       serverlimit.NewTable(serverlimit.Config{Seed: rng.Uint64()}),
+		sharingHosts: 1,
+		openWaiters:  map[string][]*request{},
 		numbering:    map[string]*hedge.Numbering{},
 		peers:        peers.NewTable(),
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
@@ -83,7 +87,7 @@
 	keep := func(id ident.BackendID) bool { return listed[id] }
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
-	maps.DeleteFunc(s.limits, func(id ident.BackendID, _ Limit) bool { return !keep(id) })
+	s.limits.Retain(keep)
 }
 
 // setOwnEngines makes the engines of this host's partition those that it places requests on.
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -125,9 +125,6 @@
 
 // begin places an attempt, which may have to wait for an engine, and starts it.
 func (st *stream) begin() *outcome.Error {
-	if e := st.host.awaitPause(st.ctx, st.q); e != nil {
-		return e
-	}
 	a, e := st.place(st.ctx)
 	if e != nil {
 		return e
