--- a/transport/gossip/limits.go
+++ b/transport/gossip/limits.go
@@ -53,7 +53,7 @@
 // Numbers of fields of a datagram and of a server in it.
 const (
 	limitsFields = 2
-	serverFields = 8
+	serverFields = 9
 )
 
 func encodeLimits(w *pack.Writer, incarnation ident.Incarnation, u serverlimit.Update) {
@@ -68,6 +68,7 @@
 		w.Float(float32(x.Statement.PerSecond))
 		w.Uint(ageMS(x.Age))
 		w.Uint(uint64(x.Series))
+		w.Uint(ageMS(x.Counting))
 		w.Uint(x.Count)
 		w.Float(float32(x.Level))
 	}
@@ -83,7 +84,7 @@
 		u.Servers = append(u.Servers, serverlimit.ServerUpdate{
 			Server: ident.BackendID(r.Str(maxString)), Started: r.Int(),
 			Statement: serverlimit.Statement{Limited: r.Bool(), PerSecond: sanitizeFloat(r.Float())}, Age: readAge(r),
-			Series: uint32(r.Uint(math.MaxUint32)), Count: r.Uint(math.MaxUint64), Level: sanitizeFloat(r.Float()),
+			Series: uint32(r.Uint(math.MaxUint32)), Counting: readAge(r), Count: r.Uint(math.MaxUint64), Level: sanitizeFloat(r.Float()),
 		})
 	}
 	return incarnation, u, r.Finish()
--- a/transport/gossip/limits_test.go
+++ b/transport/gossip/limits_test.go
@@ -30,7 +30,8 @@
 			u.Servers = append(u.Servers, serverlimit.ServerUpdate{
 				Server: ident.BackendID(rapid.StringN(0, -1, maxString).Draw(t, "server")), Started: rapid.Int64().Draw(t, "started"),
 				Statement: serverlimit.Statement{Limited: rapid.Bool().Draw(t, "limited"), PerSecond: float64(number.Draw(t, "limit"))},
-				Age:       age.Draw(t, "age"), Series: rapid.Uint32().Draw(t, "series"), Count: rapid.Uint64().Draw(t, "count"), Level: float64(number.Draw(t, "level")),
+				Age:       age.Draw(t, "age"), Series: rapid.Uint32().Draw(t, "series"), Counting: age.Draw(t, "counting"),
+				Count: rapid.Uint64().Draw(t, "count"), Level: float64(number.Draw(t, "level")),
 			})
 		}
 		w := pack.NewWriter()
