Soak: servers that name request limits

Change: rosectl soak has a kind of fault in which one, several or all servers of a service name a limit of 0.5 to 20 requests a second for a few seconds, which may change, and whose server may start again. From the arrivals it checks that no 4 s hold more than 1.5*L*4 + 5 requests of hosts that had passed on such an answer 0.5 s before, from 3 s after the first one. A fault of a host's process excuses it until it has heard again. A server that names a limit sends no random answers, as one that names none would end the limit. "--without 'server limit'" leaves the kind out.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -98,7 +98,7 @@
 
 // FaultKinds returns the kinds of faults, which Config.Without may name.
 func FaultKinds() []string {
-	return append(slices.Clone(faultKinds), rawAnswers, badPart, serverNotice)
+	return append(slices.Clone(faultKinds), rawAnswers, badPart, serverNotice, serverLimit)
 }
 
 // silentServer is the kind of fault in which sound servers fall silent and go on.
--- /dev/null
+++ b/lab/soak/limit.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/platform/standin"
+)
+
+// serverLimit is a kind of fault that Config.Without may name: servers name in their answers how many requests a second they
+// take from all hosts together.
+const serverLimit = "server limit"
+
+const (
+	// minLimit and maxLimit bound the limits, in requests a second.
+	minLimit, maxLimit = 0.5, 20
+	// minLimitTime and maxLimitTime bound how long a server names a limit. It has to hold after limitSettles only.
+	minLimitTime, maxLimitTime = 4500 * time.Millisecond, 9 * time.Second
+	// minLimitGap and maxLimitGap bound the time between the starts of two limits.
+	minLimitGap, maxLimitGap = 500 * time.Millisecond, 3 * time.Second
+	// jointLimitShare is the fraction of limits that all servers of a service name, and severalLimitShare that of limits
+	// that some of them name.
+	jointLimitShare, severalLimitShare = 0.1, 0.3
+	// limitChangeShare and limitRestartShare are the fractions of limits that change, or whose server starts again,
+	// halfway.
+	limitChangeShare, limitRestartShare = 0.3, 0.2
+	// limitSettles is the time from the first answer that names a limit until the limit has to hold for the hosts that got
+	// such an answer at least limitHeard before.
+	limitSettles, limitHeard = 3 * time.Second, 500 * time.Millisecond
+	// A window of limitWindow may hold limitFactor times the limit and limitSlack requests more.
+	limitWindow             = 4 * time.Second
+	limitFactor, limitSlack = 1.5, 5
+)
+
+// injectLimits makes servers name limits until the context ends, and waits until the last one has ended. It draws from a source
+// of its own, so that the schedule of the other faults does not depend on it.
+func (r *run) injectLimits(ctx context.Context) {
+	if r.leftOut(serverLimit) {
+		return
+	}
+	rng := rand.New(rand.NewSource(r.cfg.Seed ^ 0x6c696d74))
+	var running sync.WaitGroup
+	defer running.Wait()
+	for ctx.Err() == nil {
+		service := services[rng.Intn(len(services))]
+		servers := r.serversOf(service)
+		x := randomLimit(rng)
+		chosen := servers
+		switch draw := rng.Float64(); {
+		case draw < jointLimitShare:
+			running.Go(func() {
+				defer r.outages.open(0)()
+				time.Sleep(x.length)
+			})
+		case draw < jointLimitShare+severalLimitShare:
+			chosen = servers[:1+rng.Intn(len(servers)-1)]
+		default:
+			first := rng.Intn(len(servers))
+			chosen = servers[first : first+1]
+		}
+		for _, s := range chosen {
+			running.Go(func() { r.limit(s, service, x) })
+		}
+		r.countFault(serverLimit)
+		select {
+		case <-ctx.Done():
+		case <-time.After(randomDuration(rng, minLimitGap, maxLimitGap)):
+		}
+	}
+}
+
+// limited is a time during which a server names a limit.
+type limited struct {
+	length   time.Duration
+	limits   [2]string // in the first and the second half
+	restarts bool      // the server starts again halfway, as a new lifetime
+}
+
+func randomLimit(rng *rand.Rand) (x limited) {
+	draw := func() string {
+		return strconv.FormatFloat(minLimit*math.Pow(maxLimit/minLimit, rng.Float64()), 'f', 2, 64)
+	}
+	x.length = randomDuration(rng, minLimitTime, maxLimitTime)
+	first, second := draw(), draw()
+	x.limits = [2]string{first, first}
+	if rng.Float64() < limitChangeShare {
+		x.limits[1] = second
+	}
+	x.restarts = rng.Float64() < limitRestartShare
+	return x
+}
+
+// limit makes a server name limits for a time, unless it does already.
+func (r *run) limit(s *standin.Server, service string, x limited) {
+	if !s.Limit.CompareAndSwap(nil, &x.limits[0]) {
+		return
+	}
+	defer s.Limit.Store(nil)
+	time.Sleep(x.length / 2)
+	s.Limit.Store(&x.limits[1])
+	r.mu.Lock()
+	down := r.hasCrashedLocked(s.ID)
+	r.mu.Unlock()
+	if x.restarts && !down {
+		r.fleet.StartAgain(s, service)
+	}
+	time.Sleep(x.length / 2)
+}
+
+// keepLimit returns the failures of a server without random answers while it names a limit: one that names none would end it.
+func keepLimit(s *standin.Server, failureFor func(string) standin.Failure) func(string) standin.Failure {
+	return func(id string) standin.Failure {
+		f := failureFor(id)
+		if f == standin.Raw && s.Limit.Load() != nil {
+			return standin.NoFailure
+		}
+		return f
+	}
+}
+
+// checkLimits checks that all hosts together keep to the limits that servers name.
+func (r *run) checkLimits() {
+	byServer := map[peerOf][]contact{}
+	for _, x := range r.contacts() {
+		key := peerOf{server: x.Server, lifetime: x.Lifetime}
+		byServer[key] = append(byServer[key], x)
+	}
+	for key, all := range byServer {
+		slices.SortFunc(all, func(a, b contact) int { return a.At.Compare(b.At) })
+		for _, text := range limitViolations(all) {
+			r.reportViolation("server %s: %s", key.server, text)
+		}
+	}
+}
+
+// limitViolations returns what hosts have sent beyond the limits of one lifetime of a server, at most one text for each time in
+// which it names limits. The contacts are in order of their arrival.
+func limitViolations(all []contact) (violations []string) {
+	begin, reported := -1, false
+	var settled, unnamedUntil time.Time // the latter is the end of the last answer that names no limit
+	var counted []time.Time
+	for i, x := range all {
+		perSecond, err := strconv.ParseFloat(x.Limit, 64)
+		if err != nil { // the server names none
+			begin = -1
+			unnamedUntil = laterOf(unnamedUntil, x.endedAt)
+			continue
+		}
+		if begin < 0 {
+			begin, reported, counted = i, false, nil
+			settled = laterOf(x.At, unnamedUntil).Add(limitSettles)
+		}
+		if x.At.Before(settled) || !heardLimit(all[begin:i], x) {
+			continue
+		}
+		counted = append(counted, x.At)
+		for !counted[0].After(x.At.Add(-limitWindow)) {
+			counted = counted[1:]
+		}
+		perSecond = max(perSecond, greatestLimit(all[begin:i], counted[0].Add(-limitSettles)))
+		if allowed := limitFactor*limitWindow.Seconds()*perSecond + limitSlack; float64(len(counted)) > allowed && !reported {
+			violations = append(violations, fmt.Sprintf("%d requests within %v of request %s, of %.1f that its limit of %g/s allows", len(counted), limitWindow, x.ID, allowed, perSecond))
+			reported = true
+		}
+	}
+	return violations
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// heardLimit reports whether a host had passed on an answer with a limit before it sent x, and had no fault since then.
+func heardLimit(before []contact, x contact) bool {
+	for _, told := range slices.Backward(before) {
+		passedOn := told.host == x.host && told.alone && told.Failure == standin.NoFailure && told.Served()
+		if passedOn && !told.endedAt.Add(limitHeard).After(x.At) {
+			return !x.host.cutAllowed.overlap(told.sentAt, x.At)
+		}
+	}
+	return false
+}
+
+// greatestLimit returns the greatest limit that answers named which ended after a time.
+func greatestLimit(named []contact, after time.Time) (greatest float64) {
+	for _, x := range slices.Backward(named) {
+		if perSecond, err := strconv.ParseFloat(x.Limit, 64); err == nil && x.endedAt.After(after) {
+			greatest = max(greatest, perSecond)
+		}
+		if x.At.Before(after.Add(-callTimeout)) {
+			break // it has ended before
+		}
+	}
+	return greatest
+}
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -150,6 +150,7 @@
 	r.checkBadPart(streams)
 	r.checkBudget()
 	r.checkNotices()
+	r.checkLimits()
 }
 
 // violations returns the guarantees that the result of a request violates, given its arrivals at all servers.
--- a/lab/soak/notice.go
+++ b/lab/soak/notice.go
@@ -126,19 +126,27 @@
 	lifetime int64
 }
 
-// checkNotices checks that hosts send nothing new to servers that leave, and next to nothing to servers within a pause.
-func (r *run) checkNotices() {
-	contacts := map[peerOf][]contact{}
+// contacts returns the arrivals of all calls.
+func (r *run) contacts() (all []contact) {
 	for _, service := range services {
 		arrivals := r.fleet.Arrivals(service)
 		for i := range r.calls {
 			c := &r.calls[i]
 			for _, a := range arrivals[c.ID] {
-				key := peerOf{c.host, a.Server, a.Lifetime}
-				contacts[key] = append(contacts[key], contact{a, c, len(arrivals[c.ID]) == 1})
+				all = append(all, contact{a, c, len(arrivals[c.ID]) == 1})
 			}
 		}
 	}
+	return all
+}
+
+// checkNotices checks that hosts send nothing new to servers that leave, and next to nothing to servers within a pause.
+func (r *run) checkNotices() {
+	contacts := map[peerOf][]contact{}
+	for _, x := range r.contacts() {
+		key := peerOf{x.host, x.Server, x.Lifetime}
+		contacts[key] = append(contacts[key], x)
+	}
 	for key, all := range contacts {
 		for _, text := range noticeViolations(all) {
 			r.reportViolation("host %s, server %s: %s", key.host.settings.HostID, key.server, text)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -116,6 +116,7 @@
 	noticing, endNotices := context.WithCancel(ctx)
 	var notices sync.WaitGroup
 	notices.Go(func() { r.injectNotices(noticing) })
+	notices.Go(func() { r.injectLimits(noticing) })
 	r.injectFaults(ctx, rng)
 	endNotices()
 	notices.Wait()
@@ -142,7 +143,7 @@
 				return err
 			}
 			seed := r.cfg.Seed + int64(i)
-			s.FailureFor, s.RawFor = r.failureFunc(seed, service), rawFunc(seed, service)
+			s.FailureFor, s.RawFor = keepLimit(s, r.failureFunc(seed, service)), rawFunc(seed, service)
 			if r.hasBadPart() && service == "models" {
 				s.BadPart, s.OnCrash = badPartID, r.crash
 			}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -215,6 +215,45 @@
 	}
 }
 
+// Guards against requests beyond a limit which the soak does not report, and against any that it reports although their hosts had
+// not heard of the limit, or it had just begun, changed or ended.
+func TestLimitViolations(t *testing.T) {
+	c := qt.New(t)
+	began := time.Now().Add(-time.Minute)
+	first, second := &host{}, &host{}
+	second.cutAllowed.list = [][2]time.Time{{began.Add(2 * time.Second), began.Add(2100 * time.Millisecond)}}
+	at := func(h *host, seconds float64, limit string, took time.Duration) contact {
+		a := standin.Arrival{Limit: limit, At: began.Add(time.Duration(seconds * float64(time.Second)))}
+		served := standin.Result{ID: "q", Status: 200, Complete: true, Took: took}
+		return contact{a, &call{Result: served, host: h, sentAt: a.At.Add(-time.Millisecond), endedAt: a.At.Add(took)}, true}
+	}
+	// many is 12 requests within 0.6 s; a limit of 1 allows 11 in 4 s.
+	many := func(h *host, from float64, limit string) (all []contact) {
+		for i := range 12 {
+			all = append(all, at(h, from+0.05*float64(i), limit, time.Millisecond))
+		}
+		return all
+	}
+	told := func(h *host, seconds float64) contact { return at(h, seconds, "1", time.Millisecond) }
+	for _, x := range []struct {
+		name string
+		all  []contact
+		want int
+	}{
+		{"too many", append([]contact{told(first, 1)}, many(first, 5, "1")...), 1},
+		{"soon after the first answer", append([]contact{told(first, 1)}, many(first, 3.3, "1")...), 0},
+		{"a host that has not heard", append([]contact{told(first, 1)}, many(second, 5, "1")...), 0},
+		{"a host with a fault since", append([]contact{told(second, 1)}, many(second, 5, "1")...), 0},
+		{"a host that has heard again", append([]contact{told(second, 1), told(second, 3)}, many(second, 5, "1")...), 1},
+		{"a higher limit until shortly before", append([]contact{at(first, 1, "2", time.Millisecond), at(first, 4, "2", time.Millisecond)}, many(first, 5, "1")...), 0},
+		{"after the limit", append([]contact{told(first, 1)}, many(first, 5, "")...), 0},
+		{"an older answer without limit", append([]contact{at(first, 0.9, "", 2*time.Second), told(first, 1)}, many(first, 5, "1")...), 0},
+		{"named again", append([]contact{told(first, 1), at(first, 4, "", time.Millisecond)}, many(first, 5, "1")...), 0},
+	} {
+		c.Check(limitViolations(x.all), qt.HasLen, x.want, qt.Commentf(x.name))
+	}
+}
+
 // Guards against kinds of faults that are drawn but have no effect.
 func TestEveryFaultKindIsInjected(t *testing.T) {
 	c := qt.New(t)
