Test who hears of limited servers and who waits for them

Change: the load reports and the updates on limits share the rule that deals entries to the peers which send requests to a server. Tests check the receivers in a fleet with partitions, and that of 40 requests at once only those wait for a limited server that can get room in time.

--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -131,15 +131,7 @@
 	var own serverlimit.Update
 	shared := map[int]serverlimit.Update{}
 	for _, x := range u.Servers {
-		part := s.peers.PartitionOf(x.Server)
-		if s.peers.OwnsPartition(part) {
-			own.Servers = append(own.Servers, x)
-		}
-		if part != s.peers.Partition() {
-			far := shared[part]
-			far.Servers = append(far.Servers, x)
-			shared[part] = far
-		}
+		dealUpdate(s, x.Server, &own, shared, func(u *serverlimit.Update) { u.Servers = append(u.Servers, x) })
 	}
 	out = append(out, outgoingLimits{near, own})
 	for part, x := range shared {
--- /dev/null
+++ b/node/entry/limits_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/serverlimit"
+)
+
+// Guards against hosts that send a limited server requests without knowing what another host sends it, and against telling all
+// hosts of a large fleet of an engine.
+func TestLimitsGoToTheHostsThatSend(t *testing.T) {
+	c := qt.New(t)
+	h := largeFleetHost(c)
+	engine := h.state.ownEngines("models")[0].ID
+	receivers := func(id ident.BackendID) (n int) {
+		for _, o := range h.state.limitUpdates(h.now(), serverlimit.Update{Servers: []serverlimit.ServerUpdate{{Server: id}}}) {
+			if !o.update.Empty() {
+				n += len(o.to)
+			}
+		}
+		return n
+	}
+	c.Check(receivers(engine), qt.Equals, 19, qt.Commentf("the other hosts of the partition"))
+	c.Check(receivers("plain"), qt.Equals, 39, qt.Commentf("all other hosts send requests to a plain server"))
+}
+
+// Guards against requests that all wait for the same room of a limited server, so that most of them are refused after a wait
+// for nothing.
+func TestOnlyRequestsWithRoomWait(t *testing.T) {
+	c := qt.New(t)
+	h, placed := hostWithFullEngine(c)
+	for _, p := range placed {
+		h.state.engines.End(h.now(), p)
+	}
+	const perSecond, wait = 20, 150 * time.Millisecond // half of the objective
+	h.state.limits.Hear(h.now(), "e1", 0, serverlimit.Statement{Limited: true, PerSecond: perSecond})
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	served, refusedAtOnce := 0, 0
+	for range 40 {
+		wg.Go(func() {
+			began := time.Now()
+			_, e := newTestStream(h, time.Second).place(context.Background())
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case e == nil:
+				served++
+			case time.Since(began) < wait/3:
+				refusedAtOnce++
+				c.Check(e.Step, qt.Equals, stepLimit)
+				c.Check(e.RetryAfter > 0, qt.IsTrue)
+			}
+		})
+	}
+	wg.Wait()
+	c.Check(served >= 1 && served <= 1+int(perSecond*wait.Seconds()), qt.IsTrue, qt.Commentf("%d served", served))
+	c.Check(refusedAtOnce >= 40-2*perSecond*int(wait.Milliseconds())/1000, qt.IsTrue, qt.Commentf("%d refused at once", refusedAtOnce))
+}
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -128,15 +129,7 @@
 	}
 	shared = map[int]placement.Update{}
 	deal := func(key placement.Key, add func(*placement.Update)) {
-		part := s.peers.PartitionOf(s.engines.EngineID(key))
-		if s.peers.OwnsPartition(part) {
-			add(&own)
-		}
-		if part != s.peers.Partition() {
-			x := shared[part]
-			add(&x)
-			shared[part] = x
-		}
+		dealUpdate(s, s.engines.EngineID(key), &own, shared, add)
 	}
 	for _, l := range u.Loads {
 		deal(l.Engine, func(x *placement.Update) { x.Loads = append(x.Loads, l) })
@@ -146,3 +139,17 @@
 	}
 	return own, shared
 }
+
+// dealUpdate adds an entry on a server to the updates of the peers that send it requests: the one for near peers, and by
+// partition those for far peers.
+func dealUpdate[U any](s *state, id ident.BackendID, near *U, far map[int]U, add func(*U)) {
+	part := s.peers.PartitionOf(id)
+	if s.peers.OwnsPartition(part) {
+		add(near)
+	}
+	if part != s.peers.Partition() {
+		x := far[part]
+		add(&x)
+		far[part] = x
+	}
+}
