Let no older answer end a request limit

Cause: answers on different connections overtake each other, and a server may have begun an answer before it named a limit. Such an answer names none and ended the limit, at first at one host and then, as the newest statement, at all of them. Until the next answer all sent without a limit.

Change: an answer without a limit ends one only if its request was sent after the limit was heard or changed. The soak no longer excuses requests after such answers.

Measured: TestOlderAnswerEndsNoLimit and TestLimitViolations pass. The fault was found by reading; no run showed it.

--- a/lab/soak/limit.go
+++ b/lab/soak/limit.go
@@ -143,18 +143,17 @@
 // which it names limits. The contacts are in order of their arrival.
 func limitViolations(all []contact) (violations []string) {
 	begin, reported := -1, false
-	var settled, unnamedUntil time.Time // the latter is the end of the last answer that names no limit
+	var settled time.Time
 	var counted []time.Time
 	for i, x := range all {
 		perSecond, err := strconv.ParseFloat(x.Limit, 64)
 		if err != nil { // the server names none
 			begin = -1
-			unnamedUntil = laterOf(unnamedUntil, x.endedAt)
 			continue
 		}
 		if begin < 0 {
 			begin, reported, counted = i, false, nil
-			settled = laterOf(x.At, unnamedUntil).Add(limitSettles)
+			settled = x.At.Add(limitSettles)
 		}
 		if x.At.Before(settled) || !heardLimit(all[begin:i], x) {
 			continue
@@ -172,13 +171,6 @@
 	return violations
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // heardLimit reports whether a host had passed on an answer with a limit before it sent x, and had no fault since then.
 func heardLimit(before []contact, x contact) bool {
 	for _, told := range slices.Backward(before) {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -247,7 +247,7 @@
 		{"a host that has heard again", append([]contact{told(second, 1), told(second, 3)}, many(second, 5, "1")...), 1},
 		{"a higher limit until shortly before", append([]contact{at(first, 1, "2", time.Millisecond), at(first, 4, "2", time.Millisecond)}, many(first, 5, "1")...), 0},
 		{"after the limit", append([]contact{told(first, 1)}, many(first, 5, "")...), 0},
-		{"an older answer without limit", append([]contact{at(first, 0.9, "", 2*time.Second), told(first, 1)}, many(first, 5, "1")...), 0},
+		{"an older answer without limit", append([]contact{at(first, 0.9, "", 2*time.Second), told(first, 1)}, many(first, 5, "1")...), 1},
 		{"named again", append([]contact{told(first, 1), at(first, 4, "", time.Millisecond)}, many(first, 5, "1")...), 0},
 	} {
 		c.Check(limitViolations(x.all), qt.HasLen, x.want, qt.Commentf(x.name))
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -12,10 +12,26 @@
 // heardFromServer is the source of a limit that a server has named itself, as logged; else it is the address of a peer.
 const heardFromServer = "server"
 
-// hearLimit records what a server has said about its limit, if it has said anything, and reports whether that is new. The state
-// must be locked.
-func (s *state) hearLimit(now time.Duration, id ident.BackendID, started int64, said *serverlimit.Statement) (changed bool) {
-	return said != nil && s.limits.Hear(now, id, started, *said)
+// hearLimit records what a server has said about its limit, if it has said anything, with the answer to a request or order that
+// was sent at a time. It reports whether that is new. An answer that names none ends a limit only if its request was sent after
+// the limit was heard: else it may be older than the limit, since answers overtake each other. The state must be locked.
+func (s *state) hearLimit(now, sentAt time.Duration, id ident.BackendID, started int64, said *serverlimit.Statement) (changed bool) {
+	if said == nil || (!said.Limited && sentAt < s.limitHeard[id]) {
+		return false
+	}
+	if changed = s.limits.Hear(now, id, started, *said); changed {
+		s.noteLimit(now, id, said.Limited)
+	}
+	return changed
+}
+
+// noteLimit keeps when a limit was heard. The state must be locked.
+func (s *state) noteLimit(now time.Duration, id ident.BackendID, limited bool) {
+	if !limited {
+		delete(s.limitHeard, id)
+		return
+	}
+	s.limitHeard[id] = now
 }
 
 // recordLimit logs and counts that a server has named another limit, or none any more.
@@ -69,6 +85,7 @@
 	s.mu.Lock()
 	for _, id := range s.limits.Apply(now, from, incarnation, u) {
 		perSecond, limited := s.limits.Limit(id)
+		s.noteLimit(now, id, limited)
 		said[id] = serverlimit.Statement{Limited: limited, PerSecond: perSecond}
 	}
 	_, due := s.limits.NextUpdate()
--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -30,6 +30,20 @@
 	c.Check(receivers("plain"), qt.Equals, 39, qt.Commentf("all other hosts send requests to a plain server"))
 }
 
+// Guards against a limit that ends with the answer to a request which was sent before the limit was heard, from the server or a
+// peer: all hosts would send without a limit until the next answer.
+func TestOlderAnswerEndsNoLimit(t *testing.T) {
+	c := qt.New(t)
+	limit, none := &serverlimit.Statement{Limited: true, PerSecond: 1}, &serverlimit.Statement{}
+	s := testHost().state
+	c.Assert(s.hearLimit(3*time.Second, 2*time.Second, "a", 0, limit), qt.IsTrue)
+	c.Check(s.hearLimit(4*time.Second, time.Second, "a", 0, none), qt.IsFalse)
+	c.Check(s.limits.Limited(), qt.Equals, 1)
+	c.Check(s.hearLimit(5*time.Second, 4*time.Second, "a", 0, limit), qt.IsFalse)
+	c.Check(s.hearLimit(5*time.Second, 4*time.Second, "a", 0, none), qt.IsTrue)
+	c.Check(s.limits.Limited(), qt.Equals, 0)
+}
+
 // Guards against requests that all wait for the same room of a limited server, so that most of them are refused after a wait
 // for nothing.
 func TestOnlyRequestsWithRoomWait(t *testing.T) {
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -10,8 +10,9 @@
 // errNotWanted is the reason why nothing was sent to a server that was chosen a moment before.
 var errNotWanted = Error.New("the server takes no new work")
 
-// recordNotice records what a server, in the lifetime that began at the given start, has said about itself.
-func (h *Host) recordNotice(id ident.BackendID, started int64, n Notice) {
+// recordNotice records what a server, in the lifetime that began at the given start, has said about itself with the answer to
+// a request or order that was sent at a time.
+func (h *Host) recordNotice(id ident.BackendID, started int64, sentAt time.Duration, n Notice) {
 	if n == (Notice{}) {
 		return
 	}
@@ -19,7 +20,7 @@
 	s := h.state
 	s.mu.Lock()
 	paused := s.pauses.Begin(now, id, n.Pause)
-	limitChanged := s.hearLimit(now, id, started, n.Limit)
+	limitChanged := s.hearLimit(now, sentAt, id, started, n.Limit)
 	left := n.Leaving && s.catalog.MarkLeaving(id, started)
 	if left {
 		s.syncEngines(now)
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -98,8 +98,9 @@
 	for i, x := range r.held {
 		wg.Go(func() {
 			r.host.countOrder(x.engine.ID)
+			sentAt := r.host.now()
 			n, err := r.host.cfg.Dialect.Reserve(ctx, r.host.client, x.engine, x.Reservation)
-			r.host.recordNotice(x.engine.ID, x.started, n)
+			r.host.recordNotice(x.engine.ID, x.started, sentAt, n)
 			errs[i] = err
 		})
 	}
@@ -171,9 +172,10 @@
 		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
 		var n Notice
 		h.countOrder(x.engine.ID)
+		sentAt := h.now()
 		n, err = h.cfg.Dialect.Release(ctx, h.client, x.engine, x.ID)
 		cancel()
-		h.recordNotice(x.engine.ID, x.started, n)
+		h.recordNotice(x.engine.ID, x.started, sentAt, n)
 		if err == nil || h.ctx.Err() != nil {
 			return
 		}
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -90,7 +90,8 @@
 		req.Body = io.NopCloser(bytes.NewReader(q.body))
 		req.ContentLength = int64(len(q.body))
 	}
-	f.TimeLeft = q.timeLeft(h.now())
+	sentAt := h.now()
+	f.TimeLeft = q.timeLeft(sentAt)
 	f.Server = srv.ID
 	f.Team = q.team
 	h.cfg.Dialect.Forward(req.Header, f)
@@ -103,7 +104,7 @@
 	}
 	s = backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}
 	if s.reply.ID == q.call.ID {
-		h.recordNotice(srv.ID, srv.Started, s.reply.Notice)
+		h.recordNotice(srv.ID, srv.Started, sentAt, s.reply.Notice)
 	}
 	return s, true, nil
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand"
 	"sync"
 	"time"
@@ -29,11 +30,12 @@
 	health       *health.Tracker
 	loadBalancer *placement.LoadBalancer
 	budgets      map[string]*retry.FleetBudget
-	pauses       retry.Pauses                // that servers have asked for
-	limits       *serverlimit.Table          // that servers have named
-	sharingHosts int                         // live hosts that share the limits, this one included
-	openWaiters  map[string][]*request       // requests that wait for a server, in order, by service name
-	numbering    map[string]*hedge.Numbering // of the streams' events, by service name
+	pauses       retry.Pauses                      // that servers have asked for
+	limits       *serverlimit.Table                // that servers have named
+	limitHeard   map[ident.BackendID]time.Duration // when the limit of a limited server was heard first, or changed
+	sharingHosts int                               // live hosts that share the limits, this one included
+	openWaiters  map[string][]*request             // requests that wait for a server, in order, by service name
+	numbering    map[string]*hedge.Numbering       // of the streams' events, by service name
 	peers        *peers.Table
 	quarantine   *quarantine.Table
 	partNames    map[quarantine.Part]PromptPart // IDs of parts that were suspects, for the log
@@ -54,6 +56,7 @@
 		loadBalancer: placement.NewLoadBalancer(),
 		budgets:      map[string]*retry.FleetBudget{},
 		limits:       serverlimit.NewTable(serverlimit.Config{Seed: rng.Uint64()}),
+		limitHeard:   map[ident.BackendID]time.Duration{},
 		sharingHosts: 1,
 		openWaiters:  map[string][]*request{},
 		numbering:    map[string]*hedge.Numbering{},
@@ -88,6 +91,7 @@
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
 	s.limits.Retain(keep)
+	maps.DeleteFunc(s.limitHeard, func(id ident.BackendID, _ time.Duration) bool { return !keep(id) })
 }
 
 // setOwnEngines makes the engines of this host's partition those that it places requests on.
