Count silent hosts for five minutes as users of a server's limit

Two parts of a fleet that could not reach each other for longer than 20 s both used a server's whole limit: a peer that is silent for so long was forgotten.

Peers that fall silent without saying that they stop count for five minutes now, and those that said it no longer count once their reports have ended. The retry budget keeps its 20 s. TestSilentPeersMayServe has both.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -33,6 +33,9 @@
 	// forgetAfter is the time without a report after which a peer no longer counts as a holder of the retry budget:
 	// twice the budget's window.
 	forgetAfter = 20 * time.Second
+	// mayServeAfter is the time without a report during which a peer that did not say that it stops may still serve callers: it
+	// may only be cut off from this host.
+	mayServeAfter = 5 * time.Minute
 	// announceIntervals is the number of intervals in which a change of state is repeated to everybody.
 	announceIntervals = 3
 )
@@ -65,6 +68,7 @@
 	self       member.Addr
 	zone       uint32
 	peers      map[member.Addr]*Peer
+	silent     map[member.Addr]time.Duration // last reports of peers that were forgotten and may still serve callers
 	candidates map[member.Addr]time.Duration // hosts to be contacted that have not reported, until the given time
 	seeds      []member.Addr                 // from the settings
 	newPeers   []member.Addr                 // peers whose first report has just arrived
@@ -82,7 +86,9 @@
 
 // NewTable returns a table without peers.
 func NewTable() *Table {
-	return &Table{peers: map[member.Addr]*Peer{}, candidates: map[member.Addr]time.Duration{}}
+	return &Table{
+		peers: map[member.Addr]*Peer{}, silent: map[member.Addr]time.Duration{}, candidates: map[member.Addr]time.Duration{},
+	}
 }
 
 // SetSelf sets the address of this host and the hash of its availability zone.
@@ -137,6 +143,7 @@
 		p = &Peer{Addr: from}
 		t.peers[from] = p
 		delete(t.candidates, from)
+		delete(t.silent, from)
 	}
 	if !p.Alive(now) {
 		t.addNear(from)
@@ -169,11 +176,27 @@
 		}
 		if now-p.lastReport > forgetAfter && !p.Alive(now) {
 			delete(t.peers, addr)
+			if !p.Leaving {
+				t.silent[addr] = p.lastReport
+			}
 		}
 	}
+	maps.DeleteFunc(t.silent, func(_ member.Addr, last time.Duration) bool { return now-last > mayServeAfter })
 	return expired
 }
 
+// MayServe returns the number of peers that may serve callers: those that report, and those that have fallen silent without
+// saying that they stop.
+func (t *Table) MayServe(now time.Duration) int {
+	n := len(t.silent)
+	for _, p := range t.peers {
+		if p.Alive(now) || !p.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns the number of peers that have reported lately, dead ones included: they may only be cut off from this
 // host and still serve callers.
 func (t *Table) Len() int { return len(t.peers) }
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -200,3 +200,28 @@
 		c.Assert(slices.Contains(table.ChangeTargets(Status{}).Near, "10.0.0.2:7"), qt.IsTrue)
 	}
 }
+
+// Guards against a limit of all hosts together that both parts of a divided fleet use whole, and against one that stays reduced for
+// hosts that have stopped.
+func TestSilentPeersMayServe(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
+	report := func(now time.Duration, from member.Addr, leaving bool) {
+		table.Observe(now, from, Report{Status: Status{Ready: !leaving, Leaving: leaving}, Validity: NearValidity})
+	}
+	for s := range 3 {
+		report(at(s), "cut", false)
+		report(at(s), "stopped", s == 2)
+	}
+	c.Check(table.MayServe(at(2)), qt.Equals, 2)
+	for s := 3; s < 290; s++ {
+		table.Expire(at(s))
+		c.Assert(table.MayServe(at(s+1)), qt.Equals, 1, qt.Commentf("after %d s", s))
+	}
+	c.Check(table.Len(), qt.Equals, 0)
+	table.Expire(at(303))
+	c.Check(table.MayServe(at(303)), qt.Equals, 0)
+	report(at(304), "cut", false)
+	c.Check(table.MayServe(at(304)), qt.Equals, 1)
+}
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -73,7 +73,7 @@
 // setLimitHosts sets the numbers of hosts that share the limits. The state must be locked.
 func (s *state) setLimitHosts(now time.Duration) {
 	s.sharingHosts = 1 + len(s.peers.Live(now))
-	s.limits.SetHosts(now, s.sharingHosts-1, s.peers.Len())
+	s.limits.SetHosts(now, s.sharingHosts-1, s.peers.MayServe(now))
 }
 
 // OnLimits implements gossip.LimitsHandler.
