--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -3,10 +3,12 @@
 import (
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/core/quarantine"
+	"github.com/rosemaryhill/rosemaryhill/core/serverlimit"
 	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
 )
 
@@ -28,6 +30,7 @@
 	owner := placement.Owner(from)
 	if s.peers.Observe(now, from, peers.Report{Status: r.Status, Validity: r.Validity, Known: r.KnownAddrs}) {
 		s.engines.RemovePeer(owner)
+		s.setLimitHosts(now)
 		h.requestReport()
 	}
 	s.engines.ApplyPeerUpdate(now, owner, r.Update)
@@ -53,6 +56,7 @@
 	to       []member.Addr
 	report   gossip.LoadReport
 	evidence quarantine.Update
+	limits   serverlimit.Update // for hosts that have just started
 }
 
 // report sends a load report.
@@ -64,6 +68,7 @@
 	for _, o := range out {
 		h.gossip.SendLoad(o.to, o.report)
 		h.gossip.SendEvidence(o.to, o.evidence)
+		h.gossip.SendLimits(o.to, h.incarnation, o.limits)
 	}
 }
 
@@ -87,7 +92,7 @@
 	far := gossip.LoadReport{Status: status, Validity: targets.FarValidity}
 	now := h.now()
 	evidence := s.quarantine.TakeUpdate(now, reason != reportOnChange)
-	out := []outgoing{{targets.Near, near, evidence}, {targets.Far, far, evidence}}
+	out := []outgoing{{to: targets.Near, report: near, evidence: evidence}, {to: targets.Far, report: far, evidence: evidence}}
 	for part, update := range shared {
 		report := far
 		report.Update = update
@@ -97,7 +102,7 @@
 		introduction := far
 		introduction.Update.Loads = s.engines.OwnLoads()
 		introduction.KnownAddrs = s.peers.Sample(gossip.MaxKnownAddrs)
-		out = append(out, outgoing{started, introduction, s.quarantine.Whole(now)})
+		out = append(out, outgoing{to: started, report: introduction, evidence: s.quarantine.Whole(now), limits: s.limits.Whole(now)})
 	}
 	return out
 }
@@ -124,15 +129,7 @@
 	}
 	shared = map[int]placement.Update{}
 	deal := func(key placement.Key, add func(*placement.Update)) {
-		part := s.peers.PartitionOf(s.engines.EngineID(key))
-		if s.peers.OwnsPartition(part) {
-			add(&own)
-		}
-		if part != s.peers.Partition() {
-			x := shared[part]
-			add(&x)
-			shared[part] = x
-		}
+		dealUpdate(s, s.engines.EngineID(key), &own, shared, add)
 	}
 	for _, l := range u.Loads {
 		deal(l.Engine, func(x *placement.Update) { x.Loads = append(x.Loads, l) })
@@ -142,3 +139,17 @@
 	}
 	return own, shared
 }
+
+// dealUpdate adds an entry on a server to the updates of the peers that send it requests: the one for near peers, and by
+// partition those for far peers.
+func dealUpdate[U any](s *state, id ident.BackendID, near *U, far map[int]U, add func(*U)) {
+	part := s.peers.PartitionOf(id)
+	if s.peers.OwnsPartition(part) {
+		add(near)
+	}
+	if part != s.peers.Partition() {
+		x := far[part]
+		add(&x)
+		far[part] = x
+	}
+}
