Count the requests of hosts that start as others know them

Cause: a host that heard another for the first time took two of its requests for new ones, and with a low limit a host that had just started was in debt for most of the time.

Change: updates carry the time since the sender counts. A host takes over all requests of one that has not counted for longer than itself, and none of those that may only be repeated.

--- a/core/serverlimit/exchange.go
+++ b/core/serverlimit/exchange.go
@@ -23,8 +23,8 @@
 	// refresh is the least difference of ages from which on an equal statement counts as a newer one. Otherwise the
 	// delay of each way between hosts would make it newer.
 	refresh = 100 * time.Millisecond
-	// maxFirst bounds the requests of a host that count when it is heard for the first time: most of them may be old.
-	maxFirst = 2
+	// sameStart is the difference of ages below which two hosts count requests since the same time.
+	sameStart = time.Second
 	// levelShare is the part of the difference to the level of another host by which a host changes its own, so that
 	// the levels of hosts that missed or started something do not differ for ever.
 	levelShare = 0.05
@@ -35,9 +35,9 @@
 	// maxIDBytes bounds the ID of a server whose limit is tracked.
 	maxIDBytes = 255
 	// Greatest sizes in msgpack: array headers of 1 and 3 bytes; of an item 1 for its header, 2 before the ID, 9 for the
-	// lifetime and the count, 1 for a flag, 5 for the series, the limit, the level and the age in ms.
+	// lifetime and the count, 1 for a flag, 5 for the series, the limit, the level and the ages in ms.
 	listBytes = 1 + 3
-	itemBytes = 1 + 2 + 2*9 + 1 + 4*5
+	itemBytes = 1 + 2 + 2*9 + 1 + 5*5
 )
 
 // Update is what a host tells others.
@@ -52,6 +52,7 @@
 	Statement Statement     // newest known one of this lifetime
 	Age       time.Duration // of the statement
 	Series    uint32        // rises when the count starts again
+	Counting  time.Duration // time since the count started
 	Count     uint64        // requests that the sender has sent to the server
 	Level     float64       // of the sender's bucket, in requests
 }
@@ -157,8 +158,8 @@
 func (t *Table) update(now time.Duration, s *server) ServerUpdate {
 	t.advance(now, s)
 	return ServerUpdate{
-		Server: s.id, Started: s.started, Statement: s.statement, Age: max(0, now-s.heard), Series: s.series, Count: s.count,
-		Level: s.level,
+		Server: s.id, Started: s.started, Statement: s.statement, Age: max(0, now-s.heard), Series: s.series,
+		Counting: max(0, now-s.added), Count: s.count, Level: s.level,
 	}
 }
 
@@ -225,7 +226,7 @@
 	case !heard && len(s.peers) >= maxPeers:
 		return
 	default:
-		n = min(x.Count, maxFirst)
+		n = s.firstCount(now, x)
 	}
 	s.peers[from] = peerCount{incarnation, x.Series, x.Count}
 	if n > 0 {
@@ -234,6 +235,20 @@
 	t.approach(now, s, x.Level)
 }
 
+// firstCount returns the requests that count when a host is heard for the first time. All of them do if it has not counted
+// for longer than this host. Otherwise most of them are old: while it may still repeat what was new before this host
+// started to count all are, and later the last one is not.
+func (s *server) firstCount(now time.Duration, x ServerUpdate) uint64 {
+	switch counting := now - s.added; {
+	case x.Counting <= counting+sameStart:
+		return x.Count
+	case counting < repeatTime:
+		return 0
+	default:
+		return min(x.Count, 1)
+	}
+}
+
 // approach moves the level a little towards that of another host.
 func (t *Table) approach(now time.Duration, s *server, level float64) {
 	t.advance(now, s)
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -99,6 +99,7 @@
 // server is a server that has named a limit.
 type server struct {
 	id        ident.BackendID
+	added     time.Duration
 	started   int64 // lifetime of the newest statement
 	statement Statement
 	heard     time.Duration // when a server said so last
@@ -189,7 +190,7 @@
 		}
 	}
 	t.nextSeries++
-	s := &server{id: id, started: math.MinInt64, updated: now, series: t.nextSeries, peers: map[member.Addr]peerCount{}}
+	s := &server{id: id, added: now, started: math.MinInt64, updated: now, series: t.nextSeries, peers: map[member.Addr]peerCount{}}
 	s.redraw(t)
 	t.servers[id] = s
 	t.order = append(t.order, s)
@@ -201,7 +202,7 @@
 	if len(t.order) == t.limited {
 		return
 	}
-	t.remove(func(s *server) bool { return !s.statement.Limited && now-s.heard >= endedTTL })
+	t.remove(func(s *server) bool { return !s.statement.Limited && now-s.telling.changed >= endedTTL })
 }
 
 // Retain forgets the servers that keep rejects, such as those that have left the catalog.
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -39,13 +39,13 @@
 
 	// Another host that heard the limit earlier or from an older lifetime does not bring it back, and is told.
 	now := 4 * second
-	for _, u := range []ServerUpdate{{"a", 5, limit(2), 0, 1, 0, 0}, {"a", 6, limit(2), 5 * second, 1, 0, 0}} {
+	for _, u := range []ServerUpdate{{"a", 5, limit(2), 0, 1, 0, 0, 0}, {"a", 6, limit(2), 5 * second, 1, 0, 0, 0}} {
 		x.TakeUpdate(now, false)
 		now += second
 		c.Assert(x.Apply(now, "b", 1, Update{[]ServerUpdate{u}}), qt.HasLen, 0)
 		c.Assert(x.TakeUpdate(now, false).Servers, qt.HasLen, 1)
 	}
-	x.TakeUpdate(2*second+endedTTL, true)
+	x.TakeUpdate(now+endedTTL, true)
 	c.Assert(x.Empty(), qt.IsTrue)
 }
 
@@ -72,7 +72,7 @@
 	for _, l := range []float64{math.NaN(), -1, math.Inf(-1), math.Inf(1), math.MaxFloat64, math.SmallestNonzeroFloat64} {
 		x := limited(l)
 		for i := range 20 {
-			x.Apply(0, "b", 1, Update{[]ServerUpdate{{"a", 1, limit(l), -second, 1, uint64(i) << 60, l}}})
+			x.Apply(0, "b", 1, Update{[]ServerUpdate{{"a", 1, limit(l), -second, 1, 0, uint64(i) << 60, l}}})
 			x.Take(0, "a")
 		}
 		s := x.servers["a"]
@@ -126,3 +126,36 @@
 	x.Retain(func(id ident.BackendID) bool { return false })
 	c.Assert(x.Empty() && x.Limited() == 0, qt.IsTrue)
 }
+
+// Guards against a host that sends at once what it would have sent while its process did not run.
+func TestPauseAddsNoTokens(t *testing.T) {
+	c := qt.New(t)
+	x := limited(1)
+	x.AfterPause(5 * second)
+	c.Assert(x.Allows(5*second, "a"), qt.IsFalse)
+	c.Assert(x.Allows(7*second, "a"), qt.IsTrue)
+}
+
+// Guards against a host that takes the requests from before its start, or from before that of another host, for new ones.
+func TestOldCountsAreNotNew(t *testing.T) {
+	c := qt.New(t)
+	old := limited(1)
+	for range 50 {
+		old.Take(second, "a")
+	}
+	now := 100 * second
+	started := NewTable(Config{})
+	started.Apply(now, "old", 1, old.Whole(now))
+	c.Assert(started.Allows(now+3*second, "a"), qt.IsTrue)
+
+	// Its next request counts once, and so does the first of a host that starts again.
+	level := started.servers["a"].level
+	old.Take(now+3*second, "a")
+	started.Apply(now+3*second, "old", 1, old.Whole(now+3*second))
+	started.RemoveHost("old")
+	again := limited(1)
+	again.servers["a"].added = now + 3*second
+	again.Take(now+3*second, "a")
+	started.Apply(now+3*second, "old", 2, again.Whole(now+3*second))
+	c.Assert(math.Abs(level-started.servers["a"].level-2) < 0.3, qt.IsTrue)
+}
