Let hosts take turns at a limited server after a quiet time

Cause: the bucket of a server that nobody used for seconds is so full that every host may send. When all had requests that waited for it, all sent before they heard of each other: 20 hosts sent more than 20 requests within 4 s at 2.5/s in a test in virtual time.

Change: after 5 s without requests of any host, a host sends at a time of its own within 2 s after it is first asked. Later ones go on as before.

--- a/core/serverlimit/fleet_test.go
+++ b/core/serverlimit/fleet_test.go
@@ -42,6 +42,7 @@
 	process ident.Incarnation
 	demand  float64 // requests in a step
 	up, cut bool
+	sent    int
 	changed int // step in which up or cut changed last
 	next    int // step from which on a report on news may be sent
 }
@@ -121,6 +122,7 @@
 	if f.rng.Float64() < h.demand && h.table.Allows(f.time(), "a") {
 		h.table.Take(f.time(), "a")
 		f.sent[f.now]++
+		h.sent++
 		said := f.said
 		f.post(letter{from: h, to: h, answer: &said}, 10*delay)
 	}
@@ -233,6 +235,63 @@
 	})
 }
 
+// Guards against hosts that all take the same token, and against one that gets none of them: because it started later, or
+// since it waits for a level that is never reached.
+func TestHostsThatWaitTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	for _, l := range []float64{0.3, 1.1, 12} {
+		f := newFleet(95, l, 1)
+		for _, h := range f.hosts {
+			h.demand = 1
+		}
+		f.run(grace)
+		f.run(30_000)
+		c.Check(float64(f.worst(grace)) <= target(l), qt.IsTrue, qt.Commentf("%d at %g/s", f.worst(grace), l))
+	}
+	f := newFleet(8, 2.5, 1)
+	f.run(10_000)
+	f.start(f.hosts[0])
+	f.run(10_000)
+	for _, h := range f.hosts {
+		h.sent = 0
+	}
+	f.run(60_000)
+	for _, h := range f.hosts {
+		c.Check(h.sent >= 6, qt.IsTrue, qt.Commentf("%d of %d", h.sent, f.total(20_000, 80_000)))
+	}
+}
+
+// Guards against a burst after a time without requests.
+func TestQuietTimeSavesFewTokens(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(20, 2.5, 1)
+	f.run(grace)
+	for _, h := range f.hosts {
+		h.demand = 0
+	}
+	f.run(60_000)
+	for _, h := range f.hosts {
+		h.demand = 1
+	}
+	f.run(10_000)
+	c.Assert(float64(f.worst(grace)) <= target(2.5), qt.IsTrue)
+}
+
+// Guards against hosts without requests that do not learn the end of a limit.
+func TestEndIsTold(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(20, 2.5, 1)
+	f.run(grace)
+	for _, h := range f.hosts[1:] {
+		h.demand = 0
+	}
+	f.said = Statement{}
+	f.run(3000)
+	for _, h := range f.hosts {
+		c.Check(h.table.Limited(), qt.Equals, 0)
+	}
+}
+
 // Guards against a host whose news come late or never, a changed limit that is not kept, and one that some hosts keep after
 // its end.
 func TestLimitChangesAndEnds(t *testing.T) {
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -56,6 +56,10 @@
 	debtSeconds = 4.0
 	// highestDraw keeps the level that a host waits for below the greatest one, which rounding may not reach.
 	highestDraw = 0.98
+	// quietTime is the time without requests after which hosts take turns, at most maxTurn after they are asked: the bucket
+	// is so full then that all of them would send at once.
+	quietTime = 5 * time.Second
+	maxTurn   = 2 * time.Second
 	// endedTTL is how long the end of a limit is remembered, so that older statements do not bring it back.
 	endedTTL = 30 * time.Second
 )
@@ -107,8 +111,10 @@
 	updated   time.Duration
 	draw      float64 // 0 to highestDraw: share of the spread for which this host waits
 	draws     uint64
-	series    uint32 // of count
-	count     uint64 // requests that this host has sent
+	drained   time.Duration // when a host sent last, as far as is known
+	asked     time.Duration // when this host was first asked since a quiet time
+	series    uint32        // of count
+	count     uint64        // requests that this host has sent
 	peers     map[member.Addr]peerCount
 	telling   telling
 }
@@ -190,7 +196,7 @@
 		}
 	}
 	t.nextSeries++
-	s := &server{id: id, added: now, started: math.MinInt64, updated: now, series: t.nextSeries, peers: map[member.Addr]peerCount{}}
+	s := &server{id: id, added: now, started: math.MinInt64, updated: now, drained: now, series: t.nextSeries, peers: map[member.Addr]peerCount{}}
 	s.redraw(t)
 	t.servers[id] = s
 	t.order = append(t.order, s)
@@ -273,6 +279,7 @@
 func (t *Table) drain(now time.Duration, s *server, n float64) {
 	t.advance(now, s)
 	s.level = max(s.lowest(t), s.level-n)
+	s.drained, s.asked = now, 0
 	s.redraw(t)
 }
 
@@ -294,7 +301,18 @@
 		return true
 	}
 	t.advance(now, s)
-	return s.level >= s.needed(t)
+	return s.level >= s.needed(t) && now >= s.turn(t, now)
+}
+
+// turn returns the time from which on this host may send after a quiet time, which is now at other times.
+func (s *server) turn(t *Table, now time.Duration) time.Duration {
+	if now-s.drained < quietTime {
+		return now
+	}
+	if s.asked == 0 {
+		s.asked = now
+	}
+	return s.asked + time.Duration(s.draw*float64(min(maxTurn, time.Duration(t.live)*t.cfg.ContentionTime)))
 }
 
 // Take counts a request or an order that is sent now, whether it is allowed or not.
@@ -313,11 +331,11 @@
 		return now
 	}
 	t.advance(now, s)
-	missing := s.needed(t) - s.level
-	if missing <= 0 {
-		return now
+	at := now
+	if missing := s.needed(t) - s.level; missing > 0 {
+		at += time.Duration(missing/s.rate(t)*float64(time.Second)) + time.Microsecond // rounding must not make it early
 	}
-	return now + time.Duration(missing/s.rate(t)*float64(time.Second)) + time.Microsecond // rounding must not make it early
+	return max(at, s.turn(t, at))
 }
 
 // AfterPause drops the tokens that were added while the process did not run: what other hosts sent meanwhile is not known
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -39,9 +39,13 @@
 
 	// Another host that heard the limit earlier or from an older lifetime does not bring it back, and is told.
 	now := 4 * second
-	for _, u := range []ServerUpdate{{"a", 5, limit(2), 0, 1, 0, 0, 0}, {"a", 6, limit(2), 5 * second, 1, 0, 0, 0}} {
-		x.TakeUpdate(now, false)
+	for _, u := range []ServerUpdate{{"a", 5, limit(2), 0, 1, 0, 0, 0}, {"a", 6, limit(2), 11 * second, 1, 0, 0, 0}} {
+		for range copies {
+			now += second
+			x.TakeUpdate(now, false)
+		}
 		now += second
+		c.Assert(x.TakeUpdate(now, false).Empty(), qt.IsTrue)
 		c.Assert(x.Apply(now, "b", 1, Update{[]ServerUpdate{u}}), qt.HasLen, 0)
 		c.Assert(x.TakeUpdate(now, false).Servers, qt.HasLen, 1)
 	}
@@ -93,17 +97,23 @@
 	a.Take(now, "a")
 	b.Apply(now, "a", 7, a.TakeUpdate(now, false))
 	a.Take(now, "a")
-	a.TakeUpdate(now, false) // lost
+	older := a.TakeUpdate(now, false) // late
 	a.Take(now, "a")
 	u := a.TakeUpdate(now, false)
 	for range 3 {
 		b.Apply(now, "a", 7, u)
+		b.Apply(now, "a", 7, older)
 	}
 	c.Assert(math.Abs(b.servers["a"].level-a.servers["a"].level) < 0.2, qt.IsTrue)
 	_, due := a.NextUpdate()
 	c.Assert(due, qt.IsTrue)
 	c.Assert(a.TakeUpdate(now, false).Empty(), qt.IsTrue) // the copies follow later
 	c.Assert(a.TakeUpdate(now+copySpacing, false).Empty(), qt.IsFalse)
+
+	// Reports of an interval repeat them for a while.
+	c.Assert(a.TakeUpdate(now+repeatTime-1, true).Empty(), qt.IsFalse)
+	a.TakeUpdate(now+repeatTime, false)
+	c.Assert(a.TakeUpdate(now+repeatTime, true).Empty(), qt.IsTrue)
 }
 
 // Guards against updates that do not fit a datagram, servers that are never told, and tables that grow without bound.
