Compare ways to keep all hosts to a server's limit

Change: rosectl limits plays designs without shared state against each other in virtual time: each host alone, equal shares, one owner, few owners, and counts that hosts tell each other, with and without levels of their own.

--- /dev/null
+++ b/cmd/rosectl/limits.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"io"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryhill/rosemaryhill/lab/limitshare"
+)
+
+// limitsRuns is the number of concurrent runs.
+const limitsRuns = 2
+
+// limitsOptions holds the flags of rosectl limits.
+type limitsOptions struct {
+	hosts []string
+	seed  int64
+}
+
+func limitsCommand() *command {
+	o := &limitsOptions{seed: 1}
+	return &command{
+		name:     "limits",
+		summary:  "Compare ways to keep all hosts together to the limit that a server names, in virtual time",
+		examples: `  rosectl limits --hosts 6 --hosts 95`,
+		flags:    o.flags,
+		run:      o.run,
+	}
+}
+
+func (o *limitsOptions) flags(sc *flaggy.Subcommand) {
+	sc.StringSlice(&o.hosts, "", "hosts", "number of hosts, may be given more than once; none means 6, 95 and 300")
+	sc.Int64(&o.seed, "", "seed", "seed of the traffic and the lost datagrams")
+}
+
+func (o *limitsOptions) run(_ context.Context, out io.Writer) error {
+	hosts := []int{6, 95, 300}
+	if len(o.hosts) > 0 {
+		hosts = nil
+	}
+	for _, text := range o.hosts {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 2 {
+			return usageError.New("--hosts %q is not a number of at least 2", text)
+		}
+		hosts = append(hosts, n)
+	}
+	return limitshare.WriteText(out, limitshare.Compare(hosts, o.seed, limitsRuns))
+}
