End turns some time after the first request

Change: turns end 2 s after the first request, when all that waited for the server have had theirs. A limit that begins counts as use.

--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -56,8 +56,9 @@
 	debtSeconds = 4.0
 	// highestDraw keeps the level that a host waits for below the greatest one, which rounding may not reach.
 	highestDraw = 0.98
-	// quietTime is the time without requests after which hosts take turns, at most maxTurn after they are asked, until the
-	// bucket has less than 1 request: it is so full then that all of them would send at once.
+	// quietTime is the time without requests after which hosts take turns, at most maxTurn after they are asked: the bucket
+	// is so full then that all of them would send at once. They do so until the bucket holds less than 1 request, or for
+	// maxTurn after the first one.
 	quietTime = 5 * time.Second
 	maxTurn   = 2 * time.Second
 	// endedTTL is how long the end of a limit is remembered, so that older statements do not bring it back.
@@ -113,6 +114,7 @@
 	draws     uint64
 	drained   time.Duration // when a host sent last, as far as is known
 	quiet     bool          // hosts take turns
+	quietEnd  time.Duration // when they no longer do once a host has sent
 	turnAt    time.Duration // when it is the turn of this host, 0 until it is asked
 	series    uint32        // of count
 	count     uint64        // requests that this host has sent
@@ -176,7 +178,7 @@
 	switch {
 	case said.Limited && !before.Limited:
 		t.limited++
-		s.level = 0
+		s.level, s.drained, s.quiet = 0, now, false
 	case !said.Limited && before.Limited:
 		t.limited--
 	}
@@ -273,7 +275,12 @@
 			s.level = min(s.greatest(t), s.level+s.rate(t)*(now-s.updated).Seconds())
 		}
 		s.updated = now
-		s.quiet = s.quiet || now-s.drained >= quietTime
+		switch {
+		case now-s.drained >= quietTime:
+			s.quiet = true
+		case s.quiet && now >= s.quietEnd:
+			s.quiet, s.turnAt = false, 0
+		}
 	}
 }
 
@@ -281,6 +288,9 @@
 func (t *Table) drain(now time.Duration, s *server, n float64) {
 	t.advance(now, s)
 	s.level = max(s.lowest(t), s.level-n)
+	if now-s.drained >= quietTime {
+		s.quietEnd = now + maxTurn
+	}
 	s.drained = now
 	if s.level < 1 || !s.quiet {
 		s.quiet, s.turnAt = false, 0
