Test that turns at a limited server end

Change: a unit test fails if hosts go on to take turns while there is room.

Measured: it fails with a mutant in which they never end, which no test found before, and passes now.

--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// Guards against turns that go on, so that a host with few requests refuses each of them at first.
+func TestTurnsEnd(t *testing.T) {
+	c := qt.New(t)
+	x := limited(1)
+	x.SetHosts(0, 60, 60)
+	at := x.FreeAt(60*second, "a")
+	x.Take(at, "a")
+	c.Check(x.Allows(at+quietTime-1, "a"), qt.IsTrue)
+}
+
 // Guards against limits that make levels or times unusable.
 func TestAnyNumberIsSafe(t *testing.T) {
 	c := qt.New(t)
