--- a/lab/limitshare/world.go
+++ b/lab/limitshare/world.go
@@ -27,8 +27,8 @@
 	grace         = 3 * time.Second       // from then until the target applies
 	trouble       = 10 * time.Second
 	length        = 45 * time.Second
-	forgetAfter   = 5 * time.Minute  // silent hosts count as known until then
-	patience      = 3 * time.Second  // of a request that waits
+	forgetAfter   = 5 * time.Minute // silent hosts count as known until then
+	patience      = 3 * time.Second // of a request that waits
 	slowTime      = 100 * time.Millisecond
 	sampleTime    = 100 * time.Millisecond
 )
