--- a/lab/rollout/rollout_test.go
+++ b/lab/rollout/rollout_test.go
@@ -21,15 +21,21 @@
 	portFlag    = flag.Int("first.port", 18_700, "first port of the hosts and stand-ins")
 )
 
+// buildProgram returns the path of the rosemaryhill binary to test.
+func buildProgram(c *qt.C) string {
+	if *programFlag != "" {
+		return *programFlag
+	}
+	program := filepath.Join(c.TempDir(), "rosemaryhill")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
 // Guards against requests that planned work loses: build 8924277 cut streams that a stopping host had taken on kept connections.
 func TestPlannedWorkLosesNoRequest(t *testing.T) {
 	c := qt.New(t)
-	program := *programFlag
-	if program == "" {
-		program = filepath.Join(c.TempDir(), "rosemaryhill")
-		out, err := exec.Command("go", "build", "-o", program, "github.com/rosemaryhill/rosemaryhill/cmd/rosemaryhill").CombinedOutput()
-		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	}
+	program := buildProgram(c)
 	p, err := LoadProfile("linen-lantern")
 	c.Assert(err, qt.IsNil)
 	p.LengthS = 14
