Refuse late requests to a stopping host without reading their bodies

Since requests are admitted when their body has arrived, a stopping host read the bodies of requests that it was going to refuse. Requests whose header comes after old address lists have expired are refused before that again.

--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -155,6 +155,9 @@
 		limit = min(limit, q.call.Timeout)
 	}
 	q.deadline = q.arrived + limit
+	if stop := h.stop.Load(); stop != nil && q.arrived >= stop.listedUntil {
+		return h.admitToStopping(q) // a refusal needs no body
+	}
 	return nil
 }
 
