--- a/lab/rollout/check.go
+++ b/lab/rollout/check.go
@@ -109,7 +109,7 @@
 }
 
 // outOfTime reports whether the request ended when its time was over, so that its host may have ended it.
-func (x *exchange) outOfTime() bool { return x.EndedAt.Sub(x.SentAt) >= x.Timeout-limitSlack }
+func (x *exchange) outOfTime() bool { return x.EndedAt.Sub(x.BegunAt) >= x.Timeout-limitSlack }
 
 func (r *run) loss(x *exchange, passed []standin.Arrival) Loss {
 	l := Loss{
--- a/lab/rollout/profile.go
+++ b/lab/rollout/profile.go
@@ -28,7 +28,9 @@
 	// hosts that address lists no longer name.
 	BusyCallerShare float64 `toml:"busy_caller_share"`
 	// SlowListShare is the fraction of callers that use an address list for three times its validity.
-	SlowListShare    float64 `toml:"slow_list_share"`
+	SlowListShare float64 `toml:"slow_list_share"`
+	// SlowBodyShare is the fraction of requests whose body arrives up to maxBodyTime after the header.
+	SlowBodyShare    float64 `toml:"slow_body_share"`
 	ReadTokensPerMS  float64 `toml:"read_tokens_per_ms"`
 	PairMSPerMillion float64 `toml:"pair_ms_per_million"`
 	Parts            float64 `toml:"parts"`    // by which several engines shorten the reading of pairs
@@ -68,6 +70,9 @@
 // maxRatio is the largest size or time of a request, relative to the mean of its kind.
 const maxRatio = 4.5
 
+// maxBodyTime is the longest time that a slow body takes; most of a shutdown time of 8 s.
+const maxBodyTime = 6 * time.Second
+
 // LoadProfile loads a profile, given by the name of a built-in one or by a file path.
 func LoadProfile(name string) (*Profile, error) {
 	p := &Profile{}
@@ -139,6 +144,10 @@
 		q.PromptTokens = int(float64(k.PromptTokens) * ratio(rng))
 		q.OutputTokens = max(1, int(float64(k.Events)*ratio(rng))) * p.TokensPerEvent
 	}
+	body := rand.New(rand.NewSource(int64(hash(id)))) // leaves the other draws of a seed as they are
+	if body.Float64() < p.SlowBodyShare && k.Route != "safe" {
+		q.BodyTime = min(time.Duration(body.Int63n(int64(maxBodyTime))), q.Timeout/2)
+	}
 	return q
 }
 
--- a/lab/rollout/rollout_test.go
+++ b/lab/rollout/rollout_test.go
@@ -77,6 +77,7 @@
 	} {
 		e := exchange{kind: &Kind{Route: "stream"}, host: h}
 		e.Sent, e.SentAt, e.EndedAt, e.Status, e.Timeout = true, stop.Add(x.sent), stop.Add(x.ended), x.status, 10*time.Second
+		e.BegunAt = e.SentAt
 		c.Check(r.isLost(&e, x.passed), qt.Equals, x.lost, qt.Commentf(x.what))
 		if x.lost {
 			l := r.loss(&e, x.passed)
