Stop within the shutdown time where address lists last longer

Callers saw: a host whose shutdown_ms is at most three times its address_ttl_ms went on serving until old address lists had expired. The supervisor killed it by then, and all requests that ran were cut without an answer. With the default TTL that is a shutdown time of 3 s or less.

Cause: Shutdown slept until the end of old lists, whatever its own end.

Change: the time of old lists ends with the shutdown time.

Measured: TestShutdownTimeBoundsOldAddressLists failed before: with 2 s for the shutdown and 3 s of old lists, Shutdown took 3.0 s.

--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -26,16 +26,14 @@
 
 // stopPlan holds the times of a shutdown, on the clock of Host.now.
 type stopPlan struct {
-	listedUntil time.Duration // callers use old address lists until then
+	listedUntil time.Duration // callers use old address lists until then, or until the end
 	end         time.Duration // requests that still run are ended
 }
 
 func (h *Host) newStopPlan() stopPlan {
 	now := h.now()
-	return stopPlan{
-		listedUntil: now + addressTTLFactor*settings.MS(h.settings.AddressTTLMS),
-		end:         now + settings.MS(h.settings.ShutdownMS) - shutdownMargin,
-	}
+	end := now + settings.MS(h.settings.ShutdownMS) - shutdownMargin
+	return stopPlan{listedUntil: min(end, now+addressTTLFactor*settings.MS(h.settings.AddressTTLMS)), end: end}
 }
 
 // stopping reports whether the host shuts down.
