Refuse streams that would be cut at the end of a shutdown

Callers saw: a stream that a stopping host accepted while old address lists were valid, and that took longer than the rest of the shutdown time, was cut after its first event.

Cause: admission looked at the time that was left for later requests only, and how long a stream takes was not predicted.

Change: a placement predicts the end of the longest answer, from its maximum number of tokens and the passes of its engine. A stopping host refuses a stream with 503 and reason draining if one and a half times this is more than what is left, no server may have run it, and another host is ready. The check is made when the stream is placed, so it covers streams that have waited for their body, an engine or the end of a pause, too.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -39,6 +39,7 @@
 	Helpers          []ident.BackendID // prefill a part of the prompt each
 	Reservations     []Reservation     // memory that helpers must set aside before the request is sent
 	TimeToFirstEvent time.Duration     // predicted time to the first event
+	TimeToLastEvent  time.Duration     // predicted time to the end of the longest answer, without requests that follow
 	Loss             float64           // expected loss of worth, of this request and of others
 
 	request   Request
@@ -173,6 +174,7 @@
 	}
 	c.Loss += worth * firstEventLoss(firstMS, req.Objective)
 	c.TimeToFirstEvent = fromMS(firstMS)
+	c.TimeToLastEvent = fromMS(firstMS + w.e.decodeMS(req.OutputTokens, onEngine))
 	return c, true
 }
 
@@ -218,6 +220,14 @@
 	return e.slowness*(steps+prefillMS) + e.backlogMS(now)
 }
 
+// decodeMS predicts the time from the first event of a further stream to its last one, for an answer of the given length
+// and a stream that takes the given memory. The first event has the tokens of one pass.
+func (e *engine) decodeMS(outputTokens, memory int) float64 {
+	perPass := max(1, e.runtime.StepsPerPass)
+	passes := (outputTokens+perPass-1)/perPass - 1
+	return float64(max(0, passes)) * e.slowness * stepsMS(e.runtime, e.total.streams()+1, e.total.Tokens+memory)
+}
+
 // decodeLoss returns the expected loss of a stream that the engine decodes in passes of the given length, without the
 // loss that its prefill causes. It is infinite if the engine cannot take the request.
 func (e *engine) decodeLoss(passMS float64, req Request, tokens int, worth float64) float64 {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// Guards against a predicted end of a stream that leaves out the length of its answer, the streams beside it or the observed
+// speed of its engine.
+func TestTimeToLastEvent(t *testing.T) {
+	c := qt.New(t)
+	decode := func(tb *Table, output int) float64 {
+		r := short()
+		r.OutputTokens = output
+		choice, ok := tb.Choose(0, service, r)
+		c.Assert(ok, qt.IsTrue)
+		return ms(choice.TimeToLastEvent - choice.TimeToFirstEvent)
+	}
+	pass := ms(table(1).PassTime(0, "e00"))
+	idle := decode(table(1), 51*30)
+	c.Assert(decode(table(1), 51), qt.Equals, 0.0)
+	c.Assert(idle > 29*pass && idle < 30*pass, qt.IsTrue, qt.Commentf("%.0f ms, passes of %.0f ms", idle, pass))
+	busy := table(1)
+	for range 8 {
+		place(c, busy, 0, short())
+	}
+	c.Assert(decode(busy, 51*30) > idle, qt.IsTrue)
+	slow := table(1)
+	for range 50 {
+		slow.Observe("e00", time.Second, 3*time.Second)
+	}
+	c.Assert(decode(slow, 51*30) > 2.9*idle, qt.IsTrue)
+}
+
 // Guards against short requests that spread over all engines where a few are enough, which leaves none for long
 // prompts.
 func TestShortRequestsArePacked(t *testing.T) {
--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -17,6 +17,9 @@
 		// Ignore the exclusions, so that wrongly excluding every engine does not refuse all requests.
 		a, e = st.chooseAmong(now, func(id ident.BackendID) bool { return st.failed[id] })
 	}
+	if e == nil {
+		e = st.host.refuseOverlong(st.q, now, a.choice.TimeToLastEvent)
+	}
 	return a, e
 }
 
--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -22,6 +22,9 @@
 	drainPoll = 20 * time.Millisecond
 	// otherHostRetry is the retry delay sent to callers that another host can serve at once.
 	otherHostRetry = 50 * time.Millisecond
+	// streamTimeFactor times the predicted time of a stream must be left when it is accepted. Streams that follow make the
+	// passes of its engine longer.
+	streamTimeFactor = 1.5
 )
 
 // stopPlan holds the times of a shutdown, on the clock of Host.now.
@@ -75,8 +78,8 @@
 }
 
 // admitToStopping bounds the time of a request that arrives during a shutdown, and refuses it if the time may be too short
-// for its answer. While callers may use old address lists, only the placement decides that; later requests come on
-// connections that were kept open, from callers that another host can serve. The state must be locked.
+// for its answer. While callers may use old address lists, only the placement decides that (see refuseOverlong); later
+// requests come on connections that were kept open, from callers that another host can serve. The state must be locked.
 func (h *Host) admitToStopping(q *request) *outcome.Error {
 	stop := h.stop.Load()
 	if stop == nil || q.deadline <= stop.end {
@@ -86,16 +89,37 @@
 	if q.arrived < stop.listedUntil || h.isShort(q) {
 		return nil
 	}
-	e := outcome.Refuse("admit", outcome.Draining, "this host stops before the request may be answered")
-	e.RetryAfter = otherHostRetry
-	if len(h.state.peers.Ready(q.arrived, 1)) == 0 {
-		e.RetryAfter = q.deadline - q.arrived + noBackendRetry
+	retryAfter := otherHostRetry
+	if !h.otherHostReady(q.arrived) {
+		retryAfter = q.deadline - q.arrived + noBackendRetry
 	}
+	return refuseStopping(retryAfter)
+}
+
+func refuseStopping(retryAfter time.Duration) *outcome.Error {
+	e := outcome.Refuse("admit", outcome.Draining, "this host stops before the request may be answered")
+	e.RetryAfter = retryAfter
 	return e
 }
 
+// otherHostReady reports whether another host takes callers. The state must be locked.
+func (h *Host) otherHostReady(now time.Duration) bool { return len(h.state.peers.Ready(now, 1)) > 0 }
+
+// refuseOverlong refuses a stream that would be cut at the end of a shutdown, if another host can serve it from its start.
+// The state must be locked.
+func (h *Host) refuseOverlong(q *request, now, predicted time.Duration) *outcome.Error {
+	stop := h.stop.Load()
+	if stop == nil || q.mayHaveRun || q.deadline < stop.end || !h.otherHostReady(now) {
+		return nil
+	}
+	if now+time.Duration(streamTimeFactor*float64(predicted)) <= stop.end {
+		return nil
+	}
+	return refuseStopping(otherHostRetry)
+}
+
 // isShort reports whether a request is answered within the time that is left even if its server is slow. How long a stream
-// takes is not known. The state must be locked.
+// takes is not known before its placement. The state must be locked.
 func (h *Host) isShort(q *request) bool {
 	if q.route.Kind == catalog.Streaming {
 		return false
