Refuse answers with a second head inside their head

Callers saw: a server stopped inside a value of the head of its answer, and another answer followed on the connection. The callers got a success with the body of the other answer, or an empty one, with its length, so that it looked whole. Where the other answer was a refusal, they were told that the request had not run.

Cause: net/http takes the status line of the second head for a part of the cut value, and its fields, the length among them, for those of the first head.

Change: the check of heads by the clients of servers fails on a line that ends with a status line, also after informational heads. The request counts as one that may have run.

--- a/node/internal/httpcall/conn_test.go
+++ b/node/internal/httpcall/conn_test.go
@@ -57,17 +57,24 @@
 	}
 }
 
-// Guards against a transfer encoding in HTTP/1.0 that is missed because its head arrives in parts, and against one in a body
-// or in HTTP/1.1 that is taken for it.
-func TestTransferEncodingInHTTP10IsFound(t *testing.T) {
+// Guards against faults of a head that are missed because it arrives in parts or after an informational one, and against what
+// stands in a body or is allowed being taken for one.
+func TestFaultsOfHeadsAreFound(t *testing.T) {
 	c := qt.New(t)
 	const field = "Transfer-Encoding: chunked\r\n"
 	for text, want := range map[string]error{
-		"HTTP/1.0 200 OK\r\nA: b\r\n" + field + "\r\n": errTransferEncoding,
-		"HTTP/1.0 200 OK\ntRANSFER-eNCODING:\n\n":      errTransferEncoding,
-		"HTTP/1.0 200 OK\r\nA: b\r\n\r\n" + field:      nil,
-		"HTTP/1.0 200 OK\r\nX-" + field + "\r\n":       nil,
-		"HTTP/1.1 200 OK\r\n" + field + "\r\n":         nil,
+		"HTTP/1.0 200 OK\r\nA: b\r\n" + field + "\r\n":                                          errTransferEncoding,
+		"HTTP/1.0 200 OK\ntRANSFER-eNCODING:\n\n":                                               errTransferEncoding,
+		"HTTP/1.0 200 OK\r\nA: b\r\n\r\n" + field:                                               nil,
+		"HTTP/1.0 200 OK\r\nX-" + field + "\r\n":                                                nil,
+		"HTTP/1.1 200 OK\r\n" + field + "\r\n":                                                  nil,
+		"HTTP/1.1 200 OK\r\nA: bHTTP/1.1 200 OK\r\nC: d\r\n\r\n":                                errSecondHead,
+		"HTTP/1.0 200 OK\nA: HTTP/1.0 503 Service Unavailable\n\n":                              errSecondHead,
+		"HTTP/1.1 200 HTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\n":                       errSecondHead,
+		"HTTP/1.1 200 OK\r\nA:HTTP/1.1 200\r\n\r\n":                                             errSecondHead,
+		"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA: HTTP/1.1 200 OK\r\n\r\n": errSecondHead,
+		"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nServer: HTTP/1.1 200 rpm/2: x\r\n\r\n":       nil,
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA: HTTP/1.1 200 OK\r\n":              nil,
 	} {
 		var whole, parts headCheck
 		c.Check(whole.read([]byte(text)), qt.Equals, want, qt.Commentf(text))
