--- a/node/internal/httpcall/framing_test.go
+++ b/node/internal/httpcall/framing_test.go
@@ -114,6 +114,17 @@
 	}
 }
 
+// Guards against the answer of a service or engine that is taken for whole although its server stopped inside its head, also
+// when another answer follows.
+func TestHeadCutAtEveryByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer: x\r\n\r\n"
+	for n := 1; n < len(head); n++ {
+		for _, a := range []answer{{head: head[:n], end: atClose}, {head: head[:n], end: atReset}, {head: head[:n] + head, end: atClose}} {
+			checkCalls(qt.New(t), a, false)
+		}
+	}
+}
+
 // checkCalls checks what the clients of services and engines make of an answer. Calls of services return its body if it is
 // complete. A session of an engine is complete with its end line.
 func checkCalls(c *qt.C, a answer, complete bool) {
