Repeat admission to a stopping host when a body has arrived

Callers saw: a request whose head reached a host before its shutdown ended, and whose body arrived near the end, was passed on to a server. A stream was cut after its first events; a request that must not be repeated was answered as one that may have run. So was each request whose body arrived after the end, although nothing had been sent.

Cause: admission looked at the time that was left before the body was read, and not at all for requests that had arrived before the shutdown.

Change: the admission during a shutdown is repeated after the body. For streams the placement decides until the end; after old address lists have expired it refuses those that are predicted to take too long also if no other host is ready, as admission does.

--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -104,6 +104,9 @@
 	if e := h.readBody(w, q); e != nil {
 		return e
 	}
+	if e := h.admitWithBody(q); e != nil {
+		return e
+	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(q.timeLeft(h.now())-responseMargin))
 	defer cancel()
 	defer context.AfterFunc(h.serving, cancel)()
@@ -151,7 +154,7 @@
 		limit = min(limit, q.call.Timeout)
 	}
 	q.deadline = q.arrived + limit
-	if e := h.admitToStopping(q); e != nil {
+	if e := h.admitToStopping(q, q.arrived); e != nil {
 		return e
 	}
 	s.budget(q.service).RecordRequest(q.arrived)
--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -77,50 +77,63 @@
 	h.connections.Wait(ctx)
 }
 
-// admitToStopping bounds the time of a request that arrives during a shutdown, and refuses it if the time may be too short
-// for its answer. While callers may use old address lists, only the placement decides that (see refuseOverlong); later
-// requests come on connections that were kept open, from callers that another host can serve. The state must be locked.
-func (h *Host) admitToStopping(q *request) *outcome.Error {
+// admitToStopping bounds the time of a request during a shutdown, and refuses it if the time may be too short for its answer.
+// While callers may use old address lists, only the placement decides that (see refuseOverlong); later requests come on
+// connections that were kept open, from callers that another host can serve. The state must be locked.
+func (h *Host) admitToStopping(q *request, now time.Duration) *outcome.Error {
 	stop := h.stop.Load()
-	if stop == nil || q.deadline <= stop.end {
+	if stop == nil || q.deadline < stop.end {
 		return nil
 	}
 	q.deadline = max(stop.end, q.arrived)
-	if q.arrived < stop.listedUntil || h.isShort(q) {
+	if now < stop.listedUntil || h.isShort(q, now) {
 		return nil
 	}
-	retryAfter := otherHostRetry
-	if !h.otherHostReady(q.arrived) {
-		retryAfter = q.deadline - q.arrived + noBackendRetry
+	return h.refuseStopping(now)
+}
+
+// admitWithBody repeats the admission to a stopping host when the body of a request has arrived, which may take longer than
+// the shutdown. The placement decides about streams.
+func (h *Host) admitWithBody(q *request) *outcome.Error {
+	now := h.now()
+	stop := h.stop.Load()
+	if stop == nil || (q.route.Kind == catalog.Streaming && now < stop.end) {
+		return nil
 	}
-	return refuseStopping(retryAfter)
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.admitToStopping(q, now)
 }
 
-func refuseStopping(retryAfter time.Duration) *outcome.Error {
+// refuseStopping refuses a request that another host can serve, or this one after its restart. The state must be locked.
+func (h *Host) refuseStopping(now time.Duration) *outcome.Error {
 	e := outcome.Refuse("admit", outcome.Draining, "this host stops before the request may be answered")
-	e.RetryAfter = retryAfter
+	e.RetryAfter = otherHostRetry
+	if !h.otherHostReady(now) {
+		e.RetryAfter = max(0, h.stop.Load().end-now) + noBackendRetry
+	}
 	return e
 }
 
 // otherHostReady reports whether another host takes callers. The state must be locked.
 func (h *Host) otherHostReady(now time.Duration) bool { return len(h.state.peers.Ready(now, 1)) > 0 }
 
-// refuseOverlong refuses a stream that would be cut at the end of a shutdown, if another host can serve it from its start.
-// The state must be locked.
+// refuseOverlong refuses a stream that would be cut at the end of a shutdown. While callers may use old address lists, it
+// does so only if another host is ready. The state must be locked.
 func (h *Host) refuseOverlong(q *request, now, predicted time.Duration) *outcome.Error {
 	stop := h.stop.Load()
-	if stop == nil || q.mayHaveRun || q.deadline < stop.end || !h.otherHostReady(now) {
+	if stop == nil || q.mayHaveRun || q.deadline < stop.end || (now < stop.listedUntil && !h.otherHostReady(now)) {
 		return nil
 	}
 	if now+time.Duration(streamTimeFactor*float64(predicted)) <= stop.end {
 		return nil
 	}
-	return refuseStopping(otherHostRetry)
+	return h.refuseStopping(now)
 }
 
 // isShort reports whether a request is answered within the time that is left even if its server is slow. How long a stream
 // takes is not known before its placement. The state must be locked.
-func (h *Host) isShort(q *request) bool {
+func (h *Host) isShort(q *request, now time.Duration) bool {
 	if q.route.Kind == catalog.Streaming {
 		return false
 	}
@@ -128,5 +141,5 @@
 	for _, srv := range h.state.catalog.Usable(q.service) {
 		slowest = max(slowest, serverTimeoutFactor*h.state.health.AnswerTime(srv.ID))
 	}
-	return slowest <= q.timeLeft(q.arrived)
+	return slowest <= q.timeLeft(now)
 }
