Close the connections of requests that came before a stop

Callers saw: the answer to a request that came before SIGTERM did not say that the host closes the connection, so that they went on using a stopping host; each such request is one more that it has to refuse.

The header was set when a request arrived. It is set when the response is written now, refusals included. TestAnswersDuringAStopCloseTheirConnections failed before for the plain and the stream route, and passes with the change.

--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -37,7 +37,7 @@
 		a = r.failedResponse
 	}
 	if a != nil {
-		writeResponse(w, a)
+		h.writeResponse(w, a)
 		return nil
 	}
 	return h.finalError(ctx, q, last)
@@ -199,7 +199,8 @@
 	return false
 }
 
-func writeResponse(w http.ResponseWriter, a *response) {
+func (h *Host) writeResponse(w http.ResponseWriter, a *response) {
+	h.closeWhenStopping(w)
 	copyHeader(w.Header(), a.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -81,6 +81,7 @@
 	if st.headerWritten {
 		return
 	}
+	st.host.closeWhenStopping(st.w)
 	copyHeader(st.w.Header(), s.resp.Header)
 	st.w.Header().Del("Content-Length")
 	st.w.WriteHeader(s.resp.StatusCode)
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -81,9 +81,7 @@
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	if h.stopping() {
-		w.Header().Set("Connection", "close")
-	}
+	h.closeWhenStopping(w)
 	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now(), memory: share{memory: h.bodies}}
 	defer q.memory.release()
 	ctx, span := h.startRequestSpan(q)
@@ -206,6 +204,7 @@
 // writeError records the failure of a request and writes the error response.
 func (h *Host) writeError(w http.ResponseWriter, q *request, e *outcome.Error) {
 	h.recordEnd(q, e.Kind.String(), string(e.Reason), e)
+	h.closeWhenStopping(w)
 	// The caller may only have closed its side of the connection. Without a response net/http would send an empty success.
 	httpend.WriteError(w, e, fractionalSeconds)
 }
--- a/node/entry/shutdown.go
+++ b/node/entry/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
@@ -47,6 +48,13 @@
 // stopping reports whether the host shuts down.
 func (h *Host) stopping() bool { return h.stop.Load() != nil }
 
+// closeWhenStopping makes a response whose header is not written yet the last one on its connection if the host shuts down.
+func (h *Host) closeWhenStopping(w http.ResponseWriter) {
+	if h.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Shutdown removes this host from the address lists, keeps serving for as long as callers may use old lists, answers
 // every request that has arrived by then, and returns when no request runs any more or the shutdown time has passed.
 func (h *Host) Shutdown() error {
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	if st.otherResponse != nil && !st.headerWritten {
-		writeResponse(w, st.otherResponse)
+		h.writeResponse(w, st.otherResponse)
 		return nil
 	}
 	last = h.finalError(ctx, q, last)
@@ -325,7 +325,7 @@
 	if failed || st.headerWritten || st.race.Running() > 0 {
 		return backendError(stepAnswer, x.server.ID, true, Error.New("status %d", a.status))
 	}
-	writeResponse(st.w, a)
+	st.host.writeResponse(st.w, a)
 	return nil
 }
 
