--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -30,6 +30,32 @@
 	c.Check(receivers("plain"), qt.Equals, 39, qt.Commentf("all other hosts send requests to a plain server"))
 }
 
+// Guards against parts of prompts and orders that are not taken from the limits of helpers, and helpers beyond their limit.
+func TestHelpersAreLimited(t *testing.T) {
+	c := qt.New(t)
+	h := largeFleetHost(c)
+	st := newTestStream(h, 10*time.Second)
+	st.q.call.PromptTokens = 200_000
+	unlimited, e := st.choose(h.now())
+	c.Assert(e == nil, qt.IsTrue)
+	c.Assert(len(unlimited.choice.Helpers) > 0, qt.IsTrue)
+	helper, now := unlimited.choice.Helpers[0], h.now()
+	h.state.limits.Hear(now, helper, 0, serverlimit.Statement{Limited: true, PerSecond: 1})
+	before := h.state.limits.FreeAt(now, helper)
+	h.state.engines.End(now, h.place(now, unlimited.choice))
+	c.Check(h.state.limits.FreeAt(now, helper)-before > 900*time.Millisecond, qt.IsTrue)
+	before = h.state.limits.FreeAt(now, helper)
+	h.countOrder(helper)
+	c.Check(h.state.limits.FreeAt(now, helper)-before > 900*time.Millisecond, qt.IsTrue)
+	for _, srv := range h.state.ownEngines("models") {
+		h.state.limits.Hear(now, srv.ID, 0, serverlimit.Statement{Limited: srv.ID != unlimited.choice.Engine, PerSecond: 1})
+	}
+	alone, e := st.choose(h.now())
+	c.Assert(e == nil, qt.IsTrue)
+	c.Check(alone.choice.Engine, qt.Equals, unlimited.choice.Engine)
+	c.Check(alone.choice.Helpers, qt.HasLen, 0, qt.Commentf("no helper has room"))
+}
+
 // Guards against a limit that ends with the answer to a request which was sent before the limit was heard, from the server or a
 // peer: all hosts would send without a limit until the next answer.
 func TestOlderAnswerEndsNoLimit(t *testing.T) {
