Answer the requests that a gateway ends with its shutdown time

Callers saw: requests that still ran at the end of a gateway's shutdown time got no response, 3 s after that time.

Cause: the requests did not know of the end. Close waited for them for its own timeout and then closed their connections.

Change: the contexts of requests end with the shutdown time. Calls are then answered as ones that may have run, and streams get an end event with the reason draining.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -68,9 +69,11 @@
 	active        atomic.Int64
 	reservedBytes atomic.Int64 // prompt bytes of requests in progress
 
-	ctx        context.Context
-	cancel     context.CancelFunc
-	background sync.WaitGroup
+	ctx         context.Context
+	cancel      context.CancelFunc
+	requestsCtx context.Context // parent of the contexts of callers' requests
+	endRequests context.CancelCauseFunc
+	background  sync.WaitGroup
 
 	requestsEnded obs.Counter
 	firstToken    obs.Latency
@@ -96,6 +99,7 @@
 		resumes:       cfg.Obs.Counter("gateway_resumes", "reason", "Attempts that replaced a lost one."),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.requestsCtx, g.endRequests = context.WithCancelCause(context.Background())
 	tickets, err := newExecutor(g)
 	if err != nil {
 		return nil, err
@@ -122,6 +126,7 @@
 	g.server = &http.Server{
 		Handler:           g.handler(),
 		ConnState:         g.connections.Observe,
+		BaseContext:       func(net.Listener) context.Context { return g.requestsCtx },
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       90 * time.Second,
 		MaxHeaderBytes:    16 << 10,
@@ -229,7 +234,7 @@
 
 // Shutdown drains the gateway: it removes itself from address lists, accepts requests until the lists that
 // callers have cached expire, finishes the requests in progress and closes. If the context ends earlier, the
-// requests in progress are aborted and the error gives their number.
+// requests in progress are ended, with a response to their callers, and the error gives their number.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.view.SetLeaving()
 	g.stepShutdown(func(s *drain.Shutdown) []drain.Action { return s.Begin(g.view.Now()) })
@@ -249,12 +254,16 @@
 		select {
 		case <-ctx.Done():
 			running := g.active.Load()
-			return errs.Combine(Error.New("shutdown time is over, %d running requests are aborted", running), g.Close())
+			g.endRequests(errShutdownOver)
+			return errs.Combine(Error.New("%w, %d running requests are ended", errShutdownOver, running), g.Close())
 		case <-t.C:
 		}
 	}
 }
 
+// errShutdownOver is the cause of requests that still run at the end of a shutdown.
+var errShutdownOver = errors.New("shutdown time is over")
+
 func (g *Gateway) stepShutdown(f func(*drain.Shutdown) []drain.Action) []drain.Action {
 	g.shutdownMu.Lock()
 	defer g.shutdownMu.Unlock()
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand"
 	"net/http"
@@ -217,7 +218,7 @@
 			return attemptResult{err: s.deadlineError()}
 		case <-s.r.Context().Done():
 			s.cancel(r.peer, r.number, string(outcome.Cancelled))
-			return attemptResult{err: outcome.Fail("caller", "", outcome.Cancelled, errCallerDisconnected)}
+			return attemptResult{err: s.contextError()}
 		}
 	}
 }
@@ -260,6 +261,14 @@
 	return retryLater(e)
 }
 
+// contextError returns the error of a request whose context has ended.
+func (s *stream) contextError() *outcome.Error {
+	if cause := context.Cause(s.r.Context()); errors.Is(cause, errShutdownOver) {
+		return outcome.Fail("shutdown", "", outcome.Draining, cause)
+	}
+	return outcome.Fail("caller", "", outcome.Cancelled, errCallerDisconnected)
+}
+
 // handleFrame handles one frame; ended is true if it ends the attempt.
 func (s *stream) handleFrame(r *route, m wire.Message) (v attemptResult, ended bool) {
 	switch m := m.(type) {
