--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -17,6 +17,9 @@
 		// Ignore the exclusions, so that wrongly excluding every engine does not refuse all requests.
 		a, e = st.chooseAmong(now, func(id ident.BackendID) bool { return st.failed[id] })
 	}
+	if e == nil {
+		e = st.host.refuseOverlong(st.q, now, a.choice.TimeToLastEvent)
+	}
 	return a, e
 }
 
@@ -32,7 +35,7 @@
 		MaxPause:     q.route.MaxPause,
 		TimeLeft:     q.timeLeft(now),
 		Returned:     q.hasReturned(),
-		Excluded:     func(id ident.BackendID) bool { return s.pauses.Active(now, id) || excluded(id) },
+		Excluded:     func(id ident.BackendID) bool { return !s.takes(now, id) || excluded(id) },
 	})
 	if !ok {
 		return attempt{}, refusePlacement(outcome.Overload, "no engine has room")
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	if st.otherResponse != nil && !st.headerWritten {
-		writeResponse(w, st.otherResponse)
+		h.writeResponse(w, st.otherResponse)
 		return nil
 	}
 	last = h.finalError(ctx, q, last)
@@ -125,9 +125,6 @@
 
 // begin places an attempt, which may have to wait for an engine, and starts it.
 func (st *stream) begin() *outcome.Error {
-	if e := st.host.awaitPause(st.ctx, st.q); e != nil {
-		return e
-	}
 	a, e := st.place(st.ctx)
 	if e != nil {
 		return e
@@ -328,7 +325,7 @@
 	if failed || st.headerWritten || st.race.Running() > 0 {
 		return backendError(stepAnswer, x.server.ID, true, Error.New("status %d", a.status))
 	}
-	writeResponse(st.w, a)
+	st.host.writeResponse(st.w, a)
 	return nil
 }
 
