Emulator: engines that name a request limit

The emulator of placements knew no limits, and a run on the users' machines can't isolate what they cost. Some engines of a profile may take a limited number of requests a second from all hosts together, which hosts keep to with core/serverlimit.

--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
+	"github.com/rosemaryhill/rosemaryhill/core/serverlimit"
 )
 
 const (
@@ -22,6 +24,7 @@
 	w                   *world
 	index               int
 	table               *placement.Table
+	limits              *serverlimit.Table
 	queue               placement.Queue[*request]
 	policy              Policy
 	queueCheckScheduled bool  // a check of the queue is pending
@@ -46,8 +49,17 @@
 }
 
 func newHost(w *world, i int, policy Policy) *host {
-	h := &host{w: w, index: i, table: placement.NewTable(), policy: policy, ownTokens: make([]int, len(w.servers))}
-	h.table.SetEngines(service, w.runtime, w.serversOf(h.partition()))
+	h := &host{
+		w: w, index: i, table: placement.NewTable(), policy: policy, ownTokens: make([]int, len(w.servers)),
+		limits: serverlimit.NewTable(serverlimit.Config{Seed: uint64(i + 1)}),
+	}
+	servers := w.serversOf(h.partition())
+	h.table.SetEngines(service, w.runtime, servers)
+	others := w.profile.Hosts/w.partitions() - 1
+	h.limits.SetHosts(0, others, others)
+	for _, s := range servers[:min(w.profile.LimitedEngines, len(servers))] {
+		h.limits.Hear(0, s.ID, 0, serverlimit.Statement{Limited: true, PerSecond: w.profile.LimitPerS})
+	}
 	return h
 }
 
@@ -61,6 +73,7 @@
 	return placement.Request{
 		PromptTokens: r.prompt, OutputTokens: r.kind.Events * h.w.runtime.StepsPerPass,
 		Objective: placement.ObjectiveLeft(h.w.Now(), r.at, fromMS(r.kind.ObjectiveMS)), MaxPause: fromMS(r.kind.MaxPauseMS), TimeLeft: r.deadline - h.w.Now(), Returned: r.refusals > 0,
+		Excluded: func(id ident.BackendID) bool { return !h.limits.Allows(h.w.Now(), id) },
 	}
 }
 
@@ -79,6 +92,9 @@
 	w := h.w
 	r.placed = h.table.Place(w.Now(), c)
 	h.scheduleUpdate()
+	for _, id := range append([]ident.BackendID{c.Engine}, c.Helpers...) {
+		h.limits.Take(w.Now(), id)
+	}
 	r.engine = w.byID[c.Engine]
 	h.ownTokens[r.engine.index] += r.prompt
 	var helpers []*engine
@@ -144,12 +160,15 @@
 }
 
 func (h *host) sendUpdate(all bool) {
-	u := h.table.TakeUpdate(all)
+	u, limits := h.table.TakeUpdate(all), h.limits.TakeUpdate(h.w.Now(), all)
 	for _, peer := range h.w.hosts {
 		if peer == h || peer.partition() != h.partition() || h.w.rng.Float64() < h.w.profile.ExchangeLoss {
 			continue
 		}
-		h.w.After(h.w.network(), func() { peer.table.ApplyPeerUpdate(h.w.Now(), h.owner(), u) })
+		h.w.After(h.w.network(), func() {
+			peer.table.ApplyPeerUpdate(h.w.Now(), h.owner(), u)
+			peer.limits.Apply(h.w.Now(), member.Addr(h.owner()), ident.Incarnation(h.index+1), limits)
+		})
 	}
 }
 
--- a/lab/fleet/profile.go
+++ b/lab/fleet/profile.go
@@ -27,9 +27,12 @@
 	ExchangeLoss float64 `toml:"exchange_loss"` // fraction of the messages between hosts that are lost
 	NetworkMS    float64 `toml:"network_ms"`    // one way
 	LengthS      float64 `toml:"length_s"`      // duration of the traffic
-	Engine       Engine  `toml:"engine"`
-	Kinds        []Kind  `toml:"kinds"`
-	Swings       []Swing `toml:"swings"`
+	// LimitedEngines is the number of engines that take only LimitPerS requests a second from all hosts together.
+	LimitedEngines int     `toml:"limited_engines"`
+	LimitPerS      float64 `toml:"limit_per_s"`
+	Engine         Engine  `toml:"engine"`
+	Kinds          []Kind  `toml:"kinds"`
+	Swings         []Swing `toml:"swings"`
 }
 
 // Engine holds the capacity and speed parameters that all engines share.
