--- a/cmd/rosectl/limits.go
+++ b/cmd/rosectl/limits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strconv"
 
 	"github.com/integrii/flaggy"
 
@@ -36,16 +35,9 @@
 }
 
 func (o *limitsOptions) run(_ context.Context, out io.Writer) error {
-	hosts := []int{6, 95, 300}
-	if len(o.hosts) > 0 {
-		hosts = nil
-	}
-	for _, text := range o.hosts {
-		n, err := strconv.Atoi(text)
-		if err != nil || n < 2 {
-			return usageError.New("--hosts %q is not a number of at least 2", text)
-		}
-		hosts = append(hosts, n)
+	hosts, err := hostCounts(o.hosts, []int{6, 95, 300})
+	if err != nil {
+		return err
 	}
 	return limitshare.WriteText(out, limitshare.Compare(hosts, o.seed, limitsRuns))
 }
--- a/cmd/rosectl/quarantine.go
+++ b/cmd/rosectl/quarantine.go
@@ -36,16 +36,24 @@
 }
 
 func (o *quarantineOptions) run(_ context.Context, out io.Writer) error {
-	hosts := []int{6, 95, 300, 1000}
-	if len(o.hosts) > 0 {
-		hosts = nil
+	hosts, err := hostCounts(o.hosts, []int{6, 95, 300, 1000})
+	if err != nil {
+		return err
 	}
-	for _, text := range o.hosts {
+	return crashparts.WriteText(out, crashparts.Compare(hosts, o.seed, quarantineRuns))
+}
+
+// hostCounts parses numbers of hosts, of which none stands for the usual ones.
+func hostCounts(texts []string, usual []int) (hosts []int, err error) {
+	if len(texts) == 0 {
+		return usual, nil
+	}
+	for _, text := range texts {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 2 {
-			return usageError.New("--hosts %q is not a number of at least 2", text)
+			return nil, usageError.New("--hosts %q is not a number of at least 2", text)
 		}
 		hosts = append(hosts, n)
 	}
-	return crashparts.WriteText(out, crashparts.Compare(hosts, o.seed, quarantineRuns))
+	return hosts, nil
 }
--- a/lab/rollout/caller.go
+++ b/lab/rollout/caller.go
@@ -25,7 +25,6 @@
 	standin.Exchange
 	kind *Kind
 	host *host
-	busy bool // the caller uses its connection until the host ends it
 }
 
 // caller sends requests one at a time, on connections that it keeps open for as long as it may.
@@ -94,7 +93,7 @@
 	}
 	c.run.mu.Lock()
 	defer c.run.mu.Unlock()
-	c.run.exchanges = append(c.run.exchanges, exchange{x, k, c.run.hostAt(conn.address), c.busy})
+	c.run.exchanges = append(c.run.exchanges, exchange{x, k, c.run.hostAt(conn.address)})
 }
 
 // refresh asks for a new address list when the last one is no longer valid, and leaves connections whose hosts are not in it.
