--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -19,9 +19,6 @@
 	Returned     bool          // the caller was refused before, so another refusal is likely to be final
 	// Excluded reports which engines must not be used, such as those that failed this request.
 	Excluded func(ident.BackendID) bool
-	// Limited reports which engines take only a part of the requests that they have slots for. Others get the roles that
-	// such engines could not fill. A nil function stands for none.
-	Limited func(ident.BackendID) bool
 }
 
 // ObjectiveLeft returns the Objective of a Request that arrived with an objective: the time left of it, negative once
@@ -106,7 +103,7 @@
 		return Choice{}, false
 	}
 	prefillMS := PrefillMS(g.runtime, req.PromptTokens)
-	g.assignRoles(req.Limited)
+	g.assignRoles()
 	for _, parts := range partCounts {
 		if parts > len(usable) || (parts > 1 && prefillMS/float64(parts) < minPartMS) {
 			break
--- a/core/placement/role.go
+++ b/core/placement/role.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
-	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
 // role is the kind of work that an engine is currently reserved for. Roles are assigned again for each placement;
@@ -64,8 +63,8 @@
 }
 
 // assignRoles assigns roles to the engines in the order of their ids, so that hosts with the same view of the load
-// assign the same roles. A limited engine gets the role of the next one, which has that role as well.
-func (g *group) assignRoles(limited func(ident.BackendID) bool) {
+// assign the same roles.
+func (g *group) assignRoles() {
 	shortStreams, longTokens := 0, 0.0
 	for _, e := range g.engines {
 		for _, c := range e.total.Classes {
@@ -81,8 +80,7 @@
 	}
 	shortEngines := 1 + int(math.Ceil(float64(shortStreams+1)/(packedSlots*float64(g.runtime.Slots))))
 	longEngines := 1 + int(math.Ceil(longTokens/(packedMemory*float64(g.runtime.MemoryTokens))))
-	i := 0 // engines that are not limited
-	for _, e := range g.engines {
+	for i, e := range g.engines {
 		switch {
 		case i < shortEngines:
 			e.role = shortDecode
@@ -91,8 +89,5 @@
 		default:
 			e.role = prefillOnly
 		}
-		if limited == nil || !limited(e.id) {
-			i++
-		}
 	}
 }
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -371,9 +371,6 @@
 	return 0, false
 }
 
-// IsLimited reports whether a server names a limit.
-func (t *Table) IsLimited(id ident.BackendID) bool { return t.limitedServer(id) != nil }
-
 // Limited returns the number of limited servers.
 func (t *Table) Limited() int { return t.limited }
 
--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -36,7 +36,6 @@
 		TimeLeft:     q.timeLeft(now),
 		Returned:     q.hasReturned(),
 		Excluded:     func(id ident.BackendID) bool { return !s.takes(now, id) || excluded(id) },
-		Limited:      s.limits.IsLimited,
 	})
 	if !ok {
 		return attempt{}, refusePlacement(outcome.Overload, "no engine has room")
