--- a/lab/scenario/processes_test.go
+++ b/lab/scenario/processes_test.go
@@ -194,6 +194,26 @@
 	return nil
 }
 
+// loggedBytes is the length of the end of a log that Logs returns.
+const loggedBytes = 1500
+
+// Logs implements logged.
+func (f *processes) Logs() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out strings.Builder
+	for name, p := range f.children {
+		text, err := os.ReadFile(p.log)
+		fmt.Fprintf(&out, "%s: log %v\n%s\n", name, err, text[max(0, len(text)-loggedBytes):])
+		select {
+		case <-p.done:
+			fmt.Fprintf(&out, "%s has ended: %v\n", name, p.err)
+		default:
+		}
+	}
+	return out.String()
+}
+
 // Close implements Fleet. It doesn't report the exit errors of the killed processes.
 func (f *processes) Close() error {
 	f.mu.Lock()
