End answers whose head shows its fault in the second part of a line

Callers saw: the head of an answer was cut inside a value and another answer followed, in parts of which one ended inside that line. They got a success with the text of the other answer as its body.

The check of heads reported the fault as the error of one read. net/http's reader of lines takes what it has for the line then and drops the error, so that the next read went on in the middle of the other answer. The error stays now.

TestFaultInSecondPartOfLineEndsTheAnswer failed before for the cut head.

--- a/node/internal/httpcall/conn.go
+++ b/node/internal/httpcall/conn.go
@@ -25,6 +25,7 @@
 type backendConn struct {
 	net.Conn
 	head     headCheck  // used by the reader only
+	headErr  error      // fault that head has found; used by the reader only
 	mu       sync.Mutex // held during a write
 	writeErr error
 }
@@ -42,9 +43,12 @@
 
 // Read implements net.Conn. At the end it waits for a write in progress, which may be the one that gets the error.
 func (c *backendConn) Read(b []byte) (int, error) {
+	if c.headErr != nil {
+		return 0, c.headErr // net/http drops the error of a read within a line
+	}
 	n, err := c.Conn.Read(b)
-	if err := c.head.read(b[:n]); err != nil {
-		return 0, err
+	if c.headErr = c.head.read(b[:n]); c.headErr != nil {
+		return 0, c.headErr
 	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
--- a/node/internal/httpcall/conn_test.go
+++ b/node/internal/httpcall/conn_test.go
@@ -85,3 +85,35 @@
 		c.Check(err, qt.Equals, want, qt.Commentf(text))
 	}
 }
+
+// Guards against a fault of a head that net/http reads over because it shows in the second part of a line: the reader of lines
+// takes the first part for the line, and drops the error.
+func TestFaultInSecondPartOfLineEndsTheAnswer(t *testing.T) {
+	c := qt.New(t)
+	for _, parts := range [][]string{
+		{"HTTP/1.1 200 OK\r\nServer: sealHTTP/1.1 200", " OK\r\nContent-L", "ength: 0\r\n\r\nrest"},
+		{"HTTP/1.0 200 OK\r\nTransfer-Enc", "oding: chunked\r\nA: ", "b\r\n\r\n4\r\nrest\r\n0\r\n\r\n"},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return // closed
+			}
+			defer conn.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(conn)) // the request is not looked at
+			for _, part := range parts {
+				_, _ = io.WriteString(conn, part)
+				time.Sleep(20 * time.Millisecond) // each part is read by itself
+			}
+		}()
+		client := &http.Client{Transport: &http.Transport{DialContext: DialContext(&net.Dialer{})}}
+		resp, err := client.Get("http://" + ln.Addr().String())
+		if err == nil {
+			resp.Body.Close()
+		}
+		c.Check(err, qt.IsNotNil, qt.Commentf("%q", parts))
+		ln.Close()
+	}
+}
