Decide in one place which servers a request may use

Cause: leaving, paused, limited and excluded servers were checked by separate conditions at each place that chooses or sends to a server, so a further reason, such as an evacuated zone, would have to be added at each of them. Change: core/eligibility names the reasons and their order. Placement, hedges, resumptions, plain services, reservations and the check before a send ask it. Refusals for want of a server count the reasons, and the gauge rosemaryhill_entry_servers reports them. The catalog decodes for how long servers are cold; nothing uses it yet.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -50,8 +50,19 @@
 type Service struct {
 	Name    string
 	Runtime *Runtime // set for model engines only
+	Cold    Cold
 }
 
+// Cold says for how long and how far the servers of a service must be spared after a start. The zero value stands for
+// servers that are never cold.
+type Cold struct {
+	Time      time.Duration // from the start of a server
+	PerSecond float64       // requests a second that a cold server takes from all hosts together
+}
+
+// Limits reports whether cold servers take fewer requests than warm ones.
+func (c Cold) Limits() bool { return c.Time > 0 && c.PerSecond > 0 }
+
 // Runtime holds the capacity and speed of the engines of a service, as published with the configuration.
 type Runtime struct {
 	Slots            int     // maximum number of requests in one batch
@@ -107,6 +118,8 @@
 	// Started is the time of the server's start in Unix ms, by which a server that starts again under its ID is told apart.
 	// Zero if it is not known.
 	Started int64
+	// ColdFor is how much longer the server was cold when it wrote the entry.
+	ColdFor time.Duration
 	// Lapsed marks a server in a snapshot whose entry has been missing since an outage. The server is
 	// removed after LapseGracePeriod unless its entry returns.
 	Lapsed bool
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
@@ -106,8 +107,8 @@
 	c.Assert(tb.MarkLeaving("d", 100), qt.IsFalse)
 	c.Assert(tb.MarkLeaving("c", 0), qt.IsTrue)
 	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"b"})
-	_, usable := tb.Server("a")
-	c.Assert(usable, qt.IsFalse)
+	_, why := tb.Status("a")
+	c.Assert(why, qt.Equals, eligibility.Leaving)
 	c.Assert(tb.Snapshot().Servers, qt.HasLen, 3, qt.Commentf("other hosts learn it from the server"))
 
 	again := started("a", 6, 100)
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -1,11 +1,13 @@
 package catalog
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
@@ -234,13 +236,41 @@
 	}
 }
 
-func (t *Table) takesWork(e *serverEntry) bool { return e.State == Ready && !t.isLeaving(e.Server) }
+// Status returns a server, and why it takes no new work if it does not.
+func (t *Table) Status(id ident.BackendID) (Server, eligibility.Reason) {
+	e := t.servers[id]
+	if e == nil {
+		return Server{}, eligibility.Unlisted
+	}
+	return e.Server, t.status(e)
+}
+
+func (t *Table) status(e *serverEntry) eligibility.Reason {
+	switch {
+	case e.State != Ready:
+		return eligibility.Draining
+	case t.isLeaving(e.Server):
+		return eligibility.Leaving
+	}
+	return eligibility.Eligible
+}
+
+// Listed iterates over the listed servers of a service, in any order, with their Status.
+func (t *Table) Listed(service string) iter.Seq2[Server, eligibility.Reason] {
+	return func(yield func(Server, eligibility.Reason) bool) {
+		for _, e := range t.servers {
+			if e.Service == service && !yield(e.Server, t.status(e)) {
+				return
+			}
+		}
+	}
+}
 
 // index rebuilds the lists of usable servers.
 func (t *Table) index() {
 	byService := make(map[string][]Server, len(t.usable))
 	for _, e := range t.servers {
-		if t.takesWork(e) {
+		if t.status(e) == eligibility.Eligible {
 			byService[e.Service] = append(byService[e.Service], e.Server)
 		}
 	}
@@ -253,15 +283,6 @@
 // Usable returns the servers of a service that take new work, sorted by id. The slice must not be changed.
 func (t *Table) Usable(service string) []Server { return t.usable[service] }
 
-// Server returns a server that takes new work.
-func (t *Table) Server(id ident.BackendID) (s Server, usable bool) {
-	e := t.servers[id]
-	if e == nil || !t.takesWork(e) {
-		return Server{}, false
-	}
-	return e.Server, true
-}
-
 // Service returns a service of the configuration, nil when there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -12,10 +12,11 @@
 // choose returns the best placement at this time. The state must be locked.
 func (st *stream) choose(now time.Duration) (attempt, *outcome.Error) {
 	s := st.host.state
-	a, e := st.chooseAmong(now, func(id ident.BackendID) bool { return st.failed[id] || s.health.Excluded(now, id) })
+	failed := func(id ident.BackendID) bool { return st.failed[id] }
+	a, e := st.chooseAmong(now, s.eligibleFor(now, true, failed))
 	if e != nil && e.Step == stepPlace {
 		// Ignore the exclusions, so that wrongly excluding every engine does not refuse all requests.
-		a, e = st.chooseAmong(now, func(id ident.BackendID) bool { return st.failed[id] })
+		a, e = st.chooseAmong(now, s.eligibleFor(now, false, failed))
 	}
 	if e == nil {
 		e = st.host.refuseOverlong(st.q, now, a.choice.TimeToLastEvent)
@@ -23,9 +24,9 @@
 	return a, e
 }
 
-// chooseAmong returns the best placement on engines that are not excluded. The error's step is stepPlace if there is none.
-// The state must be locked.
-func (st *stream) chooseAmong(now time.Duration, excluded func(ident.BackendID) bool) (attempt, *outcome.Error) {
+// chooseAmong returns the best placement on eligible engines. The error's step is stepPlace if there is none. The state must
+// be locked.
+func (st *stream) chooseAmong(now time.Duration, eligible func(ident.BackendID) bool) (attempt, *outcome.Error) {
 	q := st.q
 	s := st.host.state
 	choice, ok := s.engines.Choose(now, q.service, placement.Request{
@@ -35,7 +36,7 @@
 		MaxPause:     q.route.MaxPause,
 		TimeLeft:     q.timeLeft(now),
 		Returned:     q.hasReturned(),
-		Excluded:     func(id ident.BackendID) bool { return !s.takes(now, id) || excluded(id) },
+		Excluded:     func(id ident.BackendID) bool { return !eligible(id) },
 	})
 	if !ok {
 		return attempt{}, refusePlacement(outcome.Overload, "no engine has room")
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
@@ -62,12 +63,31 @@
 		locked(func(s *state) int { return s.peers.Partition() }))
 	h.obs.Gauge("rosemaryhill_entry_limited_servers", "backend servers that name a request limit",
 		locked(func(s *state) int { return s.limits.Limited() }))
+	h.obs.GaugeVec("rosemaryhill_entry_servers", "listed backend servers by service and eligibility for new work",
+		[]string{"service", "eligibility"}, h.observeServers)
 	h.obs.Gauge("rosemaryhill_entry_gossip_bytes_out", "bytes of membership and load reports sent since the start",
 		func() float64 { return float64(h.gossip.Stats().BytesOut) })
 	h.obs.Gauge("rosemaryhill_entry_gossip_bytes_in", "bytes of membership and load reports received since the start",
 		func() float64 { return float64(h.gossip.Stats().BytesIn) })
 }
 
+// observeServers reports the servers of each service by eligibility.
+func (h *Host) observeServers(observe func(value float64, labels ...string)) {
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.catalog.Config()
+	if c == nil {
+		return
+	}
+	for i := range c.Services {
+		n := s.countServers(h.now(), c.Services[i].Name)
+		for why := range eligibility.All {
+			observe(float64(n[why]), c.Services[i].Name, why.String())
+		}
+	}
+}
+
 // recordSent counts a request that is sent to a backend server.
 func (m *metrics) recordSent(sameZone bool) {
 	if sameZone {
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
-// errNotWanted is the reason why nothing was sent to a server that was chosen a moment before.
-var errNotWanted = Error.New("the server takes no new work")
+// ineligibleError says why nothing was sent to a server that was chosen a moment before.
+type ineligibleError struct{ why eligibility.Reason }
+
+// Error implements error.
+func (e ineligibleError) Error() string { return "the server takes no new work: " + e.why.String() }
 
 // recordNotice records what a server, in the lifetime that began at the given start, has said about itself with the answer to
 // a request or order that was sent at a time.
@@ -40,17 +43,3 @@
 		h.requestReport()
 	}
 }
-
-// wants reports whether a server still takes new work, in the lifetime in which it was chosen.
-func (h *Host) wants(srv catalog.Server) bool {
-	h.state.mu.Lock()
-	defer h.state.mu.Unlock()
-	current, ok := h.state.wanting(h.now(), srv.ID)
-	return ok && current.Started == srv.Started
-}
-
-// wanting returns a server if it takes new work and has not asked for a pause.
-func (s *state) wanting(now time.Duration, id ident.BackendID) (srv catalog.Server, ok bool) {
-	srv, ok = s.catalog.Server(id)
-	return srv, ok && !s.pauses.Active(now, id)
-}
--- a/node/entry/open.go
+++ b/node/entry/open.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/core/retry"
@@ -37,11 +37,6 @@
 	limited bool // a server has reached its request limit, which does not open for all waiting requests at once
 }
 
-// takes reports whether a server has neither asked for a pause nor reached its limit. The state must be locked.
-func (s *state) takes(now time.Duration, id ident.BackendID) bool {
-	return !s.pauses.Active(now, id) && s.limits.Allows(now, id)
-}
-
 // nextOpening returns when the first server of a service takes a request again that waits behind a number of others. closed is
 // false if one does now, or if there is no usable one. The state must be locked.
 func (s *state) nextOpening(now time.Duration, service string, ahead int) (next opening, closed bool) {
@@ -51,7 +46,7 @@
 	servers := s.ownEngines(service)
 	perSecond := 0.0
 	for _, srv := range servers {
-		if s.takes(now, srv.ID) {
+		if _, why := s.eligibility(now, srv.ID, false); why == eligibility.Eligible {
 			return next, false
 		}
 		limit, _ := s.limits.Limit(srv.ID)
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -101,7 +101,8 @@
 func (h *Host) sendFailed(contextErr error, q *request, id ident.BackendID, step string, err error) *outcome.Error {
 	ran := step != stepDial
 	q.mayHaveRun = q.mayHaveRun || ran
-	if !errors.Is(err, errNotWanted) {
+	var notSent ineligibleError
+	if !errors.As(err, &notSent) {
 		h.recordSendFailure(contextErr, id, step, err)
 	}
 	return backendError(step, id, ran, err)
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -132,9 +132,10 @@
 // choose returns a server that has not been tried and takes requests. The state must be locked.
 func (r *plainRequest) choose(now time.Duration, useExclusions bool) (catalog.Server, bool) {
 	s := r.host.state
+	eligible := s.eligibleFor(now, useExclusions, func(id ident.BackendID) bool { return r.tried[id] })
 	return s.loadBalancer.Choose(now, s.catalog.Usable(r.q.service), func(id ident.BackendID) placement.ServerHealth {
 		return placement.ServerHealth{
-			Excluded:    r.tried[id] || !s.takes(now, id) || (useExclusions && s.health.Excluded(now, id)),
+			Excluded:    !eligible(id),
 			FailureRate: s.health.FailureRate(id),
 			AnswerTime:  s.health.AnswerTime(id),
 		}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -203,6 +203,7 @@
 
 // writeError records the failure of a request and writes the error response.
 func (h *Host) writeError(w http.ResponseWriter, q *request, e *outcome.Error) {
+	h.explainPlacement(q, e)
 	h.recordEnd(q, e.Kind.String(), string(e.Reason), e)
 	h.closeWhenStopping(w)
 	// The caller may only have closed its side of the connection. Without a response net/http would send an empty success.
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
@@ -68,10 +69,10 @@
 	r := &reservations{host: h, lease: lease}
 	h.state.mu.Lock()
 	for i, x := range choice.Reservations {
-		srv, ok := h.state.wanting(h.now(), x.Engine)
-		if !ok {
+		srv, why := h.state.beforeSend(h.now(), x.Engine)
+		if why != eligibility.Eligible {
 			h.state.mu.Unlock()
-			return nil, &reserveError{x.Engine, errNotWanted}
+			return nil, &reserveError{x.Engine, ineligibleError{why}}
 		}
 		id := fmt.Sprintf("%s-%d-%d", h.incarnation, h.reservationSeq.Add(1), i)
 		r.held = append(r.held, heldReservation{Reservation{id, x.Tokens, lease}, Engine{srv.ID, srv.Address}, srv.Started})
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -71,8 +71,8 @@
 // send sends the caller's request to a server. On an error, ran is false only if nothing has reached the
 // server. The context bounds the request and the reading of its response.
 func (h *Host) send(ctx context.Context, q *request, srv catalog.Server, f Forward) (s backendResponse, ran bool, err error) {
-	if !h.wants(srv) {
-		return backendResponse{}, false, errNotWanted
+	if err := h.checkBeforeSend(srv); err != nil {
+		return backendResponse{}, false, err
 	}
 	req, err := http.NewRequestWithContext(ctx, q.http.Method, "http://"+srv.Address, nil)
 	if err != nil {
--- a/node/entry/stall.go
+++ b/node/entry/stall.go
@@ -65,8 +65,8 @@
 	if st.checkParts(now) != nil {
 		return attempt{}, silentNoRetry
 	}
-	excluded := func(id ident.BackendID) bool { return st.failed[id] || st.runsOn(id) || s.health.Excluded(now, id) }
-	a, e := st.chooseAmong(now, excluded)
+	tried := func(id ident.BackendID) bool { return st.failed[id] || st.runsOn(id) }
+	a, e := st.chooseAmong(now, s.eligibleFor(now, true, tried))
 	switch {
 	case e != nil:
 		return attempt{}, silentNoServer
--- a/node/obs/metrics.go
+++ b/node/obs/metrics.go
@@ -67,3 +67,22 @@
 		o.Log.WithError(err).WithField("name", name).Error("metric not created")
 	}
 }
+
+// GaugeVec registers values that are read at each scrape, each with a value for every label. read calls observe once for each
+// combination of label values.
+func (o *Obs) GaugeVec(name, description string, labels []string, read func(observe func(value float64, labels ...string))) {
+	_, err := o.Meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, to metric.Float64Observer) error {
+			read(func(value float64, values ...string) {
+				attrs := make([]attribute.KeyValue, len(labels))
+				for i, label := range labels {
+					attrs[i] = attribute.String(label, values[i])
+				}
+				to.Observe(value, metric.WithAttributes(attrs...))
+			})
+			return nil
+		}))
+	if err != nil {
+		o.Log.WithError(err).WithField("name", name).Error("metric not created")
+	}
+}
