Hold servers to published limits

Cause: a cold server bears a number of requests a second that the configuration names and the server does not. core/serverlimit knew only limits that servers name, and windows of 4 s.

Change: a published limit is held in the same bucket as a named one, and the stricter one of both is in force. The burst is 1 + 0.1 s of the limit, hosts take turns at all times unless they have sent within 250 ms, and only hosts whose reports are not late count for the share of a divided fleet. The time left is told only by hosts that know it other than from other hosts.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -197,6 +197,28 @@
 	return n
 }
 
+// freshShare is the part of the validity of a report after which the next one is late. Near peers report more than twice
+// within it.
+const freshShare = 0.4
+
+// Fresh returns the number of live peers whose next report is not late.
+func (t *Table) Fresh(now time.Duration) (n int) {
+	for _, p := range t.peers {
+		if p.Alive(now) && now-p.lastReport <= time.Duration(freshShare*float64(p.validUntil-p.lastReport)) {
+			n++
+		}
+	}
+	return n
+}
+
+// LatestRevision returns the highest revision of the published state that a peer has reported.
+func (t *Table) LatestRevision() (revision uint64) {
+	for _, p := range t.peers {
+		revision = max(revision, p.Revision)
+	}
+	return revision
+}
+
 // Len returns the number of peers that have reported lately, dead ones included: they may only be cut off from this
 // host and still serve callers.
 func (t *Table) Len() int { return len(t.peers) }
--- a/core/serverlimit/exchange.go
+++ b/core/serverlimit/exchange.go
@@ -42,7 +42,8 @@
 
 // Update is what a host tells others.
 type Update struct {
-	Servers []ServerUpdate
+	Servers   []ServerUpdate    // that name limits, or named them lately
+	Published []PublishedUpdate // that have published limits
 }
 
 // ServerUpdate is what a host tells of a server.
@@ -58,17 +59,45 @@
 }
 
 // Empty reports whether an update holds nothing.
-func (u Update) Empty() bool { return len(u.Servers) == 0 }
+func (u Update) Empty() bool { return len(u.Servers) == 0 && len(u.Published) == 0 }
 
-// Bytes returns the greatest size of the encoded update.
+// Bytes returns the greatest size of the encoded update, of both lists together.
 func (u Update) Bytes() int {
 	n := listBytes
 	for _, s := range u.Servers {
 		n += itemBytes + len(s.Server)
 	}
+	for _, s := range u.Published {
+		n += publishedItemBytes + len(s.Server)
+	}
+	return n
+}
+
+// bytes returns the greatest size of what is told of a server.
+func (s *server) bytes() int {
+	n := 0
+	if s.names() {
+		n += itemBytes + len(s.id)
+	}
+	if s.isPublished() {
+		n += publishedItemBytes + len(s.id)
+	}
 	return n
 }
 
+// names reports whether a server has named a limit that has not been forgotten.
+func (s *server) names() bool { return s.started != neverStarted }
+
+// include adds what is told of a server.
+func (t *Table) include(now time.Duration, u *Update, s *server) {
+	if s.names() {
+		u.Servers = append(u.Servers, t.update(now, s))
+	}
+	if s.isPublished() {
+		u.Published = append(u.Published, t.publishedUpdate(now, s))
+	}
+}
+
 // peerCount is what another host has told of its requests.
 type peerCount struct {
 	incarnation ident.Incarnation
@@ -126,12 +155,12 @@
 		if !s.telling.due(now, interval) {
 			continue
 		}
-		if size += itemBytes + len(s.id); size > MaxUpdateBytes {
+		if size += s.bytes(); size > MaxUpdateBytes {
 			t.nextTold = k
 			break
 		}
 		s.telling.told(now)
-		u.Servers = append(u.Servers, t.update(now, s))
+		t.include(now, &u, s)
 	}
 	return u
 }
@@ -143,14 +172,14 @@
 	for i := range n {
 		k := (t.nextTold + i) % n
 		s := t.order[k]
-		if !s.statement.Limited {
+		if !s.limited() {
 			continue
 		}
-		if size += itemBytes + len(s.id); size > MaxUpdateBytes {
+		if size += s.bytes(); size > MaxUpdateBytes {
 			t.nextTold = k
 			break
 		}
-		u.Servers = append(u.Servers, t.update(now, s))
+		t.include(now, &u, s)
 	}
 	return u
 }
@@ -169,10 +198,10 @@
 	for _, x := range u.Servers {
 		x.Statement = x.Statement.normalize()
 		s := t.servers[x.Server]
+		if !x.Statement.Limited && (s == nil || !s.names()) {
+			continue
+		}
 		if s == nil {
-			if !x.Statement.Limited {
-				continue
-			}
 			if s = t.add(now, x.Server); s == nil {
 				continue
 			}
@@ -184,6 +213,9 @@
 			t.applyCount(now, s, from, incarnation, x)
 		}
 	}
+	for _, x := range u.Published {
+		t.applyPublished(now, from, incarnation, x)
+	}
 	return changed
 }
 
@@ -237,12 +269,13 @@
 
 // firstCount returns the requests that count when a host is heard for the first time. All of them do if it has not counted
 // for longer than this host. Otherwise most of them are old: while it may still repeat what was new before this host
-// started to count all are, and later the last one is not.
+// started to count all are, and later the last one is not. For a published limit the last one counts in any case: a host that
+// has started would take the whole limit for unused otherwise.
 func (s *server) firstCount(now time.Duration, x ServerUpdate) uint64 {
 	switch counting := now - s.added; {
 	case x.Counting <= counting+sameStart:
 		return x.Count
-	case counting < repeatTime:
+	case counting < repeatTime && !s.isPublished():
 		return 0
 	default:
 		return min(x.Count, 1)
--- a/core/serverlimit/fleet_test.go
+++ b/core/serverlimit/fleet_test.go
@@ -22,6 +22,7 @@
 	windowTime = 4000 // steps of the target's window
 	grace      = 3000 // steps after the naming of the limit until the target applies
 	validity   = 1100 // steps from the last report of a host until it no longer counts as live
+	freshness  = 440  // the same until it counts as late
 )
 
 // fleet is a number of hosts that send as many requests as a server allows, in steps of virtual time.
@@ -34,6 +35,8 @@
 	mail  [][]letter // by the step of its arrival
 	sent  []int      // requests in each step
 	most  int        // bytes of the greatest update
+
+	published float64 // limit that all hosts know of, 0 for none
 }
 
 type fleetHost struct {
@@ -69,7 +72,7 @@
 
 func (f *fleet) start(h *fleetHost) {
 	h.process, h.up = ident.Incarnation(f.rng.Uint64()|1), true
-	h.table = NewTable(Config{Seed: uint64(h.process)})
+	h.table = NewTable(Config{Seed: uint64(h.process), PublishedFrom: f.time() + second/2})
 	for _, o := range f.hosts {
 		if o != h && f.reaches(o, h) {
 			o.table.RemoveHost(h.addr)
@@ -126,7 +129,7 @@
 		said := f.said
 		f.post(letter{from: h, to: h, answer: &said}, 10*delay)
 	}
-	if report {
+	if report || f.published > 0 && f.now%50 == 0 {
 		f.setHosts(h)
 	}
 	at, due := h.table.NextUpdate()
@@ -144,13 +147,16 @@
 }
 
 func (f *fleet) setHosts(h *fleetHost) {
-	live := 0
+	live, fresh := 0, 0
 	for _, o := range f.hosts {
 		if o != h && (f.reaches(h, o) || f.now-max(h.changed, o.changed) < validity) {
 			live++
 		}
+		if o != h && (f.reaches(h, o) || f.now-max(h.changed, o.changed) < freshness) {
+			fresh++
+		}
 	}
-	h.table.SetHosts(f.time(), live, len(f.hosts)-1)
+	h.table.SetFreshHosts(f.time(), fresh, live, len(f.hosts)-1)
 }
 
 // setCut separates a third of the hosts from the others, but not from the server.
@@ -178,12 +184,14 @@
 }
 
 // worst returns the most requests in a window after a step.
-func (f *fleet) worst(from int) (worst int) {
+func (f *fleet) worst(from int) (worst int) { return f.worstIn(from, windowTime) }
+
+func (f *fleet) worstIn(from, window int) (worst int) {
 	n := 0
 	for i := from; i < len(f.sent); i++ {
 		n += f.sent[i]
-		if i >= from+windowTime {
-			n -= f.sent[i-windowTime]
+		if i >= from+window {
+			n -= f.sent[i-window]
 		}
 		worst = max(worst, n)
 	}
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -1,5 +1,5 @@
 // Package serverlimit holds all hosts together to the number of requests a second that a backend server in need accepts
-// from them.
+// from them, or that is published for the server, such as for a cold one. Of two limits the stricter one holds.
 //
 // Each host keeps a token bucket of the whole limit for each limited server. Its own requests drain it, and so do those of
 // other hosts, which tell each other cumulative counts (Update). There is no owner whose loss would matter, and a host
@@ -33,6 +33,9 @@
 	// longer time makes a host wait longer for a token that nobody else takes, a shorter one lets more hosts take the
 	// same token before they hear of each other.
 	ContentionTime time.Duration
+	// PublishedFrom is the time from which on requests go to servers with a published limit. A host that has just started
+	// does not know yet with how many others it shares a limit.
+	PublishedFrom time.Duration
 }
 
 // Defaults of Config.
@@ -61,6 +64,23 @@
 	// maxTurn after the first one.
 	quietTime = 5 * time.Second
 	maxTurn   = 2 * time.Second
+	// publishedBurst and publishedBurstSeconds give the greatest level of a bucket with a published limit. It bounds a window
+	// of 1 s at 1.5 times the limit and 5: the burst leaves the greater part of that to requests that hosts send before they
+	// hear of each other.
+	publishedBurst        = 1.0
+	publishedBurstSeconds = 0.1
+	// turnShare is the part of the time between two requests of a published limit that each host adds to the time over which
+	// hosts spread their requests, at most maxPublishedTurn: they find the limit used up more often than free, and few send
+	// before they hear of each other. A turn lasts for turnTime, long enough for a request that has waited for it on a busy
+	// machine.
+	turnShare        = 0.6
+	maxPublishedTurn = 6 * time.Second
+	turnTime         = 100 * time.Millisecond
+	// activeTime is the time after a request in which a host needs no turn, so that few hosts with many requests use a limit
+	// up. The limit itself bounds the hosts that have sent as recently.
+	activeTime = 250 * time.Millisecond
+	// neverStarted is the lifetime of a server that has named no limit.
+	neverStarted = math.MinInt64
 	// endedTTL is how long the end of a limit is remembered, so that older statements do not bring it back.
 	endedTTL = 30 * time.Second
 )
@@ -95,7 +115,9 @@
 	servers    map[ident.BackendID]*server
 	order      []*server // in the order in which they were added
 	limited    int       // servers whose limit has not ended
+	published  int       // servers with a published limit
 	live       int       // other hosts that report
+	fresh      int       // those whose reports are not late
 	known      int       // other hosts that may send requests
 	nextSeries uint32
 	nextTold   int // index in order of the first server of the next update
@@ -120,6 +142,9 @@
 	count     uint64        // requests that this host has sent
 	peers     map[member.Addr]peerCount
 	telling   telling
+	published Published     // PerSecond is 0 without a published limit
+	took      time.Duration // when this host sent last
+	hasTaken  bool
 }
 
 // NewTable returns a table without limits.
@@ -136,15 +161,22 @@
 // SetHosts sets the numbers of other hosts that may send to the servers: those that report now, and all that are known,
 // silent ones included.
 func (t *Table) SetHosts(now time.Duration, live, known int) {
+	t.SetFreshHosts(now, live, live, known)
+}
+
+// SetFreshHosts is SetHosts with the number of those hosts whose latest report is not late. Only these count for published
+// limits: both sides of a fleet that has just been divided would use them whole until the reports expire.
+func (t *Table) SetFreshHosts(now time.Duration, fresh, live, known int) {
 	live = max(0, live)
+	fresh = max(0, min(fresh, live))
 	known = max(live, known)
-	if live == t.live && known == t.known {
+	if fresh == t.fresh && live == t.live && known == t.known {
 		return
 	}
 	for _, s := range t.order {
 		t.advance(now, s)
 	}
-	t.live, t.known = live, known
+	t.fresh, t.live, t.known = fresh, live, known
 }
 
 // Hear records what a server of a lifetime has said with an answer. It reports whether the limit has changed. Statements of
@@ -152,10 +184,10 @@
 func (t *Table) Hear(now time.Duration, id ident.BackendID, started int64, said Statement) (changed bool) {
 	said = said.normalize()
 	s := t.servers[id]
+	if !said.Limited && (s == nil || !s.names()) {
+		return false
+	}
 	if s == nil {
-		if !said.Limited {
-			return false
-		}
 		if s = t.add(now, id); s == nil {
 			return false
 		}
@@ -178,7 +210,9 @@
 	switch {
 	case said.Limited && !before.Limited:
 		t.limited++
-		s.level, s.drained, s.quiet = 0, now, false
+		if !s.isPublished() {
+			s.level, s.drained, s.quiet = 0, now, false
+		}
 	case !said.Limited && before.Limited:
 		t.limited--
 	}
@@ -199,7 +233,7 @@
 		}
 	}
 	t.nextSeries++
-	s := &server{id: id, added: now, started: math.MinInt64, updated: now, drained: now, series: t.nextSeries, peers: map[member.Addr]peerCount{}}
+	s := &server{id: id, added: now, started: neverStarted, updated: now, drained: now, series: t.nextSeries, peers: map[member.Addr]peerCount{}}
 	s.redraw(t)
 	t.servers[id] = s
 	t.order = append(t.order, s)
@@ -211,7 +245,12 @@
 	if len(t.order) == t.limited {
 		return
 	}
-	t.remove(func(s *server) bool { return !s.statement.Limited && now-s.telling.changed >= endedTTL })
+	for _, s := range t.order {
+		if s.isPublished() && now >= s.published.Until {
+			t.endPublished(now, s)
+		}
+	}
+	t.remove(func(s *server) bool { return !s.limited() && now-s.telling.changed >= endedTTL })
 }
 
 // Retain forgets the servers that keep rejects, such as those that have left the catalog.
@@ -230,6 +269,9 @@
 		if s.statement.Limited {
 			t.limited--
 		}
+		if s.isPublished() {
+			t.published--
+		}
 	}
 	clear(t.order[len(kept):])
 	t.order = kept
@@ -237,16 +279,32 @@
 
 // rate returns the tokens a second that the hosts which this one hears may use.
 func (s *server) rate(t *Table) float64 {
-	return s.perSecond(t) * float64(t.live+1) / float64(t.known+1)
+	heard := t.live
+	if s.isPublished() {
+		heard = t.fresh
+	}
+	return s.perSecond(t) * float64(heard+1) / float64(t.known+1)
 }
 
-// perSecond returns the tokens a second of all hosts.
+// perSecond returns the tokens a second of all hosts: the stricter one of the two limits.
 func (s *server) perSecond(t *Table) float64 {
-	return max(s.statement.PerSecond, 1/t.cfg.ProbeInterval.Seconds())
+	named := max(s.statement.PerSecond, 1/t.cfg.ProbeInterval.Seconds())
+	switch {
+	case !s.isPublished():
+		return named
+	case !s.statement.Limited:
+		return s.published.PerSecond
+	}
+	return min(named, s.published.PerSecond)
 }
 
 // greatest returns the greatest level.
-func (s *server) greatest(t *Table) float64 { return burst + burstSeconds*s.perSecond(t) }
+func (s *server) greatest(t *Table) float64 {
+	if s.isPublished() {
+		return publishedBurst + publishedBurstSeconds*s.perSecond(t)
+	}
+	return burst + burstSeconds*s.perSecond(t)
+}
 
 // lowest returns the lowest level.
 func (s *server) lowest(t *Table) float64 { return -debt - debtSeconds*s.perSecond(t) }
@@ -271,7 +329,7 @@
 // advance adds the tokens since the last call.
 func (t *Table) advance(now time.Duration, s *server) {
 	if now > s.updated {
-		if s.statement.Limited {
+		if s.limited() {
 			s.level = min(s.greatest(t), s.level+s.rate(t)*(now-s.updated).Seconds())
 		}
 		s.updated = now
@@ -292,26 +350,33 @@
 		s.quietEnd = now + maxTurn
 	}
 	s.drained = now
-	if s.level < 1 || !s.quiet {
+	if s.level < 1 || !s.quiet && !s.isPublished() {
 		s.quiet, s.turnAt = false, 0
 	}
 	s.redraw(t)
 }
 
 // limitedServer returns a server with a limit, or nil.
-func (t *Table) limitedServer(id ident.BackendID) *server {
-	if t.limited == 0 {
+func (t *Table) limitedServer(now time.Duration, id ident.BackendID) *server {
+	if t.limited == 0 && t.published == 0 {
 		return nil
 	}
-	if s := t.servers[id]; s != nil && s.statement.Limited {
-		return s
+	s := t.servers[id]
+	if s == nil {
+		return nil
+	}
+	if s.isPublished() && now >= s.published.Until {
+		t.endPublished(now, s)
 	}
-	return nil
+	if !s.limited() {
+		return nil
+	}
+	return s
 }
 
 // Allows reports whether one more request may be sent to a server now.
 func (t *Table) Allows(now time.Duration, id ident.BackendID) bool {
-	s := t.limitedServer(id)
+	s := t.limitedServer(now, id)
 	if s == nil {
 		return true
 	}
@@ -321,6 +386,9 @@
 
 // turn returns the time from which on this host may send after a quiet time, which is now at other times.
 func (s *server) turn(t *Table, now time.Duration) time.Duration {
+	if s.isPublished() {
+		return max(s.publishedTurn(t, now), t.cfg.PublishedFrom)
+	}
 	if !s.quiet && now-s.drained < quietTime {
 		return now
 	}
@@ -330,19 +398,32 @@
 	return s.turnAt
 }
 
+// publishedTurn returns the time from which on this host may send to a server with a published limit. Its turn passes if it is
+// not used, so that hosts which have had one long ago do not all send at the same time.
+func (s *server) publishedTurn(t *Table, now time.Duration) time.Duration {
+	if s.hasTaken && now-s.took < activeTime {
+		return now
+	}
+	if s.turnAt == 0 || now > s.turnAt+turnTime {
+		spread := min(maxPublishedTurn.Seconds(), turnShare*float64(t.live)/s.perSecond(t))
+		s.turnAt = now + time.Duration(s.draw*spread*float64(time.Second))
+	}
+	return s.turnAt
+}
+
 // Take counts a request or an order that is sent now, whether it is allowed or not.
 func (t *Table) Take(now time.Duration, id ident.BackendID) {
-	if s := t.limitedServer(id); s != nil {
+	if s := t.limitedServer(now, id); s != nil {
 		s.count++
 		t.drain(now, s, 1)
-		s.turnAt = 0
-		s.telling.start(now)
+		s.turnAt, s.took, s.hasTaken = 0, now, true
+		s.tell(now)
 	}
 }
 
 // FreeAt returns the earliest time at which a request is allowed if no host sends one before.
 func (t *Table) FreeAt(now time.Duration, id ident.BackendID) time.Duration {
-	s := t.limitedServer(id)
+	s := t.limitedServer(now, id)
 	if s == nil {
 		return now
 	}
@@ -363,14 +444,30 @@
 	}
 }
 
-// Limit returns the limit of a server in requests a second of all hosts together.
+// Limit returns the limit that a server has named, in requests a second of all hosts together.
 func (t *Table) Limit(id ident.BackendID) (perSecond float64, limited bool) {
-	if s := t.limitedServer(id); s != nil {
+	if t.limited == 0 {
+		return 0, false
+	}
+	if s := t.servers[id]; s != nil && s.statement.Limited {
 		return s.statement.PerSecond, true
 	}
 	return 0, false
 }
 
+// InForce returns the stricter one of the limits of a server, named or published, in requests a second of all hosts together.
+func (t *Table) InForce(now time.Duration, id ident.BackendID) (perSecond float64, published, limited bool) {
+	s := t.limitedServer(now, id)
+	if s == nil {
+		return 0, false, false
+	}
+	published = s.isPublished() && !(s.statement.Limited && s.statement.PerSecond < s.published.PerSecond)
+	if published {
+		return s.published.PerSecond, true, true
+	}
+	return s.statement.PerSecond, false, true
+}
+
 // Limited returns the number of limited servers.
 func (t *Table) Limited() int { return t.limited }
 
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -46,7 +46,7 @@
 		}
 		now += second
 		c.Assert(x.TakeUpdate(now, false).Empty(), qt.IsTrue)
-		c.Assert(x.Apply(now, "b", 1, Update{[]ServerUpdate{u}}), qt.HasLen, 0)
+		c.Assert(x.Apply(now, "b", 1, Update{Servers: []ServerUpdate{u}}), qt.HasLen, 0)
 		c.Assert(x.TakeUpdate(now, false).Servers, qt.HasLen, 1)
 	}
 	x.TakeUpdate(now+endedTTL, true)
@@ -99,7 +99,7 @@
 	for _, l := range []float64{math.NaN(), -1, math.Inf(-1), math.Inf(1), math.MaxFloat64, math.SmallestNonzeroFloat64} {
 		x := limited(l)
 		for i := range 20 {
-			x.Apply(0, "b", 1, Update{[]ServerUpdate{{"a", 1, limit(l), -second, 1, 0, uint64(i) << 60, l}}})
+			x.Apply(0, "b", 1, Update{Servers: []ServerUpdate{{"a", 1, limit(l), -second, 1, 0, uint64(i) << 60, l}}})
 			x.Take(0, "a")
 		}
 		s := x.servers["a"]
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -156,6 +156,10 @@
 		s.handleLimits(member.Addr(c.RemoteAddr().String()), b[1:])
 		return gnet.None
 	}
+	if len(b) > 0 && b[0] == publishedTag {
+		s.handlePublished(member.Addr(c.RemoteAddr().String()), b[1:])
+		return gnet.None
+	}
 	msg, err := s.decoder.decode(b)
 	if err != nil {
 		s.undecodable.Add(1)
