Spare cold servers

Cause: cold_remaining_ms of entries, cold_start_s and cold_per_s were read and not used, so a cold server got as many requests as its load allows.

Change: core/coldstart decides until when a server is cold, from its entry, its answers (header Cold-Ms), a new lifetime, the end of an evacuation, the return of its entry, and what other hosts say. node/entry feeds it and publishes the limits to core/serverlimit, sets the reason warming, and refuses with step=warming when no server of a service is eligible.

--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -245,6 +245,12 @@
 	return e.Server, t.status(e)
 }
 
+// Lapsing reports whether the entry of a listed server is missing.
+func (t *Table) Lapsing(id ident.BackendID) bool {
+	e := t.servers[id]
+	return e != nil && e.lapsing
+}
+
 func (t *Table) status(e *serverEntry) eligibility.Reason {
 	switch {
 	case e.State != Ready:
--- a/lab/explain/findings.go
+++ b/lab/explain/findings.go
@@ -35,6 +35,7 @@
 	{"read_body", "deadline"}:            "The caller did not send the body in time.",
 	{"pause", "overload"}:                "All servers of the service that this host uses had asked for a pause.",
 	{"limit", "overload"}:                "All servers of the service that this host uses had reached the request limits that they name, or had asked for a pause.",
+	{"warming", "overload"}:              "All servers of the service that this host uses were cold and got as many requests as they bear, had reached the request limits that they name, or had asked for a pause.",
 	{"place", "overload"}:                "No engine had room for the prompt; memory was short.",
 	{"place", "no_backend"}:              "The service had no usable server at this host.",
 	{"quarantine", "prompt_quarantined"}: "Servers crash on a part of the prompt, so requests with it are refused; see the lines about the part.",
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -62,6 +62,7 @@
 	Leaving bool                   // it takes no new work until it starts again
 	Pause   time.Duration          // it wants no requests from this host for so long; zero for none
 	Limit   *serverlimit.Statement // nil if the response does not tell
+	Cold    time.Duration          // for how much longer the server is cold; zero if the response does not tell
 }
 
 // ServerLoad is the load that a plain server reports with a response.
--- a/node/entry/eligibility.go
+++ b/node/entry/eligibility.go
@@ -18,10 +18,14 @@
 
 // facts collects what is known of a server. The state must be locked.
 func (s *state) facts(now time.Duration, srv catalog.Server, listing eligibility.Reason, useHealth bool) eligibility.Facts {
+	s.refreshLimitHosts(now)
+	noRoom := !s.limits.Allows(now, srv.ID)
+	_, cold, _ := s.limits.InForce(now, srv.ID)
 	return eligibility.Facts{
 		Listing:   listing,
 		Paused:    s.pauses.Active(now, srv.ID),
-		Limited:   !s.limits.Allows(now, srv.ID),
+		Limited:   noRoom && !cold,
+		Warming:   noRoom && cold,
 		Unhealthy: useHealth && s.health.Excluded(now, srv.ID),
 	}
 }
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -182,6 +182,7 @@
 	s.syncEngines(h.now())
 	s.mu.Unlock()
 	h.logCatalog(refused, source)
+	h.logCold()
 	h.requestReport()
 }
 
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -47,7 +47,7 @@
 // countSent takes a request, a part of a prompt or an order from the limit of the server that it is sent to. The state must be
 // locked.
 func (h *Host) countSent(now time.Duration, id ident.BackendID) {
-	if _, limited := h.state.limits.Limit(id); limited {
+	if _, _, limited := h.state.limits.InForce(now, id); limited {
 		h.state.limits.Take(now, id)
 		signal(h.limitNews)
 	}
@@ -73,7 +73,8 @@
 // setLimitHosts sets the numbers of hosts that share the limits. The state must be locked.
 func (s *state) setLimitHosts(now time.Duration) {
 	s.sharingHosts = 1 + len(s.peers.Live(now))
-	s.limits.SetHosts(now, s.sharingHosts-1, s.peers.MayServe(now))
+	s.hostsCounted = now
+	s.limits.SetFreshHosts(now, s.peers.Fresh(now), s.sharingHosts-1, s.peers.MayServe(now))
 }
 
 // OnLimits implements gossip.LimitsHandler.
@@ -83,6 +84,10 @@
 	s := h.state
 	said := map[ident.BackendID]serverlimit.Statement{}
 	s.mu.Lock()
+	for _, x := range u.Published {
+		s.cold.Hear(now, x.Server, x.Started, x.Left, x.AsOf)
+	}
+	s.publishCold(now)
 	for _, id := range s.limits.Apply(now, from, incarnation, u) {
 		perSecond, limited := s.limits.Limit(id)
 		s.noteLimit(now, id, limited)
@@ -96,6 +101,9 @@
 	for id, x := range said {
 		h.recordLimit(id, x, string(from))
 	}
+	if len(u.Published) > 0 {
+		h.logCold()
+	}
 }
 
 // reportLimits tells other hosts at once what this one sends to limited servers, and repeats it as core/serverlimit asks.
@@ -151,6 +159,9 @@
 		dealUpdate(s, x.Server, &own, shared, func(u *serverlimit.Update) { u.Servers = append(u.Servers, x) })
 	}
 	out = append(out, outgoingLimits{near, own})
+	for _, x := range u.Published {
+		dealUpdate(s, x.Server, &own, shared, func(u *serverlimit.Update) { u.Published = append(u.Published, x) })
+	}
 	for part, x := range shared {
 		out = append(out, outgoingLimits{s.peers.FarSharing(now, part), x})
 	}
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -24,6 +24,10 @@
 	s.mu.Lock()
 	paused := s.pauses.Begin(now, id, n.Pause)
 	limitChanged := s.hearLimit(now, sentAt, id, started, n.Limit)
+	if n.Cold > 0 {
+		s.cold.Answer(now, id, started, n.Cold, s.latestRevision())
+		s.publishCold(now)
+	}
 	left := n.Leaving && s.catalog.MarkLeaving(id, started)
 	if left {
 		s.syncEngines(now)
@@ -33,6 +37,9 @@
 		h.metrics.notices.Add(1, noticePause)
 		h.decisions.write(fields{"server": id, "pause_ms": n.Pause.Milliseconds()}, "server wants no requests")
 	}
+	if n.Cold > 0 {
+		h.logCold()
+	}
 	if limitChanged {
 		signal(h.limitNews)
 		h.recordLimit(id, *n.Limit, heardFromServer)
--- a/node/entry/open.go
+++ b/node/entry/open.go
@@ -15,9 +15,10 @@
 
 const (
 	// stepPause and stepLimit refuse requests while all servers of a service want none. With stepLimit at least one of them
-	// has only reached its request limit.
-	stepPause = "pause"
-	stepLimit = "limit"
+	// has only reached its request limit, and with stepWarming that of a cold server.
+	stepPause   = "pause"
+	stepLimit   = "limit"
+	stepWarming = "warming"
 	// openShare is the share of the time left of a request's objective for which it waits for a server that takes it, so that
 	// it may still be on time.
 	openShare = 0.5
@@ -35,12 +36,13 @@
 type opening struct {
 	at      time.Duration
 	limited bool // a server has reached its request limit, which does not open for all waiting requests at once
+	warming bool // one of these limits is that of a cold server
 }
 
 // nextOpening returns when the first server of a service takes a request again that waits behind a number of others. closed is
 // false if one does now, or if there is no usable one. The state must be locked.
 func (s *state) nextOpening(now time.Duration, service string, ahead int) (next opening, closed bool) {
-	if !s.pauses.Any() && s.limits.Limited() == 0 {
+	if !s.pauses.Any() && s.limits.Limited() == 0 && s.limits.Published() == 0 {
 		return next, false // the servers are not enumerated, which may be costly
 	}
 	servers := s.ownEngines(service)
@@ -49,15 +51,15 @@
 		if _, why := s.eligibility(now, srv.ID, false); why == eligibility.Eligible {
 			return next, false
 		}
-		limit, _ := s.limits.Limit(srv.ID)
+		limit, _, _ := s.limits.InForce(now, srv.ID)
 		perSecond += limit
 	}
 	// Other hosts have as many waiting requests for the same room.
 	behind := roomTime(ahead*s.sharingHosts, perSecond)
 	for _, srv := range servers {
 		at := max(now, s.pauses.Until(srv.ID))
-		if _, limited := s.limits.Limit(srv.ID); limited {
-			next.limited = true
+		if _, cold, limited := s.limits.InForce(now, srv.ID); limited {
+			next.limited, next.warming = true, next.warming || cold
 			at = max(at, s.limits.FreeAt(now, srv.ID)) + behind
 		}
 		if !closed || at < next.at {
@@ -130,6 +132,10 @@
 	if next.limited {
 		e = outcome.Refuse(stepLimit, outcome.Overload, "all servers of "+service+" have reached their request limits or asked for a pause")
 	}
+	if next.warming {
+		e = outcome.Refuse(stepWarming, outcome.Overload, "all servers of "+service+
+			" are cold, have reached their request limits or asked for a pause (servers: "+s.countServers(now, service).String()+")")
+	}
 	e.RetryAfter = retry.ReturnAfter(next.at-now, s.rng.Float64())
 	return e
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -65,6 +65,7 @@
 			h.afterPause()
 		}
 		h.dropExpired()
+		h.logCold()
 		h.evaluateQuarantine()
 		if reason != reportOnChange {
 			h.refreshPeers()
@@ -94,6 +95,8 @@
 		s.syncEngines(now)
 	}
 	s.pauses.Forget(now)
+	s.cold.Tick(now)
+	s.publishCold(now)
 }
 
 // refreshPeers drops the load of peers that no longer report and recomputes the partitions.
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/coldstart"
 	"github.com/rosemaryhill/rosemaryhill/core/health"
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -34,6 +35,9 @@
 	limits       *serverlimit.Table                // that servers have named
 	limitHeard   map[ident.BackendID]time.Duration // when the limit of a limited server was heard first, or changed
 	sharingHosts int                               // live hosts that share the limits, this one included
+	hostsCounted time.Duration                     // when these were counted
+	cold         *coldstart.Table                  // servers that may be cold
+	coldNews     []coldNews                        // that are not logged yet
 	openWaiters  map[string][]*request             // requests that wait for a server, in order, by service name
 	numbering    map[string]*hedge.Numbering       // of the streams' events, by service name
 	peers        *peers.Table
@@ -55,7 +59,8 @@
 		queues:       map[string]*placement.Queue[queueEntry]{},
 		loadBalancer: placement.NewLoadBalancer(),
 		budgets:      map[string]*retry.FleetBudget{},
-		limits:       serverlimit.NewTable(serverlimit.Config{Seed: rng.Uint64()}),
+		limits:       serverlimit.NewTable(serverlimit.Config{Seed: rng.Uint64(), PublishedFrom: meetTime}),
+		cold:         coldstart.NewTable(0),
 		limitHeard:   map[ident.BackendID]time.Duration{},
 		sharingHosts: 1,
 		openWaiters:  map[string][]*request{},
@@ -91,6 +96,8 @@
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
 	s.limits.Retain(keep)
+	s.syncCold(now)
+	s.holdAllCold(now, keep)
 	maps.DeleteFunc(s.limitHeard, func(id ident.BackendID, _ time.Duration) bool { return !keep(id) })
 }
 
