Give a started host no burst for published limits

Cause: the level of a bucket grew from the time at which a host learned of the limit, also before the host may send, so it began with the whole burst (TestStartedHostHasNoBurst failed).

Change: the level grows from the end of the first 0.5 s.

--- a/core/serverlimit/published_test.go
+++ b/core/serverlimit/published_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemaryhill/rosemaryhill/core/member"
 )
 
 const (
@@ -149,3 +151,25 @@
 	c.Check(u.Published[0].Left, qt.Equals, time.Duration(0))
 	c.Check(u.Published[0].Count, qt.Equals, uint64(1))
 }
+
+// Guards against a host that begins with a burst, whatever it has seen of the limit before it may send.
+func TestStartedHostHasNoBurst(t *testing.T) {
+	c := qt.New(t)
+	x := NewTable(Config{PublishedFrom: second / 2})
+	x.Publish(0, "a", Published{PerSecond: 10, Until: 10 * second, FirstHand: 10 * second})
+	c.Check(x.FreeAt(second/2, "a") >= second/2+second/10, qt.IsTrue)
+	c.Check(x.Allows(second/2+second/20, "a"), qt.IsFalse)
+	x.Take(second, "a")
+	c.Check(x.Allows(second, "a"), qt.IsTrue) // of the limit since then
+}
+
+// Guards against a host that has just started and takes the latest request of each other one for an old one.
+func TestStartedHostCountsLatestRequests(t *testing.T) {
+	c := qt.New(t)
+	x := NewTable(Config{})
+	x.Publish(0, "a", Published{PerSecond: 1, Until: 10 * second, FirstHand: 10 * second})
+	for _, host := range []string{"b", "c"} {
+		x.Apply(second, member.Addr(host), 1, Update{Published: []PublishedUpdate{{Server: "a", Series: 1, Counting: 100 * second, Count: 50, Level: 1}}})
+	}
+	c.Check(x.servers["a"].level < 0, qt.IsTrue, qt.Commentf("%g", x.servers["a"].level))
+}
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -358,10 +358,11 @@
 func (t *Table) advance(now time.Duration, s *server) {
 	if now > s.updated {
 		if s.limited() {
-			s.level = min(s.greatest(t), s.level+s.rate(t)*(now-s.updated).Seconds())
-			if s.isPublished() && now < t.cfg.PublishedFrom {
-				s.level = min(s.level, 0)
+			from := s.updated
+			if s.isPublished() {
+				from = min(now, max(from, t.cfg.PublishedFrom))
 			}
+			s.level = min(s.greatest(t), s.level+s.rate(t)*(now-from).Seconds())
 		}
 		s.updated = now
 		switch {
@@ -449,6 +450,9 @@
 	}
 	t.advance(now, s)
 	at := now
+	if s.isPublished() {
+		at = max(now, t.cfg.PublishedFrom)
+	}
 	needed := s.needed(t, now)
 	if s.isPublished() && needed > s.greatest(t) {
 		return max(s.drawn+redrawTime, s.publishedFrom(t))
--- a/node/entry/coldservers_test.go
+++ b/node/entry/coldservers_test.go
@@ -85,6 +85,17 @@
 	c.Check(h.state.limits.TakeUpdate(h.now(), true).Published, qt.HasLen, 0) // nothing is known first-hand
 }
 
+// Guards against a limit that is lost while the server takes no new work, such as during an evacuation, and does not return
+// with it.
+func TestColdLimitReturnsWithTheServer(t *testing.T) {
+	c := qt.New(t)
+	h := coldHost(c, 2)
+	turnCold(h, 3*time.Second)
+	h.state.limits.Retain(func(ident.BackendID) bool { return false })
+	h.state.syncEngines(h.now())
+	c.Check(placeNow(h), qt.Equals, stepWarming)
+}
+
 // Guards against an answer of a cold server that has no effect, and against a limit that is lost when the catalog changes.
 func TestAnswerSaysThatServerIsCold(t *testing.T) {
 	c := qt.New(t)
