--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -225,3 +225,17 @@
 	report(at(304), "cut", false)
 	c.Check(table.MayServe(at(304)), qt.Equals, 1)
 }
+
+// Guards against hosts that count for limits although they are no longer heard, and against far hosts, which report less often,
+// that do not.
+func TestHostsAreFreshWhileTheyReport(t *testing.T) {
+	c := qt.New(t)
+	x := NewTable()
+	x.Observe(0, "near", Report{Status: Status{Incarnation: 1, Revision: 7}, Validity: NearValidity})
+	x.Observe(0, "far", Report{Status: Status{Incarnation: 1, Revision: 5}, Validity: 3 * time.Second})
+	c.Check(x.LatestRevision(), qt.Equals, uint64(7))
+	c.Check(x.Fresh(ReportInterval), qt.Equals, 2)
+	c.Check(x.Fresh(2*ReportInterval), qt.Equals, 1)
+	c.Check(x.Fresh(2*time.Second), qt.Equals, 0)
+	c.Check(x.Live(2*time.Second), qt.HasLen, 1)
+}
