--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -197,6 +197,39 @@
 	return n
 }
 
+// nearLate is the time after the report of a near peer after which the next one is late, one and a half report intervals. For
+// far peers, whose validity is three of their turns, it is farLateShare of the validity.
+const (
+	nearLate     = 385 * time.Millisecond
+	farLateShare = 0.5
+)
+
+func (p *Peer) late(now time.Duration) bool {
+	late := nearLate
+	if validity := p.validUntil - p.lastReport; validity > NearValidity {
+		late = time.Duration(farLateShare * float64(validity))
+	}
+	return now-p.lastReport > late
+}
+
+// Fresh returns the number of live peers whose next report is not late.
+func (t *Table) Fresh(now time.Duration) (n int) {
+	for _, p := range t.peers {
+		if p.Alive(now) && !p.late(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// LatestRevision returns the highest revision of the published state that a peer has reported.
+func (t *Table) LatestRevision() (revision uint64) {
+	for _, p := range t.peers {
+		revision = max(revision, p.Revision)
+	}
+	return revision
+}
+
 // Len returns the number of peers that have reported lately, dead ones included: they may only be cut off from this
 // host and still serve callers.
 func (t *Table) Len() int { return len(t.peers) }
