Tell near hosts which servers are cold in fleets of several partitions

Cause: the update for the hosts of the own partition was copied before the cold servers were added to it, so that in a fleet of two partitions or more only hosts of other partitions heard of them. Change: the update is copied when it is complete. Measured: the new test counts 0 of 19 hosts without the change, 19 with it.

--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -158,10 +158,10 @@
 	for _, x := range u.Servers {
 		dealUpdate(s, x.Server, &own, shared, func(u *serverlimit.Update) { u.Servers = append(u.Servers, x) })
 	}
-	out = append(out, outgoingLimits{near, own})
 	for _, x := range u.Published {
 		dealUpdate(s, x.Server, &own, shared, func(u *serverlimit.Update) { u.Published = append(u.Published, x) })
 	}
+	out = append(out, outgoingLimits{near, own})
 	for part, x := range shared {
 		out = append(out, outgoingLimits{s.peers.FarSharing(now, part), x})
 	}
--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -30,6 +30,20 @@
 	c.Check(receivers("plain"), qt.Equals, 39, qt.Commentf("all other hosts send requests to a plain server"))
 }
 
+// Guards against a large fleet in which the hosts that send to a cold server do not hear that it is cold.
+func TestColdServersAreToldToTheHostsThatSend(t *testing.T) {
+	c := qt.New(t)
+	h := largeFleetHost(c)
+	engine := h.state.ownEngines("models")[0].ID
+	told := 0
+	for _, o := range h.state.limitUpdates(h.now(), serverlimit.Update{Published: []serverlimit.PublishedUpdate{{Server: engine}}}) {
+		if len(o.update.Published) > 0 {
+			told += len(o.to)
+		}
+	}
+	c.Assert(told, qt.Equals, 19, qt.Commentf("the other hosts of the partition"))
+}
+
 // Guards against parts of prompts and orders that are not taken from the limits of helpers, and helpers beyond their limit.
 func TestHelpersAreLimited(t *testing.T) {
 	c := qt.New(t)
