Hold evacuated zones in the catalog

Cause: nothing says that an availability zone takes no new work; Evacuated is a reason that nothing sets. Change: the table holds the evacuations by zone, with the revision of the last change of each zone and the time of its end.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -125,12 +125,14 @@
 	Lapsed bool
 }
 
-// Change is one change of the published state. Exactly one of Config, Server and Removed is set.
+// Change is one change of the published state. Exactly one of Config, Server, Removed, Evacuated and TakenBack is set.
 type Change struct {
-	Revision uint64
-	Config   *Config
-	Server   *Server
-	Removed  ident.BackendID
+	Revision  uint64
+	Config    *Config
+	Server    *Server
+	Removed   ident.BackendID
+	Evacuated string // availability zone that takes no new work from now on
+	TakenBack string // availability zone whose evacuation has ended
 	// Lapsed marks a removal that an outage of the store may have caused.
 	Lapsed bool
 }
@@ -142,4 +144,6 @@
 	ReadUntil uint64  // 0 if all of the snapshot is of Revision
 	Config    *Config // nil when none is published
 	Servers   []Server
+	// Evacuations holds the evacuated zones. Other zones are not evacuated.
+	Evacuations []Evacuation
 }
--- a/core/catalog/replicas_test.go
+++ b/core/catalog/replicas_test.go
@@ -54,7 +54,22 @@
 	return servers, cfg
 }
 
-// read returns a snapshot: each server, and then the configuration, as of a revision between from and the latest one.
+// evacuatedAt returns the evacuation of a zone at a revision; its own revision is 0 if there is none.
+func (l *publishedLog) evacuatedAt(zone string, revision uint64) (x Evacuation) {
+	x.Zone = zone
+	for _, c := range l.changes[:revision] {
+		switch zone {
+		case c.Evacuated:
+			x.Revision = c.Revision
+		case c.TakenBack:
+			x.Revision = 0
+		}
+	}
+	return x
+}
+
+// read returns a snapshot: each server, the configuration, and then each zone, as of a revision between from and the latest
+// one.
 func (l *publishedLog) read(t *rapid.T, from uint64) Snapshot {
 	s := Snapshot{Revision: from, ReadUntil: from}
 	for _, id := range serverIDs {
@@ -66,11 +81,48 @@
 	}
 	s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
 	_, s.Config = l.at(s.ReadUntil)
+	for _, zone := range zoneNames {
+		s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
+		if x := l.evacuatedAt(zone, s.ReadUntil); x.Revision != 0 {
+			s.Evacuations = append(s.Evacuations, x)
+		}
+	}
 	return s
 }
 
 var serverIDs = []ident.BackendID{"a", "b", "c", "d"}
 
+var zoneNames = []string{"y", "z"}
+
+// heldEvacuations holds, for each zone, the latest evacuation that a table has held, and whether it has ended there.
+type heldEvacuations map[string]struct {
+	revision uint64
+	ended    bool
+}
+
+// check fails the test if the evacuations of a table are not those of its revision or of later ones, if one has come back after
+// its end, or if one has ended that the store has not ended.
+func (h heldEvacuations) check(t *rapid.T, x *Table, l *publishedLog) {
+	held := map[string]uint64{}
+	for _, e := range x.Evacuations() {
+		held[e.Zone] = e.Revision
+	}
+	for _, zone := range zoneNames {
+		last, now := h[zone], held[zone]
+		r := max(last.revision, x.Revision())
+		for r <= l.revision() && l.evacuatedAt(zone, r).Revision != now {
+			r++
+		}
+		if r > l.revision() || (now != 0 && (now < last.revision || (now == last.revision && last.ended))) {
+			t.Fatalf("a table at revision %d has zone %s evacuated at %d, before %+v; published are %+v", x.Revision(), zone, now, last, l.changes)
+		}
+		if last.ended = now == 0; now != 0 {
+			last.revision = now
+		}
+		h[zone] = last
+	}
+}
+
 // update brings a follower up to date from a peer, as hosts do it.
 func update(follower, peer *Table) {
 	held := ident.Version(0)
@@ -89,16 +141,21 @@
 	follower.Advance(peer.Revision())
 }
 
-// Guards against a host that keeps an old configuration or a removed server for good, after it has followed a host that
-// read the store while both changed: in several calls, or again after the history was dropped.
+// Guards against a host that keeps an old configuration, a removed server or an ended evacuation for good, after it has
+// followed a host that read the store while they changed: in several calls, or again after the history was dropped. Guards
+// also against an evacuation that an older change or snapshot begins again or ends.
 func TestHostsConvergeWhateverTheyFollow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := &publishedLog{}
 		l.putConfig()
 		tables := []*Table{NewTable(), NewTable(), NewTable(), NewTable()}
+		held := map[*Table]heldEvacuations{}
+		for _, x := range tables {
+			held[x] = heldEvacuations{}
+		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			x := rapid.SampledFrom(tables).Draw(t, "host")
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0, 1:
 				l.putServer(rapid.SampledFrom(serverIDs).Draw(t, "id"), ServerState(rapid.IntRange(0, 1).Draw(t, "state")))
 			case 2:
@@ -115,7 +172,17 @@
 				update(x, rapid.SampledFrom(tables).Draw(t, "peer"))
 			case 7:
 				*x = *NewTable()
+				held[x] = heldEvacuations{}
+			case 8:
+				l.publish(Change{Evacuated: rapid.SampledFrom(zoneNames).Draw(t, "zone")})
+			case 9:
+				l.publish(Change{TakenBack: rapid.SampledFrom(zoneNames).Draw(t, "zone")})
+			case 10:
+				if x.Config() != nil { // an older snapshot
+					x.Replace(0, l.read(t, rapid.Uint64Range(0, x.Revision()).Draw(t, "from")))
+				}
 			}
+			held[x].check(t, x, l)
 		}
 		if tables[0].Config() == nil {
 			tables[0].Replace(0, l.read(t, 0))
@@ -133,6 +200,7 @@
 			if x.Config().Version != cfg.Version || !reflect.DeepEqual(got, servers) {
 				t.Fatalf("host %d has configuration %d and servers %v, published are %d and %v", i, x.Config().Version, got, cfg.Version, servers)
 			}
+			held[x].check(t, x, l) // at the latest revision
 		}
 	})
 }
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -22,7 +22,8 @@
 // Table is the catalog of one process. It is not safe for concurrent use.
 //
 // Invariants: the configuration version and the revision never decrease; a draining server never becomes ready
-// again under the same entry unless the store publishes it as ready with a higher revision.
+// again under the same entry unless the store publishes it as ready with a higher revision; an evacuation begins or ends
+// only by a higher revision than that of the last change of its zone.
 type Table struct {
 	config   *Config
 	routes   routeIndex
@@ -31,8 +32,10 @@
 	servers  map[ident.BackendID]*serverEntry
 	usable   map[string][]Server       // servers that take new work, by service and sorted by id
 	leaving  map[ident.BackendID]int64 // start of the lifetime in which a server has said that it leaves
-	revision uint64
-	journal  journal
+	// evacuations are not leases: an outage of the store never ends one.
+	evacuations evacuations
+	revision    uint64
+	journal     journal
 
 	outage    bool
 	outageEnd time.Duration // end of the last outage
@@ -49,6 +52,7 @@
 func NewTable() *Table {
 	return &Table{
 		servers: map[ident.BackendID]*serverEntry{}, usable: map[string][]Server{}, leaving: map[ident.BackendID]int64{},
+		evacuations: evacuations{},
 	}
 }
 
@@ -78,6 +82,10 @@
 		case c.Removed != "":
 			c.Lapsed = c.Lapsed || t.isOutage(now)
 			t.remove(now, c.Removed, c.Revision, c.Lapsed)
+		case c.Evacuated != "":
+			t.evacuations.begin(c.Evacuated, c.Revision)
+		case c.TakenBack != "":
+			t.evacuations.end(now, c.TakenBack, c.Revision)
 		}
 		t.journal.add(c)
 	}
@@ -88,8 +96,8 @@
 // Advance records that there are no other changes up to a revision.
 func (t *Table) Advance(revision uint64) { t.revision = max(t.revision, revision) }
 
-// Replace applies a whole snapshot. Servers that are not in it are removed, unless it is older than the
-// table.
+// Replace applies a whole snapshot. Servers that are not in it are removed, and evacuations that are not in it end, unless
+// it is older than the table.
 func (t *Table) Replace(now time.Duration, s Snapshot) (refused bool) {
 	if s.Config != nil {
 		refused = !t.setConfig(s.Config)
@@ -109,13 +117,14 @@
 			t.remove(now, id, s.Revision, t.isOutage(now))
 		}
 	}
+	t.evacuations.replace(now, s.Evacuations, s.Revision)
 	t.index()
 	return refused
 }
 
 // Snapshot returns the whole state, for a peer that starts or has lost its connection.
 func (t *Table) Snapshot() Snapshot {
-	s := Snapshot{Revision: t.revision, Config: t.config}
+	s := Snapshot{Revision: t.revision, Config: t.config, Evacuations: t.Evacuations()}
 	if t.journal.start > t.revision {
 		s.ReadUntil = t.journal.start
 	}
@@ -251,6 +260,8 @@
 		return eligibility.Draining
 	case t.isLeaving(e.Server):
 		return eligibility.Leaving
+	case t.evacuations.active(e.Zone):
+		return eligibility.Evacuated
 	}
 	return eligibility.Eligible
 }
