Send no new work to evacuated zones

Cause: hosts hold the evacuations, but drop what they know of the servers meanwhile, log nothing, and check before a send only the server itself, by a catalog that may be from before a pause of the process. Change: evacuations are logged and counted, and what is known of their servers is kept. Requests that wait for a paused or limited server are woken by an evacuation. A state from a build that does not know evacuations ends none.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -144,6 +144,7 @@
 	ReadUntil uint64  // 0 if all of the snapshot is of Revision
 	Config    *Config // nil when none is published
 	Servers   []Server
-	// Evacuations holds the evacuated zones. Other zones are not evacuated.
+	// Evacuations holds the evacuated zones. Other zones are not evacuated. Hosts always send a list to each other, if an empty
+	// one, so that a state without one is known to be from a build that does not know evacuations.
 	Evacuations []Evacuation
 }
--- a/core/catalog/evacuation.go
+++ b/core/catalog/evacuation.go
@@ -86,7 +86,8 @@
 }
 
 // list returns the evacuations in force, sorted by zone.
-func (e evacuations) list() (out []Evacuation) {
+func (e evacuations) list() []Evacuation {
+	out := []Evacuation{}
 	for zone, x := range e {
 		if !x.ended {
 			out = append(out, Evacuation{Zone: zone, Revision: x.revision})
@@ -96,7 +97,7 @@
 	return out
 }
 
-// Evacuations returns the evacuated zones, sorted by name.
+// Evacuations returns the evacuated zones, sorted by name. It is never nil.
 func (t *Table) Evacuations() []Evacuation { return t.evacuations.list() }
 
 // TakenBack returns when the last evacuation of a zone ended, as this table learned it. ok is false if the zone is evacuated,
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -80,7 +80,11 @@
 	ctx, span := h.startStepSpan(ctx, stepSend, x.server.ID)
 	defer func() { endAttemptSpan(span, end.received, end.err) }()
 	received, ran, err := h.send(ctx, q, x.server, x.forward(held))
-	if err != nil {
+	var refused *reserveError
+	switch {
+	case errors.As(err, &refused): // a helper takes no new work any more
+		return attemptEnd{step: stepReserve, err: err}
+	case err != nil:
 		return attemptEnd{step: sendStep(ran), err: err}
 	}
 	defer received.resp.Body.Close()
@@ -134,7 +138,7 @@
 	defer s.mu.Unlock()
 	for _, id := range x.choice.Helpers {
 		if a, ok := s.engines.Address(id); ok {
-			f.Helpers = append(f.Helpers, Helper{Address: a, Reservation: reserved.idFor(id)})
+			f.Helpers = append(f.Helpers, Helper{Address: a, Reservation: reserved.idFor(id), id: id})
 		}
 	}
 	return f
--- a/node/entry/choose.go
+++ b/node/entry/choose.go
@@ -39,6 +39,9 @@
 		Excluded:     func(id ident.BackendID) bool { return !eligible(id) },
 	})
 	if !ok {
+		if e := s.refuseEvacuated(q.service); e != nil {
+			return attempt{}, e
+		}
 		return attempt{}, refusePlacement(outcome.Overload, "no engine has room")
 	}
 	if !q.mayHaveRun && !s.engines.MayWait(choice) {
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -33,6 +33,8 @@
 type Helper struct {
 	Address     string
 	Reservation string // ID of the memory reservation for the prompt; empty if there is none
+
+	id ident.BackendID
 }
 
 // Forward is the information sent to a backend server in addition to the caller's header.
--- a/node/entry/eligibility.go
+++ b/node/entry/eligibility.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
@@ -45,8 +46,10 @@
 	return srv, eligibility.Check(eligibility.Facts{Listing: listing, Paused: s.pauses.Active(now, id)})
 }
 
-// checkBeforeSend returns an error unless a server still takes new work, in the lifetime in which it was chosen.
-func (h *Host) checkBeforeSend(chosen catalog.Server) error {
+// checkBeforeSend returns an error unless a server still takes new work, in the lifetime in which it was chosen. After a pause of
+// the process it waits until the catalog is up to date.
+func (h *Host) checkBeforeSend(ctx context.Context, chosen catalog.Server) error {
+	h.awaitCatalog(ctx)
 	h.state.mu.Lock()
 	defer h.state.mu.Unlock()
 	current, why := h.state.beforeSend(h.now(), chosen.ID)
@@ -59,6 +62,19 @@
 	return nil
 }
 
+// checkHelpers returns an error if a helper engine, of which a request to another engine names the address, takes no new work
+// any more.
+func (h *Host) checkHelpers(helpers []Helper) error {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	for _, x := range helpers {
+		if _, why := h.state.catalog.Status(x.id); why != eligibility.Eligible {
+			return &reserveError{x.id, ineligibleError{why}}
+		}
+	}
+	return nil
+}
+
 // explainPlacement adds to a refusal for want of a server why the servers could not be used.
 func (h *Host) explainPlacement(q *request, e *outcome.Error) {
 	if e.Step != stepPlace || e.Kind != outcome.NotRun {
@@ -69,6 +85,20 @@
 	e.Detail += " (servers: " + h.state.countServers(h.now(), q.service).String() + ")"
 }
 
+// refuseEvacuated returns a refusal if a service has no usable server and some are in evacuated zones, else nil. The state must
+// be locked.
+func (s *state) refuseEvacuated(service string) *outcome.Error {
+	if len(s.catalog.Usable(service)) > 0 {
+		return nil
+	}
+	for _, listing := range s.catalog.Listed(service) {
+		if listing == eligibility.Evacuated {
+			return refusePlacement(outcome.NoBackend, "no server of "+service+" is usable: zones are evacuated")
+		}
+	}
+	return nil
+}
+
 // countServers counts the listed servers of a service by eligibility. The state must be locked.
 func (s *state) countServers(now time.Duration, service string) (n eligibility.Counts) {
 	for srv, listing := range s.catalog.Listed(service) {
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,10 +48,13 @@
 	synced, healthy := false, true
 	for h.ctx.Err() == nil {
 		if h.hasConfig() && !h.isReader() {
+			if h.mayBeStale() {
+				h.catchUp()
+			}
 			h.standBy()
 			continue
 		}
-		err := h.readStore(synced, healthy)
+		err := h.readStore(synced, healthy && !h.mayBeStale())
 		switch {
 		case err == nil:
 			h.setStoreConnected(true, nil)
@@ -72,6 +76,18 @@
 	}
 }
 
+// catchUp reads the store once after a pause of the process, for a host that follows its peers otherwise: it can't tell how old
+// their reports are.
+func (h *Host) catchUp() {
+	err := h.readChanges(0, readTimeout)
+	if ErrCompacted.Has(err) {
+		err = h.readSnapshot()
+	}
+	if err != nil {
+		h.log.WithField("error", err.Error()).Warn("store not read after a pause of the process")
+	}
+}
+
 // retryPause returns the time to wait after a number of failed reads. The more hosts of the zone read before this one, the
 // longer it waits, so that the calls to a store that is down hardly grow with the fleet.
 func retryPause(failures, hostsBefore int) time.Duration {
@@ -165,11 +181,13 @@
 func (h *Host) readSnapshot() error {
 	ctx, cancel := context.WithTimeout(h.ctx, readTimeout)
 	defer cancel()
+	began := h.now()
 	snapshot, err := h.store.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
 	h.updateCatalog("snapshot", func(t *catalog.Table) bool { return t.Replace(h.now(), snapshot) })
+	h.confirmCatalog(began)
 	return nil
 }
 
@@ -178,9 +196,18 @@
 func (h *Host) updateCatalog(source string, change func(*catalog.Table) (refused bool)) {
 	s := h.state
 	s.mu.Lock()
+	before := s.catalog.Evacuations()
 	refused := change(s.catalog)
+	after := s.catalog.Evacuations()
 	s.syncEngines(h.now())
+	if !slices.Equal(before, after) {
+		for _, wake := range s.wake {
+			wake() // the servers that it waits for may be gone
+		}
+	}
+	revision := s.catalog.Revision()
 	s.mu.Unlock()
+	h.logEvacuations(before, after, revision, source)
 	h.logCatalog(refused, source)
 	h.requestReport()
 }
@@ -196,6 +223,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	defer h.cancelOnResync(ctx, cancel)()
+	began := h.now()
 	changes, at, err := h.store.Changes(ctx, h.revision(), wait)
 	if err != nil {
 		return err
@@ -204,6 +232,7 @@
 		h.updateCatalog("changes", func(t *catalog.Table) bool { return t.Apply(h.now(), changes) })
 	}
 	h.advance(at)
+	h.confirmCatalog(began)
 	if len(changes) > 0 {
 		ctxtime.Sleep(h.ctx, burstTime)
 	}
@@ -257,6 +286,24 @@
 	h.log.WithFields(f).Info("published state applied")
 }
 
+// logEvacuations logs which zones an update has evacuated or taken back. The revision of a zone that was taken back is the one
+// that the host has reached: its key no longer has one.
+func (h *Host) logEvacuations(before, after []catalog.Evacuation, reached uint64, source string) {
+	in := func(list []catalog.Evacuation, zone string) bool {
+		return slices.ContainsFunc(list, func(e catalog.Evacuation) bool { return e.Zone == zone })
+	}
+	for _, e := range after {
+		if !in(before, e.Zone) {
+			h.log.WithFields(fields{"zone": e.Zone, "revision": e.Revision, "source": source}).WithContext(obs.Essential).Info("zone evacuated")
+		}
+	}
+	for _, e := range before {
+		if !in(after, e.Zone) {
+			h.log.WithFields(fields{"zone": e.Zone, "revision": reached, "source": source}).WithContext(obs.Essential).Info("zone taken back")
+		}
+	}
+}
+
 // setStoreConnected records whether the store answers and logs a change.
 func (h *Host) setStoreConnected(connected bool, cause error) {
 	s := h.state
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -63,6 +63,8 @@
 		locked(func(s *state) int { return s.peers.Partition() }))
 	h.obs.Gauge("rosemaryhill_entry_limited_servers", "backend servers that name a request limit",
 		locked(func(s *state) int { return s.limits.Limited() }))
+	h.obs.Gauge("rosemaryhill_entry_evacuated_zones", "availability zones that are evacuated",
+		locked(func(s *state) int { return len(s.catalog.Evacuations()) }))
 	h.obs.GaugeVec("rosemaryhill_entry_servers", "listed backend servers by service and eligibility for new work",
 		[]string{"service", "eligibility"}, h.observeServers)
 	h.obs.Gauge("rosemaryhill_entry_gossip_bytes_out", "bytes of membership and load reports sent since the start",
--- a/node/entry/open.go
+++ b/node/entry/open.go
@@ -98,9 +98,13 @@
 		if !next.limited {
 			wait += time.Duration(s.rng.Float64() * float64(pauseJitter))
 		}
+		sleep, cancel := context.WithCancel(ctx)
+		s.wake[q] = cancel
 		s.mu.Unlock()
-		ctxtime.Sleep(ctx, wait)
+		ctxtime.Sleep(sleep, wait)
+		cancel()
 		s.mu.Lock()
+		delete(s.wake, q)
 	}
 }
 
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -64,6 +64,7 @@
 			h.log.WithField("gap_ms", gap.Milliseconds()).Warn("process was paused")
 			h.afterPause()
 		}
+		h.mayBeStale()
 		h.dropExpired()
 		h.evaluateQuarantine()
 		if reason != reportOnChange {
--- a/node/entry/reserve.go
+++ b/node/entry/reserve.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -67,6 +68,7 @@
 func (h *Host) reserve(ctx context.Context, choice placement.Choice, cancelAttempt context.CancelFunc) (*reservations, error) {
 	lease := min(settings.MS(h.settings.MaxHoldMS), settings.MS(h.settings.ReleaseMS)-releaseMargin)
 	r := &reservations{host: h, lease: lease}
+	h.awaitCatalog(ctx)
 	h.state.mu.Lock()
 	for i, x := range choice.Reservations {
 		srv, why := h.state.beforeSend(h.now(), x.Engine)
@@ -79,7 +81,7 @@
 	}
 	h.state.mu.Unlock()
 	sentAt := h.now()
-	if failed, err := r.sendReservations(ctx); err != nil {
+	if failed, err := r.sendReservations(ctx, true); err != nil {
 		r.release()
 		return nil, &reserveError{failed, err}
 	}
@@ -90,14 +92,19 @@
 	return r, nil
 }
 
-// sendReservations sends all reservations concurrently and returns the first failure.
-func (r *reservations) sendReservations(ctx context.Context) (failed ident.BackendID, err error) {
+// sendReservations sends all reservations concurrently and returns the first failure. New ones are sent only to engines that
+// still take new work; renewals are sent in any case.
+func (r *reservations) sendReservations(ctx context.Context, isNew bool) (failed ident.BackendID, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	errs := make([]error, len(r.held))
 	var wg sync.WaitGroup
 	for i, x := range r.held {
 		wg.Go(func() {
+			ctx := ctx
+			if isNew {
+				ctx = withSendCheck(ctx, func() error { return r.host.checkBeforeSend(ctx, catalog.Server{ID: x.engine.ID, Started: x.started}) })
+			}
 			r.host.countOrder(x.engine.ID)
 			sentAt := r.host.now()
 			n, err := r.host.cfg.Dialect.Reserve(ctx, r.host.client, x.engine, x.Reservation)
@@ -146,7 +153,7 @@
 func (r *reservations) sendRenewals(ctx context.Context, within time.Duration) (failed ident.BackendID, err error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	return r.sendReservations(ctx)
+	return r.sendReservations(ctx, false)
 }
 
 // release releases the memory in the background. An order without an answer is sent again.
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -46,13 +46,38 @@
 		Control: setUserTimeout,
 	}
 	t := httpcall.NewTransport(dialTimeout)
-	t.DialContext = httpcall.DialContext(d)
+	t.DialContext = checkAfterDial(httpcall.DialContext(d))
 	// Responses are relayed event by event, so small buffers suffice.
 	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
 
+// sendCheckKey is the key of a context's check before a send.
+type sendCheckKey struct{}
+
+// withSendCheck returns a context whose calls are sent only if check returns nil once they have a connection: connecting takes up
+// to dialTimeout, and the process may be paused meanwhile.
+func withSendCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, sendCheckKey{}, check)
+}
+
+// checkAfterDial returns a dial function for http.Transport that runs the check of the context on each new connection.
+func checkAfterDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if check, ok := ctx.Value(sendCheckKey{}).(func() error); ok {
+			if err := check(); err != nil {
+				return nil, errors.Join(err, conn.Close())
+			}
+		}
+		return conn, nil
+	}
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket. See net.Dialer.Control.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var opt error
@@ -71,10 +96,16 @@
 // send sends the caller's request to a server. On an error, ran is false only if nothing has reached the
 // server. The context bounds the request and the reading of its response.
 func (h *Host) send(ctx context.Context, q *request, srv catalog.Server, f Forward) (s backendResponse, ran bool, err error) {
-	if err := h.checkBeforeSend(srv); err != nil {
+	check := func() error {
+		if err := h.checkBeforeSend(ctx, srv); err != nil {
+			return err
+		}
+		return h.checkHelpers(f.Helpers)
+	}
+	if err := check(); err != nil {
 		return backendResponse{}, false, err
 	}
-	req, err := http.NewRequestWithContext(ctx, q.http.Method, "http://"+srv.Address, nil)
+	req, err := http.NewRequestWithContext(withSendCheck(ctx, check), q.http.Method, "http://"+srv.Address, nil)
 	if err != nil {
 		return backendResponse{}, false, err
 	}
@@ -99,8 +130,9 @@
 	resp, err := h.client.Do(req)
 	if err != nil {
 		var op *net.OpError
-		connected := !(errors.As(err, &op) && op.Op == "dial")
-		return backendResponse{}, connected, err
+		var notSent ineligibleError
+		unsent := (errors.As(err, &op) && op.Op == "dial") || errors.As(err, &notSent)
+		return backendResponse{}, !unsent, err
 	}
 	s = backendResponse{resp: resp, reply: h.cfg.Dialect.Reply(resp)}
 	if s.reply.ID == q.call.ID {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"context"
 	"maps"
 	"math/rand"
 	"sync"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
 	"github.com/rosemaryhill/rosemaryhill/core/health"
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -35,6 +37,7 @@
 	limitHeard   map[ident.BackendID]time.Duration // when the limit of a limited server was heard first, or changed
 	sharingHosts int                               // live hosts that share the limits, this one included
 	openWaiters  map[string][]*request             // requests that wait for a server, in order, by service name
+	wake         map[*request]context.CancelFunc   // wakes the ones that sleep until a server takes requests
 	numbering    map[string]*hedge.Numbering       // of the streams' events, by service name
 	peers        *peers.Table
 	quarantine   *quarantine.Table
@@ -43,6 +46,7 @@
 	fullReportNeeded bool
 	// storeConnected is set while this host reads the store itself and the store answers.
 	storeConnected bool
+	freshness      freshness
 }
 
 func newState(set settings.Entry, rng *rand.Rand) *state {
@@ -59,6 +63,7 @@
 		limitHeard:   map[ident.BackendID]time.Duration{},
 		sharingHosts: 1,
 		openWaiters:  map[string][]*request{},
+		wake:         map[*request]context.CancelFunc{},
 		numbering:    map[string]*hedge.Numbering{},
 		peers:        peers.NewTable(),
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
@@ -87,7 +92,14 @@
 	s.peers.SetServices(engines)
 	s.replan(now)
 	s.setOwnEngines(c)
-	keep := func(id ident.BackendID) bool { return listed[id] }
+	keep := func(id ident.BackendID) bool {
+		if listed[id] {
+			return true
+		}
+		// What is known of a server counts again once its zone is taken back.
+		_, why := s.catalog.Status(id)
+		return why == eligibility.Evacuated
+	}
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
 	s.limits.Retain(keep)
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -132,7 +132,11 @@
 	}
 	h.updateCatalog("peer "+addr, func(t *catalog.Table) bool {
 		if reply.State != nil {
-			return t.Replace(h.now(), *reply.State)
+			state := *reply.State
+			if state.Evacuations == nil { // from a build that does not know evacuations
+				state.Evacuations = t.Evacuations()
+			}
+			return t.Replace(h.now(), state)
 		}
 		refused := t.Apply(h.now(), reply.Changes)
 		t.Advance(reply.Revision)
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/klauspost/compress/s2"
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/platformapi"
 	"github.com/rosemaryhill/rosemaryhill/transport/internal/pack"
 	"go.uber.org/goleak"
@@ -279,3 +280,46 @@
 }
 
 func (m *memConn) Read(p []byte) (int, error) { return m.Reader.Read(p) }
+
+// Guards against evacuations that are lost between two hosts, and against a host of a build that does not know them that can't
+// read a state with them, or whose state can't be read.
+func TestStateCarriesEvacuations(t *testing.T) {
+	c := qt.New(t)
+	// The parts of catalog.Snapshot and catalog.Change that the build before evacuations reads and writes.
+	type oldSnapshot struct {
+		Revision, ReadUntil uint64
+		Servers             []catalog.Server
+	}
+	type oldChange struct {
+		Revision uint64
+		Removed  ident.BackendID
+	}
+	sent := catalog.Snapshot{
+		Revision: 9, ReadUntil: 12, Servers: []catalog.Server{{ID: "a", Zone: "z"}}, Evacuations: []catalog.Evacuation{{Zone: "z", Revision: 7}},
+	}
+	travel := func(from, to any) {
+		c.Helper()
+		b, err := compress(from)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decompress(b, to), qt.IsNil)
+	}
+	var got catalog.Snapshot
+	travel(sent, &got)
+	c.Assert(got, qt.DeepEquals, sent)
+	travel(catalog.NewTable().Snapshot(), &got)
+	c.Assert(got.Evacuations, qt.IsNotNil, qt.Commentf("none is not the same as not known"))
+	var old oldSnapshot
+	travel(sent, &old)
+	c.Assert(old, qt.DeepEquals, oldSnapshot{9, 12, sent.Servers})
+	got = catalog.Snapshot{}
+	travel(old, &got)
+	c.Assert(got, qt.DeepEquals, catalog.Snapshot{Revision: 9, ReadUntil: 12, Servers: sent.Servers})
+
+	changes := []catalog.Change{{Revision: 10, Evacuated: "z"}, {Revision: 11, TakenBack: "z"}, {Revision: 12, Removed: "a"}}
+	var gotChanges []catalog.Change
+	travel(changes, &gotChanges)
+	c.Assert(gotChanges, qt.DeepEquals, changes)
+	var oldChanges []oldChange
+	travel(changes, &oldChanges)
+	c.Assert(oldChanges, qt.DeepEquals, []oldChange{{Revision: 10}, {Revision: 11}, {12, "a"}})
+}
