--- a/node/entry/coldservers.go
+++ b/node/entry/coldservers.go
@@ -18,12 +18,6 @@
 	hostsRefresh = 50 * time.Millisecond
 )
 
-// evacuations says when the evacuations of zones ended. The state must be locked.
-type evacuations struct{ *state }
-
-// TakenBack implements coldstart.Zones.
-func (e evacuations) TakenBack(string) (at time.Duration, ok bool) { return 0, false }
-
 // syncCold takes over the published state of servers that may be cold. The state must be locked.
 func (s *state) syncCold(now time.Duration) {
 	var services []coldstart.Listed
@@ -32,7 +26,7 @@
 			services = append(services, coldstart.Listed{Service: svc, Servers: s.listedServers(svc.Name)})
 		}
 	}
-	s.cold.Sync(now, s.latestRevision(), evacuations{s}, services)
+	s.cold.Sync(now, s.latestRevision(), s.catalog, services)
 	s.publishCold(now)
 }
 
