Wait for the store after a pause only where a time for evacuations is set

Cause: hosts of every deployment held requests for up to 1 s after a pause of 2 s and read the store, also where no zone is ever evacuated.

--- a/node/entry/afterpause.go
+++ b/node/entry/afterpause.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// maxStale is the length of a pause of the process after which its catalog may be too old to send by. A shorter one leaves
-	// time to hear of an evacuation within the 5 s in which all hosts must know it.
-	maxStale = 2 * time.Second
+	// staleShare is the part of the time within which all hosts must know of an evacuation. After a longer pause of the process
+	// its catalog may be too old to send by; a shorter one leaves time to hear of the evacuation.
+	staleShare = 0.4
 	// confirmWait bounds the time for which requests are then held. The store answers within a few ms, and the reports of peers
 	// arrive every 250 ms; without both, the last known state stays in force.
 	confirmWait = time.Second
@@ -16,14 +16,21 @@
 
 // freshness says whether the catalog may be out of date because the process was paused.
 type freshness struct {
+	maxPause  time.Duration // longest pause after which requests are sent at once; zero for any
 	seen      time.Duration // when the process was last seen running
-	resumed   time.Duration // end of the last pause that was longer than maxStale
+	resumed   time.Duration // end of the last pause that was longer than maxPause
 	confirmed chan struct{} // closed once the store has answered a call that began after it, or confirmWait later; nil after that
 }
 
+// newFreshness returns the freshness of a catalog from which all hosts must know of an evacuation within a time, or zero if no
+// such time is set.
+func newFreshness(within time.Duration) freshness {
+	return freshness{maxPause: time.Duration(staleShare * float64(within))}
+}
+
 // observe records that the process runs.
 func (f *freshness) observe(now time.Duration) {
-	if f.seen > 0 && now-f.seen > maxStale {
+	if f.maxPause > 0 && f.seen > 0 && now-f.seen > f.maxPause {
 		f.resumed = now
 		if f.confirmed == nil {
 			f.confirmed = make(chan struct{})
--- a/node/entry/evacuation_test.go
+++ b/node/entry/evacuation_test.go
@@ -96,22 +96,26 @@
 // good, or after a short pause, or that waits for a call from before the pause.
 func TestSendWaitsForTheStoreAfterPause(t *testing.T) {
 	const delay = 100 * time.Millisecond
+	const within, maxPause = 5 * time.Second, 2 * time.Second
 	for _, test := range []struct {
-		name  string
-		pause time.Duration
-		err   error
-		want  eligibility.Reason
-		waits time.Duration
+		name   string
+		within time.Duration
+		pause  time.Duration
+		err    error
+		want   eligibility.Reason
+		waits  time.Duration
 	}{
-		{"long", maxStale + time.Second, nil, eligibility.Evacuated, delay},
-		{"short", maxStale / 2, nil, eligibility.Eligible, 0},
-		{"long, without the store", maxStale + time.Second, context.DeadlineExceeded, eligibility.Eligible, confirmWait},
+		{"long", within, maxPause + time.Second, nil, eligibility.Evacuated, delay},
+		{"short", within, maxPause / 2, nil, eligibility.Eligible, 0},
+		{"long, without the store", within, maxPause + time.Second, context.DeadlineExceeded, eligibility.Eligible, confirmWait},
+		{"long, without evacuations", 0, maxPause + time.Second, nil, eligibility.Eligible, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			h := zoneHost()
 			h.ctx = context.Background()
+			h.state.freshness = newFreshness(test.within)
 			h.store = &zoneStore{delay: delay, err: test.err}
 			chosen, _ := h.state.catalog.Status("b")
 			h.mayBeStale()
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -69,6 +69,7 @@
 		sharingHosts: 1,
 		openWaiters:  map[string][]*request{},
 		wake:         map[*request]context.CancelFunc{},
+		freshness:    newFreshness(settings.MS(set.EvacuateMS)),
 		numbering:    map[string]*hedge.Numbering{},
 		peers:        peers.NewTable(),
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -114,6 +114,7 @@
 	c.inRange("entry.retry_window_ms", e.RetryWindowMS, 100, 600_000)
 	c.inRange("entry.max_hold_ms", e.MaxHoldMS, 1_000, 3_600_000)
 	c.inRange("entry.release_ms", e.ReleaseMS, 2_000, 3_600_000)
+	c.inRange("entry.evacuate_ms", e.EvacuateMS, 0, 3_600_000)
 	c.inRange("entry.memory_mb", e.MemoryMB, 0, 1<<20)
 	if !(e.RetryRatio >= 0 && e.RetryRatio <= 10) {
 		c.add("entry.retry_ratio", e.RetryRatio, "0 to 10")
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -121,6 +121,9 @@
 	// ReleaseMS is the time within which reserved memory must be released after its last use, even if this
 	// host fails. Default 4,000. Leases are shorter than this time; a shorter time costs more renewals.
 	ReleaseMS int64 `toml:"release_ms"`
+	// EvacuateMS is the time within which no host sends requests to an evacuated zone any more. A host that was paused for a large
+	// part of it reads the store before it sends again. Zero, the default, sets no time, and no host waits.
+	EvacuateMS int64 `toml:"evacuate_ms"`
 	// MemoryMB is the memory limit of the process. The garbage collector runs more often near the limit. Zero
 	// sets no limit.
 	MemoryMB int64 `toml:"memory_mb"`
