Attack the ports of callers with clients that keep to no limit

Cause: docs/hard-load.md requires that no client outside the operators' control ends a process or takes the memory or the descriptors of its machine. Nothing tested that. Change: lab/hostile starts an entry host or a gateway as a process with a memory limit of 96 MB and attacks one port with 1,200 clients of one kind: an endless head, line, trailers or chunk extension, empty lines, slow bodies, idle and half-open connections. It checks that the process lives, that its memory stays under 0.9 of the limit and its descriptors under theirs (4,100, or 1,000 where the crowd is there to use them up), and that an ordinary request is answered while the connections are still open.

--- a/lab/internal/hostprocess/hostprocess.go
+++ b/lab/internal/hostprocess/hostprocess.go
@@ -1,8 +1,9 @@
-// Package hostprocess runs entry hosts as processes of their own.
+// Package hostprocess runs entry hosts and gateways as processes of their own.
 package hostprocess
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"os"
 	"os/exec"
@@ -15,12 +16,13 @@
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
-// Process is an entry host in a separate process. Signal and Starting may be called while another goroutine starts the
+// Process is an entry host, or another role, in a separate process. Signal and Starting may be called while another goroutine starts the
 // process or waits for its end.
 type Process struct {
 	Settings settings.Settings
-	Program  string // path of the rosemaryhill binary
-	File     string // path of the settings; the log is beside it
+	Program  string        // path of the rosemaryhill binary
+	Role     settings.Role // empty stands for entry
+	File     string        // path of the settings; the log is beside it
 	Started  time.Time
 	Exited   chan error // receives the result of the process once
 
@@ -57,7 +59,7 @@
 	if p.logOffset, err = log.Seek(0, io.SeekEnd); err != nil {
 		return err
 	}
-	cmd, ended := exec.Command(p.Program, "entry", "--settings", p.File), make(chan error, 1)
+	cmd, ended := exec.Command(p.Program, string(cmp.Or(p.Role, settings.RoleEntry)), "--settings", p.File), make(chan error, 1)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -75,6 +77,13 @@
 	return err == nil && info.Size() == p.logOffset
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal. It has no effect if the process has exited.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
