--- a/node/internal/httpdrain/listener.go
+++ b/node/internal/httpdrain/listener.go
@@ -31,6 +31,9 @@
 // connections, on which callers have sent their requests already.
 type Listener struct {
 	*net.TCPListener
+	// Wrap, if set, returns the connection to serve in place of an accepted one, or nil if it has closed it. It must be set
+	// before Serve.
+	Wrap    func(net.Conn) net.Conn
 	closeBy atomic.Pointer[time.Time] // when to close at the latest; nil while the listener is open
 	done    chan struct{}             // closed when connections are no longer accepted
 }
@@ -51,6 +54,18 @@
 
 // Accept implements net.Listener. While the listener drains, it returns net.ErrClosed when the backlog is empty.
 func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.accept()
+		if err != nil || l.Wrap == nil {
+			return conn, err
+		}
+		if conn = l.Wrap(conn); conn != nil {
+			return conn, nil
+		}
+	}
+}
+
+func (l *Listener) accept() (net.Conn, error) {
 	if by := l.closeBy.Load(); by != nil {
 		return l.acceptBacklog(*by)
 	}
