Keep the callers of entry and gateway within the memory and descriptors of the host

Cause: 1,200 clients with heads or lines that do not end took 109 to 630 MiB on each port of an entry host, and slow bodies, idle and half-open connections took a descriptor each on every port, whatever the limits of the machine. Change: entry (callers, directory, readiness, metrics) and gateway accept connections through httpguard. The share of memory for the garbage collector moves to node/internal/memlimit, which the gateway uses too.

--- a/lab/hostile/crowd_test.go
+++ b/lab/hostile/crowd_test.go
@@ -30,7 +30,7 @@
 type crowd struct {
 	name string
 	// descriptors is the limit of descriptors of the process. It is above the crowd where only memory is checked.
-	descriptors int
+	descriptors int64
 	// attack sends what one client sends. The connection stays open afterwards.
 	attack func(net.Conn) error
 }
--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -106,7 +106,7 @@
 	c.Assert(err, qt.IsNil)
 	fleet.Configure(1, 4*time.Second)
 	s := fleet.HostSettings(1, *portFlag+2)
-	s.Entry.Peers, s.Entry.AdminPort, s.Entry.MemoryMB = nil, *portFlag+8, memoryMB
+	s.Entry.Peers, s.Entry.AdminPort, s.Entry.MemoryMB, s.Entry.MaxDescriptors = nil, *portFlag+8, memoryMB, x.descriptors
 	return startProcess(c, program, settings.RoleEntry, s)
 }
 
@@ -123,7 +123,9 @@
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = system.Close() })
 	c.Assert(system.Kill("h1/gateway"), qt.IsNil)
-	return startProcess(c, program, settings.RoleGateway, plan.Settings["h1"])
+	s := plan.Settings["h1"]
+	s.Gateway.MemoryMB, s.Gateway.MaxDescriptors = memoryMB, x.descriptors
+	return startProcess(c, program, settings.RoleGateway, s)
 }
 
 func startProcess(c *qt.C, program string, role settings.Role, s settings.Settings) *hostprocess.Process {
@@ -160,7 +162,7 @@
 				default:
 				}
 				c.Check(float64(peakKB) <= memoryShare*memoryMB*1024, qt.IsTrue, qt.Commentf("memory %d kB", peakKB))
-				c.Check(most <= x.descriptors, qt.IsTrue, qt.Commentf("%d descriptors", most))
+				c.Check(int64(most) <= x.descriptors, qt.IsTrue, qt.Commentf("%d descriptors", most))
 				c.Check(answered, qt.IsTrue, qt.Commentf("an ordinary request is not answered"))
 			})
 		}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -23,6 +23,8 @@
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/memlimit"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
@@ -62,6 +64,7 @@
 	client         *http.Client // for requests to backend servers
 	state          *state
 	bodies         *bodyMemory
+	guard          *httpguard.Guard
 	store          Store
 	gossip         *gossip.Service
 	control        *control.Server
@@ -109,6 +112,10 @@
 	h.serving, h.endRequests = context.WithCancel(h.ctx)
 	h.client = newClient()
 	h.bodies = newBodyMemory(s.Entry.MemoryMB)
+	h.guard = httpguard.New(httpguard.Config{
+		Defaults: defaultCallerLimits, MaxDescriptors: s.Entry.MaxDescriptors, MemoryMB: s.Entry.MemoryMB, Obs: o,
+		Counter: "rosemaryhill_entry_connections_closed",
+	})
 	h.connections = httpdrain.NewConnections()
 	h.store = cfg.OpenStore(o.Log)
 	h.state = newState(s.Entry, rand.New(rand.NewSource(int64(h.incarnation))))
@@ -120,7 +127,7 @@
 		h.Close()
 		return nil, err
 	}
-	applyMemoryLimit(s.Entry.MemoryMB)
+	memlimit.Apply(s.Entry.MemoryMB)
 	if cfg.SettingsFile != "" {
 		go h.watchSettings()
 	}
@@ -132,7 +139,7 @@
 	h.log.WithFields(fields{
 		"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress, "peers": len(s.Entry.Peers),
 		"retry_ratio": s.Entry.RetryRatio, "retry_slack": s.Entry.RetrySlack, "shutdown_ms": s.Entry.ShutdownMS,
-		"release_ms": s.Entry.ReleaseMS, "memory_mb": s.Entry.MemoryMB,
+		"release_ms": s.Entry.ReleaseMS, "memory_mb": s.Entry.MemoryMB, "max_connections": h.guard.MaxConnections(),
 	}).WithContext(obs.Essential).Info("started")
 	return h, nil
 }
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -15,17 +14,6 @@
 // a signal.
 const reloadInterval = time.Second
 
-// gcMemoryShare is the share of the process's memory limit that is set as the garbage collector's soft limit.
-// The rest is headroom for memory that the runtime does not count, such as socket buffers.
-const gcMemoryShare = 0.7
-
-// applyMemoryLimit sets the runtime's soft memory limit.
-func applyMemoryLimit(mb int64) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(gcMemoryShare * float64(mb<<20)))
-	}
-}
-
 // watchSettings reloads the settings file whenever it changes. In a running process only a change of the peers
 // takes effect. An invalid file is ignored.
 func (h *Host) watchSettings() {
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -7,17 +7,19 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 )
 
+// defaultCallerLimits apply where the configuration names none. Callers keep to lower ones.
+var defaultCallerLimits = httpguard.Limits{HeadBytes: 64 << 10, HeadTime: 5 * time.Second, IdleTime: 60 * time.Second}
+
+// Ports of a host, as named in logs and metrics.
 const (
-	// idleTimeout closes a caller's connection that carries no requests. Callers close idle connections
-	// earlier.
-	idleTimeout = 60 * time.Second
-	// headerTimeout bounds the time for reading a request header.
-	headerTimeout = 5 * time.Second
-	// maxHeader is the maximum size of a request header in bytes.
-	maxHeader = 64 << 10
+	portCallers   = "callers"
+	portDirectory = "directory"
+	portReadiness = "readiness"
+	portMetrics   = "metrics"
 )
 
 func (h *Host) startServers() error {
@@ -27,13 +29,13 @@
 	directory := h.newServer(d.Directory(h.addresses, settings.MS(h.settings.AddressTTLMS)))
 	readiness := h.newServer(d.Readiness(h.ready))
 	var err error
-	if h.callerListener, err = h.serve(h.callerServer, h.settings.HTTPAddress); err != nil {
+	if h.callerListener, err = h.serve(h.callerServer, portCallers, h.settings.HTTPAddress); err != nil {
 		return err
 	}
-	if _, err = h.serve(directory, h.settings.DirectoryAddress); err != nil {
+	if _, err = h.serve(directory, portDirectory, h.settings.DirectoryAddress); err != nil {
 		return err
 	}
-	if _, err = h.serve(readiness, h.settings.ReadyAddress); err != nil {
+	if _, err = h.serve(readiness, portReadiness, h.settings.ReadyAddress); err != nil {
 		return err
 	}
 	h.startMetrics()
@@ -50,20 +52,17 @@
 	mux.Handle("GET /metrics", h.obs.MetricsHandler())
 	ip, _, _ := net.SplitHostPort(h.settings.HTTPAddress)
 	address := net.JoinHostPort(ip, strconv.Itoa(h.settings.AdminPort))
-	if _, err := h.serve(h.newServer(mux), address); err != nil {
+	if _, err := h.serve(h.newServer(mux), portMetrics, address); err != nil {
 		h.log.WithFields(fields{"address": address, "error": err.Error()}).Error("metrics not served")
 	}
 }
 
 func (h *Host) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: h.obs.StdLog(),
-	}
+	return &http.Server{Handler: handler, ErrorLog: h.obs.StdLog()}
 }
 
-// serve opens a listener and serves its connections in the background.
-func (h *Host) serve(s *http.Server, address string) (*httpdrain.Listener, error) {
+// serve opens a listener and serves its connections in the background, within the budgets for callers.
+func (h *Host) serve(s *http.Server, port, address string) (*httpdrain.Listener, error) {
 	lc := net.ListenConfig{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -76,6 +75,7 @@
 	}
 	h.servers = append(h.servers, s)
 	draining := httpdrain.NewListener(ln.(*net.TCPListener))
+	draining.Wrap = h.guard.Protect(s, port)
 	h.listeners = append(h.listeners, draining)
 	go func() {
 		if err := draining.Serve(s); err != nil {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -22,6 +22,8 @@
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/ticket"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpdrain"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/memlimit"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/node/view"
@@ -55,6 +57,7 @@
 	listener    *httpdrain.Listener
 	connections *httpdrain.Connections
 	server      *http.Server
+	guard       *httpguard.Guard
 
 	limitsMu sync.Mutex
 	limits   *limits.TeamLimiter
@@ -81,6 +84,9 @@
 	resumes       obs.Counter
 }
 
+// callerLimits bound what one caller may send beside its body.
+var callerLimits = httpguard.Limits{HeadBytes: 16 << 10, HeadTime: 5 * time.Second, IdleTime: 90 * time.Second}
+
 // Start opens the HTTP server and connects to the dispatchers of the region.
 func Start(cfg Config) (*Gateway, error) {
 	g := &Gateway{
@@ -124,14 +130,19 @@
 	}
 	g.listener, g.connections = httpdrain.NewListener(ln.(*net.TCPListener)), httpdrain.NewConnections()
 	g.server = &http.Server{
-		Handler:           g.handler(),
-		ConnState:         g.connections.Observe,
-		BaseContext:       func(net.Listener) context.Context { return g.requestsCtx },
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       90 * time.Second,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          g.obs.StdLog(),
+		Handler:     g.handler(),
+		ConnState:   g.connections.Observe,
+		BaseContext: func(net.Listener) context.Context { return g.requestsCtx },
+		ErrorLog:    g.obs.StdLog(),
+		// The limit never changes here. net/http gives back the memory of a head before it waits for the client to read the refusal.
+		MaxHeaderBytes: callerLimits.HeadBytes,
 	}
+	g.guard = httpguard.New(httpguard.Config{
+		Defaults: callerLimits, MaxDescriptors: cfg.Settings.Gateway.MaxDescriptors, MemoryMB: cfg.Settings.Gateway.MemoryMB,
+		Obs: g.obs, Counter: "gateway_connections_closed",
+	})
+	memlimit.Apply(cfg.Settings.Gateway.MemoryMB)
+	g.listener.Wrap = g.guard.Protect(g.server, "callers")
 	g.registerGauges()
 	g.background.Go(g.followView)
 	g.background.Go(func() {
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -14,6 +14,9 @@
 	validAddress = `an IP number and a port from 1 to 65535, such as "10.0.0.1:8080"; no host name`
 	validURL     = `http or https, an IP number and a port, such as "http://10.0.0.5:7000"; no host name, no path`
 	minTokenLen  = 16 // characters
+	// minDescriptors leaves 50 connections of callers beside files, other hosts and the store.
+	minDescriptors = 300
+	maxDescriptors = 1 << 30
 )
 
 // namePattern excludes the dot, because it separates the fields of a ticket.
@@ -79,6 +82,8 @@
 	c.inRange("gateway.max_prompt_bytes_held", g.MaxPromptBytesHeld, 8<<20, 1<<40)
 	c.inRange("gateway.shutdown_ms", g.ShutdownMS, 1, 86_400_000)
 	c.inRange("gateway.accept_queue_ms", g.AcceptQueueMS, 100, 60_000)
+	c.inRange("gateway.memory_mb", g.MemoryMB, 0, 1<<20)
+	c.descriptors("gateway.max_descriptors", g.MaxDescriptors)
 }
 
 func (c *checker) checkDispatcher(d *Dispatcher) {
@@ -115,6 +120,7 @@
 	c.inRange("entry.max_hold_ms", e.MaxHoldMS, 1_000, 3_600_000)
 	c.inRange("entry.release_ms", e.ReleaseMS, 2_000, 3_600_000)
 	c.inRange("entry.memory_mb", e.MemoryMB, 0, 1<<20)
+	c.descriptors("entry.max_descriptors", e.MaxDescriptors)
 	if !(e.RetryRatio >= 0 && e.RetryRatio <= 10) {
 		c.add("entry.retry_ratio", e.RetryRatio, "0 to 10")
 	}
@@ -190,6 +196,13 @@
 	}
 }
 
+// descriptors checks a limit of descriptors. Zero stands for that of the process.
+func (c *checker) descriptors(key string, value int64) {
+	if value != 0 && (value < minDescriptors || value > maxDescriptors) {
+		c.add(key, value, fmt.Sprintf("0 or %d to %d", minDescriptors, maxDescriptors))
+	}
+}
+
 func (c *checker) oneOf(key, value string, valid ...string) {
 	if !slices.Contains(valid, value) {
 		c.add(key, value, "one of "+strings.Join(valid, ", "))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -57,6 +57,9 @@
 	// submits it elsewhere. Default 2,000. With a short time, requests are resubmitted even during short
 	// pauses of a dispatcher.
 	AcceptQueueMS int64 `toml:"accept_queue_ms"`
+	// MaxDescriptors and MemoryMB are those of the entry role, for this process.
+	MaxDescriptors int64 `toml:"max_descriptors"`
+	MemoryMB       int64 `toml:"memory_mb"`
 }
 
 // Dispatcher holds the settings of the dispatcher role.
@@ -122,8 +125,13 @@
 	// host fails. Default 4,000. Leases are shorter than this time; a shorter time costs more renewals.
 	ReleaseMS int64 `toml:"release_ms"`
 	// MemoryMB is the memory limit of the process. The garbage collector runs more often near the limit. Zero
-	// sets no limit.
+	// sets no limit. A quarter of it is for the connections of callers (24 KiB each), an eighth for the heads of requests that
+	// arrive, and an eighth for bodies.
 	MemoryMB int64 `toml:"memory_mb"`
+	// MaxDescriptors is the limit of open files and connections of the process, from 300. Half of it, less 100, may be
+	// connections of callers, since each of their requests needs a connection to a server. Zero, the default, stands for the
+	// limit that the process is started with, which holds in any case. A lower limit closes idle connections earlier.
+	MaxDescriptors int64 `toml:"max_descriptors"`
 }
 
 // Platform holds the URLs of the platform's services and the limits for reading them. Hosts in URLs are IP
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -45,6 +45,8 @@
 http_address = "localhost:80"
 keep_ms = "30s"
 color = "red"
+max_descriptors = 299
+memory_mb = -1
 [platform]
 config_url = "http://config.internal:7000"
 [admin]
@@ -63,7 +65,7 @@
 	}
 	c.Assert(keys, qt.DeepEquals, []string{
 		"admin.token", "availability_zone", "gateway.admin_address", "gateway.color",
-		"gateway.control_address", "gateway.gossip_address", "gateway.http_address", "gateway.keep_ms",
+		"gateway.control_address", "gateway.gossip_address", "gateway.http_address", "gateway.keep_ms", "gateway.max_descriptors", "gateway.memory_mb",
 		"host_id", "log.level", "platform.config_url", "platform.hosts_url", "region",
 		"trace.exporter", "trace.sample_ratio",
 	})
