Apply the configured limits of headers and idle connections to callers

Cause: max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration were not read; constants applied. They hold for heads and idle times that begin afterwards, on all ports.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -85,7 +85,11 @@
 
 // CallerLimits bound what a caller may send.
 type CallerLimits struct {
-	MaxBodyBytes int64 // zero when not set
+	// Zero when not set.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int           // of the head of a request
+	HeaderTimeout  time.Duration // from the first byte of a head to its end
+	IdleTimeout    time.Duration // of a connection without a request
 }
 
 // Config is one version of the routing configuration.
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
@@ -180,6 +181,11 @@
 	s.mu.Lock()
 	refused := change(s.catalog)
 	s.syncEngines(h.now())
+	if c := s.catalog.Config(); c != nil {
+		h.guard.SetLimits(httpguard.Limits{
+			HeadBytes: c.Limits.MaxHeaderBytes, HeadTime: c.Limits.HeaderTimeout, IdleTime: c.Limits.IdleTimeout,
+		})
+	}
 	s.mu.Unlock()
 	h.logCatalog(refused, source)
 	h.requestReport()
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -20,6 +20,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
@@ -31,7 +32,8 @@
 		panic(err)
 	}
 	h := &Host{
-		obs: o, log: o.Log, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1))),
+		guard: httpguard.New(httpguard.Config{Defaults: defaultCallerLimits, Obs: o, Counter: "closed"}),
+		obs:   o, log: o.Log, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1))),
 		serving: context.Background(),
 	}
 	h.settings.HTTPAddress, h.settings.ControlAddress = "10.0.0.1:80", "10.0.0.1:83"
