--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
 
@@ -206,6 +207,7 @@
 		}
 	}
 	revision := s.catalog.Revision()
+	h.setCallerLimits(s.catalog.Config())
 	s.mu.Unlock()
 	h.logEvacuations(before, after, revision, source)
 	h.logCatalog(refused, source)
@@ -213,6 +215,16 @@
 	h.requestReport()
 }
 
+// setCallerLimits applies the limits of a configuration to what callers send.
+func (h *Host) setCallerLimits(c *catalog.Config) {
+	if c == nil {
+		return
+	}
+	h.guard.SetLimits(httpguard.Limits{
+		HeadBytes: c.Limits.MaxHeaderBytes, HeadTime: c.Limits.HeaderTimeout, IdleTime: c.Limits.IdleTimeout,
+	})
+}
+
 // advance records that there are no other changes up to a revision.
 func (h *Host) advance(revision uint64) {
 	h.state.mu.Lock()
