Probe ports while no process is forked

Cause: a child between fork and exec holds copies of the sockets of the test process, so a port that the plan has probed and closed may stay taken for a moment. Seen as one process that refused connections in TestProcesses/two_faults this could be a bind that fails, but it was not shown to be.

Change: isFree holds syscall.ForkLock for reading.

--- a/lab/cluster/plan.go
+++ b/lab/cluster/plan.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/config"
@@ -226,7 +227,11 @@
 	return ""
 }
 
+// isFree reports whether a port can be bound. A child process that is between fork and exec holds copies of all sockets of this
+// process, so none is forked meanwhile: the port would stay taken until the child runs.
 func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
 		return false
