--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -101,7 +101,7 @@
 
 // Store is a client of the platform's store.
 type Store interface {
-	// Snapshot reads the complete published state.
+	// Snapshot reads the complete published state. It bounds the time that it waits for the store itself.
 	Snapshot(ctx context.Context) (catalog.Snapshot, error)
 	// Changes waits for changes after a revision. It returns none if the wait ends without any, and an error of
 	// class ErrCompacted if the store no longer holds the changes since that revision.
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -20,7 +20,7 @@
 	watchWait = 3 * time.Second
 	// watchGrace is the time beyond watchWait after which a watch counts as lost.
 	watchGrace = 700 * time.Millisecond
-	// readTimeout bounds a read of the store. A healthy store answers within a few ms.
+	// readTimeout bounds a read of changes that does not wait for any. A healthy store answers within a few ms.
 	readTimeout = 1200 * time.Millisecond
 	// burstTime is the time between a change and the next call. Servers often come and go together, and each change that is
 	// read alone costs every reader a call.
@@ -163,9 +163,7 @@
 func readerRank(a member.Addr) uint64 { return xxhash.Sum64String(string(a)) }
 
 func (h *Host) readSnapshot() error {
-	ctx, cancel := context.WithTimeout(h.ctx, readTimeout)
-	defer cancel()
-	snapshot, err := h.store.Snapshot(ctx)
+	snapshot, err := h.store.Snapshot(h.ctx)
 	if err != nil {
 		return err
 	}
