--- a/lab/soak/badpart.go
+++ b/lab/soak/badpart.go
@@ -87,6 +87,16 @@
 	return slices.ContainsFunc(r.crashes, func(x crash) bool { return x.server == id })
 }
 
+// unlessCrashed calls f unless the server's lifetime has ended in a crash.
+func (r *run) unlessCrashed(s *standin.Server, f func()) {
+	r.mu.Lock()
+	crashed := r.hasCrashedLocked(s.ID)
+	r.mu.Unlock()
+	if !crashed {
+		f()
+	}
+}
+
 // crash records a crash of an engine.
 type crash struct {
 	server    string
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -151,6 +151,8 @@
 	r.checkBudget()
 	r.checkNotices()
 	r.checkLimits()
+	r.checkZones()
+	r.checkCold()
 }
 
 // violations returns the guarantees that the result of a request violates, given its arrivals at all servers.
