--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,7 +83,7 @@
 func TestSoakWithZones(t *testing.T) {
 	c := qt.New(t)
 	program := buildHost(c)
-	c.Run("seed 3", func(c *qt.C) { soakWith(c, program, 3, zonesTime) })
+	c.Run("seed11", func(c *qt.C) { soakWith(c, program, 11, zonesTime) })
 }
 
 // zonesTime is long enough for two evacuations.
@@ -313,6 +316,13 @@
 		}
 		c.Check(zoneViolations(judged, evacuated), qt.HasLen, x.want, qt.Commentf(x.name))
 	}
+	helper, err := r.fleet.Add("models")
+	c.Assert(err, qt.IsNil)
+	order := httptest.NewRequest(http.MethodPost, "/api/order", strings.NewReader(`{"operation":"reserve","id":"v","hold_ms":1000}`))
+	helper.ServeHTTP(httptest.NewRecorder(), order)
+	withHelper := r.withReservations([]contact{{standin.Arrival{Helpers: r.fleet.AddressOf(helper.ID) + "/v"}, &call{}, true}})
+	c.Assert(withHelper, qt.HasLen, 2)
+	c.Assert(withHelper[1].Server, qt.Equals, helper.ID)
 	var crowd []contact
 	for i := range 40 {
 		a := standin.Arrival{At: at(20 + 0.1*float64(i))}
--- a/lab/soak/zone.go
+++ b/lab/soak/zone.go
@@ -129,10 +129,24 @@
 	return true
 }
 
+// withReservations adds the reservations that requests have used, at the time when they were made.
+func (r *run) withReservations(all []contact) []contact {
+	for _, x := range all {
+		for id, address := range x.Reservations() {
+			for _, s := range r.fleet.Servers {
+				if at := s.ReservedAt(id); r.fleet.AddressOf(s.ID) == address && !at.IsZero() {
+					all = append(all, contact{standin.Arrival{ID: x.ID, Server: s.ID, At: at}, x.call, false})
+				}
+			}
+		}
+	}
+	return all
+}
+
 // judged returns the contacts with each server of hosts that can't have missed what the store published, in order of arrival.
 func (r *run) judged() map[string][]contact {
 	out := map[string][]contact{}
-	for _, x := range r.contacts() {
+	for _, x := range r.withReservations(r.contacts()) {
 		if !r.mayKnowLate(x) {
 			out[x.Server] = append(out[x.Server], x)
 		}
