Keep the names of the platform in its stand-ins

Cause: lab/hostile named paths and headers of the platform, which only platform/ and its stand-ins may know. Change: platform/standin has DirectoryPath, ReadyPath and UnsafeHead.

--- a/lab/hostile/crowd_test.go
+++ b/lab/hostile/crowd_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/platform/standin"
 )
 
 const (
@@ -22,8 +24,6 @@
 	slowInterval = 200 * time.Millisecond
 	// sendTimeout bounds the time for which one client sends.
 	sendTimeout = 15 * time.Second
-
-	postHead = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: q\r\nDeadline-Ms: 4000\r\n"
 )
 
 // crowd is a kind of hostile clients.
@@ -40,13 +40,13 @@
 	{"endless line", 4100, func(c net.Conn) error { return send(c, "GET /", strings.Repeat("a", headBytes)) }},
 	{"empty lines", 4100, func(c net.Conn) error { return send(c, "", strings.Repeat("\r\n", headBytes/2)) }},
 	{"endless trailers", 4100, func(c net.Conn) error {
-		return send(c, postHead+"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", headerLines())
+		return send(c, standin.UnsafeHead+"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", headerLines())
 	}},
 	{"endless chunk extension", 4100, func(c net.Conn) error {
-		return send(c, postHead+"Transfer-Encoding: chunked\r\n\r\n2;", strings.Repeat("a", headBytes))
+		return send(c, standin.UnsafeHead+"Transfer-Encoding: chunked\r\n\r\n2;", strings.Repeat("a", headBytes))
 	}},
 	{"slow body", 1000, func(c net.Conn) error {
-		err := send(c, postHead+"Content-Length: 1000\r\n\r\n", "")
+		err := send(c, standin.UnsafeHead+"Content-Length: 1000\r\n\r\n", "")
 		for n := 0; n < slowBytes && err == nil; n++ {
 			time.Sleep(slowInterval)
 			err = send(c, "{", "")
--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -67,11 +67,11 @@
 	}},
 	{"directory", func(t *testing.T, program string, x crowd) *attacked {
 		p := startEntry(t, program, x)
-		return &attacked{p, p.Settings.Entry.DirectoryAddress, get(p.Settings.Entry.DirectoryAddress, "/api/resolve")}
+		return &attacked{p, p.Settings.Entry.DirectoryAddress, get(p.Settings.Entry.DirectoryAddress, standin.DirectoryPath)}
 	}},
 	{"readiness", func(t *testing.T, program string, x crowd) *attacked {
 		p := startEntry(t, program, x)
-		return &attacked{p, p.Settings.Entry.ReadyAddress, get(p.Settings.Entry.ReadyAddress, "/api/readyz")}
+		return &attacked{p, p.Settings.Entry.ReadyAddress, get(p.Settings.Entry.ReadyAddress, standin.ReadyPath)}
 	}},
 	{"metrics", func(t *testing.T, program string, x crowd) *attacked {
 		p := startEntry(t, program, x)
