--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -153,11 +153,11 @@
 		return gnet.None
 	}
 	if len(b) > 0 && b[0] == limitsTag {
-		s.handleLimits(member.Addr(c.RemoteAddr().String()), b[1:])
+		s.handleLimits(member.Addr(c.RemoteAddr().String()), b[1:], decodeLimits)
 		return gnet.None
 	}
 	if len(b) > 0 && b[0] == publishedTag {
-		s.handlePublished(member.Addr(c.RemoteAddr().String()), b[1:])
+		s.handleLimits(member.Addr(c.RemoteAddr().String()), b[1:], decodePublished)
 		return gnet.None
 	}
 	msg, err := s.decoder.decode(b)
--- a/transport/gossip/limits.go
+++ b/transport/gossip/limits.go
@@ -53,25 +53,13 @@
 	}
 }
 
-func (s *Service) handleLimits(from member.Addr, b []byte) {
+// handleLimits passes on an update that decode reads from a datagram without its tag.
+func (s *Service) handleLimits(from member.Addr, b []byte, decode func([]byte) (ident.Incarnation, serverlimit.Update, error)) {
 	h, ok := s.handler.(LimitsHandler)
 	if !ok {
 		return
 	}
-	incarnation, u, err := decodeLimits(b)
-	if err != nil {
-		s.undecodable.Add(1)
-		return
-	}
-	h.OnLimits(from, incarnation, u)
-}
-
-func (s *Service) handlePublished(from member.Addr, b []byte) {
-	h, ok := s.handler.(LimitsHandler)
-	if !ok {
-		return
-	}
-	incarnation, u, err := decodePublished(b)
+	incarnation, u, err := decode(b)
 	if err != nil {
 		s.undecodable.Add(1)
 		return
