--- a/review/second/kit/caller.go
+++ b/review/second/kit/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +15,7 @@
 	Status   int  // zero without a head
 	Complete bool // the whole answer has come
 	Kept     bool // the connection had served a request before
+	Bytes    int64
 	Err      error
 }
 
@@ -22,17 +24,34 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	served int
+	// Pause is how long the caller stops reading in the middle of an answer, after its first bytes.
+	Pause time.Duration
 }
 
 // Connect opens a connection, within the second that callers allow.
-func Connect(address string) (*Caller, error) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+func Connect(address string) (*Caller, error) { return connect(address, 0) }
+
+// ConnectSmall is Connect with a receive buffer of the given size in bytes.
+func ConnectSmall(address string, buffer int) (*Caller, error) { return connect(address, buffer) }
+
+func connect(address string, buffer int) (*Caller, error) {
+	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if buffer == 0 {
+			return nil
+		}
+		_ = c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, buffer) })
+		return err
+	}}
+	conn, err := d.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Caller{conn: conn, reader: bufio.NewReader(conn)}, nil
+	return &Caller{conn: conn, reader: bufio.NewReaderSize(conn, readerBytes)}, nil
 }
 
+// readerBytes is what a caller takes from its connection at a time.
+const readerBytes = 512
+
 // Close closes the connection.
 func (c *Caller) Close() { _ = c.conn.Close() }
 
@@ -59,7 +78,11 @@
 	}
 	defer resp.Body.Close()
 	res.Status = resp.StatusCode
-	if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+	if c.Pause > 0 {
+		_, _ = io.ReadFull(resp.Body, make([]byte, 1)) // an error shows below
+		time.Sleep(c.Pause)
+	}
+	if res.Bytes, err = io.Copy(io.Discard, resp.Body); err != nil {
 		res.Err = err
 		return res, false
 	}
--- a/review/second/kit/config.go
+++ b/review/second/kit/config.go
@@ -10,6 +10,7 @@
 	FloorPrefix  = "/floor/"
 	PayPrefix    = "/pay/"
 	LookupPrefix = "/lookup/"
+	LongPrefix   = "/dossier/"
 	Key          = "n2ctnfzs989anu6wsjnb"
 	Tenant       = "hule930"
 )
@@ -46,6 +47,8 @@
 	c.Routes = []Route{
 		{Name: "r-floor", Host: RouteHost, Prefix: FloorPrefix, Type: "streaming", TimeoutMS: 10000, AimMS: 250, Priority: 0,
 			Service: ModelService, MaxAttempts: 2, Sticky: true, Resumable: true, TargetGapMS: 250},
+		{Name: "r-long", Host: RouteHost, Prefix: LongPrefix, Type: "streaming", TimeoutMS: 15000, AimMS: 8000, Priority: 2,
+			Service: ModelService, MaxAttempts: 2, Sticky: true, Resumable: true, TargetGapMS: 1000},
 		{Name: "r-pay", Host: RouteHost, Prefix: PayPrefix, Type: "unsafe", TimeoutMS: 800, AimMS: 200, Priority: 2,
 			Service: PlainService, MaxAttempts: 1},
 		{Name: "r-lookup", Host: RouteHost, Prefix: LookupPrefix, Type: "safe", TimeoutMS: 800, AimMS: 150, Priority: 2,
--- a/review/second/kit/server.go
+++ b/review/second/kit/server.go
@@ -32,6 +32,7 @@
 	Tokens         int
 	TokenTime      time.Duration
 	TokensPerEvent int
+	TokenBytes     int           // 5 if zero
 	Work           time.Duration // of a plain answer
 	// LoseAnswers is the share of the requests that run whose answer is lost: the connection is reset without it.
 	LoseAnswers atomic.Uint64 // in percent
@@ -114,13 +115,16 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
-	perEvent := max(1, s.TokensPerEvent)
+	perEvent, tokenBytes := max(1, s.TokensPerEvent), s.TokenBytes
+	if tokenBytes == 0 {
+		tokenBytes = 5
+	}
 	done, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for done < s.Tokens {
 		n := min(perEvent, s.Tokens-done)
 		time.Sleep(time.Duration(n) * s.TokenTime)
 		done += n
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", done, strings.Repeat("word ", n))
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", done, strings.Repeat("w", n*tokenBytes))
 		if flush.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
