--- a/review/second/kit/caller.go
+++ b/review/second/kit/caller.go
@@ -26,6 +26,7 @@
 	served int
 	// Pause is how long the caller stops reading in the middle of an answer, after its first bytes.
 	Pause time.Duration
+	Key   string // the tenant's key if empty
 }
 
 // Connect opens a connection, within the second that callers allow.
@@ -58,8 +59,12 @@
 // Send sends a request and reads its answer. After an error or an answer with Connection: close, reuse is false.
 func (c *Caller) Send(method, path, attempt string, header map[string]string, body string, limit time.Duration) (res Result, reuse bool) {
 	res.Kept = c.served > 0
+	key := c.Key
+	if key == "" {
+		key = Key
+	}
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\n",
-		method, path, RouteHost, attempt, limit.Milliseconds(), Key)
+		method, path, RouteHost, attempt, limit.Milliseconds(), key)
 	for k, v := range header {
 		text += k + ": " + v + "\r\n"
 	}
