--- a/core/catalog/journal.go
+++ b/core/catalog/journal.go
@@ -11,8 +11,9 @@
 
 // journal keeps the latest changes, so that a peer that is slightly behind does not need a snapshot.
 //
-// Invariant: it holds every published change with a revision above start, at the revision at which it was published,
-// whether or not the change had an effect on the table: a peer that does not have the same state may need it.
+// Invariants: it holds every published change with a revision above start, at the revision at which it was published,
+// whether or not the change had an effect on the table: a peer that does not have the same state may need it. It holds at
+// most one configuration, the last one: each may have a megabyte, and a peer needs none but the last.
 type journal struct {
 	changes []Change
 	start   uint64
@@ -22,6 +23,9 @@
 func (j *journal) restart(revision uint64) { j.changes, j.start = nil, revision }
 
 func (j *journal) add(c Change) {
+	if c.Config != nil {
+		j.dropConfig()
+	}
 	j.changes = append(j.changes, c)
 	if len(j.changes) <= maxJournal {
 		return
@@ -33,24 +37,23 @@
 	j.changes = append([]Change(nil), j.changes[half:]...)
 }
 
+// dropConfig removes the configuration from the change that published it. The change stays at its revision.
+func (j *journal) dropConfig() {
+	if i := slices.IndexFunc(j.changes, isConfig); i >= 0 {
+		j.changes[i].Config = nil
+	}
+}
+
 // since returns the changes after a revision in order; of several configurations only the last one is set. ok is
 // false when the journal does not reach back that far.
 func (j *journal) since(revision uint64) (changes []Change, ok bool) {
 	if revision < j.start {
 		return nil, false
 	}
-	config := -1
 	for _, c := range j.changes {
-		if c.Revision <= revision {
-			continue
-		}
-		if c.Config != nil {
-			if config >= 0 {
-				changes[config].Config = nil
-			}
-			config = len(changes)
+		if c.Revision > revision {
+			changes = append(changes, c)
 		}
-		changes = append(changes, c)
 	}
 	return changes, true
 }
