--- a/core/catalog/memory_test.go
+++ b/core/catalog/memory_test.go
@@ -52,3 +52,22 @@
 	}
 	runtime.KeepAlive(table)
 }
+
+// Guards against requests that each keep the routes of the configuration by which they were admitted: during a series of
+// changes there are as many versions in memory as requests in progress.
+func TestRequestsDoNotHoldConfigurations(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	var published []weak.Pointer[Route]
+	var inProgress []*Route
+	for n := range 100 {
+		cfg := config(n+1, Route{Name: "r", Host: "a.example", Prefix: "/"}, Route{Name: "s", Host: "b.example", Prefix: "/"})
+		published = append(published, weak.Make(&cfg.Routes[0]))
+		table.Replace(0, Snapshot{Revision: uint64(n + 1), Config: cfg})
+		inProgress = append(inProgress, table.Route("b.example", "/x"))
+	}
+	c.Check(countHeld(published), qt.Equals, 1)
+	c.Assert(inProgress[0].Name, qt.Equals, "s")
+	runtime.KeepAlive(inProgress)
+	runtime.KeepAlive(table)
+}
