Accept numbers that a server leaves out within an answer

Cause: once ten streams of a service were numbered consecutively, a number left out counted as a lost event, within one answer too. Only complete streams were evidence, so the knowledge could not change. Evidence: "event 6 follows event 3" for each attempt, and a host that starts after the release serves all streams.

Change: within an answer, numbers may be left out: the transport loses nothing. Between two servers, an event must follow the last one that the caller has, in the answer of its own server; if it leaves out numbers, it takes evidence from the server, its service, the stream, a second server or the next event, until which the first one is held. Evidence is kept for each server. A stream that can't be joined does not exclude its server.

This also mends an event of several tokens that was joined by its number alone, so that the caller got tokens twice (TestEventWithTokensOfAnotherServer).

TestRace and TestGapsAtAnotherServer asked for a gap within an answer to be a fault, which is the fault itself: ids only have to increase.

Measured: TestServiceChangesItsNumbering (release, same server, rare kind, resumed at a new engine) failed in all four cases before and passes.

--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -3,11 +3,10 @@
 // cancelled.
 //
 // Invariants: an attempt is closed only when it has failed, when the answer is complete, or when another attempt has
-// continued the answer. The caller gets each event once and in order.
+// continued the answer. The caller gets each event once and in order. An event is delivered only if the one before it, in the
+// answer of its own server, is the last one that the caller has.
 package hedge
 
-import "slices"
-
 // maxOpen is the number of attempts that run at the same time: the silent one and the one that may take over.
 const maxOpen = 2
 
@@ -20,31 +19,46 @@
 // Verdicts.
 const (
 	Drop    Verdict = iota // the caller has the event, or the attempt is closed
-	Deliver                // pass the event to the caller
-	Gap                    // an event is missing before it: the attempt has failed
+	Deliver                // pass the event to the caller, after one that is held
+	Hold                   // keep the event: the next one of the attempt shows whether an event is missing before it
+	Gap                    // it does not continue the answer: the attempt has failed
 )
 
 // Race holds the attempts of one request. It is not safe for concurrent use.
 type Race struct {
 	limit      int  // servers that the request may be sent to
 	repeatable bool // the request may run at several servers
-	gaps       Gaps // where numbers of events may be left out
 	last       int64
 	delivered  int     // events
 	winner     Attempt // whose event was delivered last
 	left       bool    // a number has been left out
-	opened     Attempt
-	sent       int // attempts that were sent or will be
-	open       []Attempt
+	doubted    bool    // an attempt has left out numbers right after last
+	sent       int     // attempts that were sent or will be
+	running    int     // open attempts
+	attempts   []*runner
+}
+
+// runner is an attempt with what its server has sent.
+type runner struct {
+	id       Attempt
+	open     bool
+	gaps     Gaps  // by earlier streams
+	position int64 // the last event of its server, before that the one after which the server was asked to continue
+	events   int   // that its server has sent
+	left     bool  // these leave out numbers
+	held     bool  // its first event is held
 }
 
 // NewRace returns a race without attempts. last is the last event that the caller has, -1 if there is none.
-func NewRace(limit int, repeatable bool, last int64, gaps Gaps) *Race {
-	return &Race{limit: max(1, limit), repeatable: repeatable, last: last, gaps: gaps}
+func NewRace(limit int, repeatable bool, last int64) *Race {
+	return &Race{limit: max(1, limit), repeatable: repeatable, last: last}
 }
 
-// LeftOut reports whether events that were delivered have left out a number.
-func (r *Race) LeftOut() bool { return r.left }
+// Numbers returns how many numbered events the server of an attempt has sent, and whether they left numbers out.
+func (r *Race) Numbers(a Attempt) (events int, leftOut bool) {
+	x := r.attempts[a-1]
+	return x.events, x.left
+}
 
 // Last returns the last event that the caller has, -1 if there is none. A new attempt continues after it.
 func (r *Race) Last() int64 { return r.last }
@@ -53,72 +67,103 @@
 func (r *Race) Sent() int { return r.sent }
 
 // Running returns the number of open attempts.
-func (r *Race) Running() int { return len(r.open) }
+func (r *Race) Running() int { return r.running }
 
 // MayHedge reports whether another attempt may run beside the open one.
 func (r *Race) MayHedge() bool {
-	return r.repeatable && len(r.open) > 0 && len(r.open) < maxOpen && r.sent < r.limit
+	return r.repeatable && r.running > 0 && r.running < maxOpen && r.sent < r.limit
 }
 
-// Open adds an attempt.
-func (r *Race) Open() Attempt {
-	r.opened++
+// Open adds an attempt, which continues after the last event that the caller has. gaps says how its server numbers events.
+func (r *Race) Open(gaps Gaps) Attempt {
+	id := Attempt(len(r.attempts) + 1)
 	r.sent++
-	r.open = append(r.open, r.opened)
-	return r.opened
+	r.running++
+	r.attempts = append(r.attempts, &runner{id: id, open: true, gaps: gaps, position: r.last})
+	return id
 }
 
 // Unsent records that an attempt failed before anything was sent, so that it does not count towards the limit.
 func (r *Race) Unsent() { r.sent-- }
 
-// Close removes an attempt that has ended. It reports false if the attempt was closed already, because it lost.
+// Close closes an attempt that has ended. It reports false if the attempt was closed already, because it lost.
 func (r *Race) Close(a Attempt) bool {
-	i := slices.Index(r.open, a)
-	if i < 0 {
+	if !r.IsOpen(a) {
 		return false
 	}
-	r.open = slices.Delete(r.open, i, i+1)
+	r.attempts[a-1].open = false
+	r.running--
 	return true
 }
 
 // IsOpen reports whether an attempt is open.
-func (r *Race) IsOpen(a Attempt) bool { return slices.Contains(r.open, a) }
+func (r *Race) IsOpen(a Attempt) bool {
+	return a >= 1 && int(a) <= len(r.attempts) && r.attempts[a-1].open
+}
 
 // Event decides about an event of an attempt. An attempt whose event is delivered wins: all others are closed and returned,
 // and must be cancelled.
 func (r *Race) Event(a Attempt, id int64) (v Verdict, losers []Attempt) {
-	if !r.IsOpen(a) || id <= r.last {
+	if !r.IsOpen(a) {
 		return Drop, nil
 	}
-	if r.last >= 0 && id != r.last+1 {
-		if !r.mayLeaveOut(a) {
-			return Gap, nil
-		}
-		r.left = true
+	x := r.attempts[a-1]
+	before := x.advance(id)
+	switch {
+	case id <= r.last:
+		return Drop, nil
+	case x.held && !x.left:
+		return Gap, nil // its numbers are consecutive otherwise
+	case !x.held && r.last >= 0 && before != r.last:
+		return Gap, nil // it may contain tokens that the caller has from another server
+	case !x.held && !r.mayFollow(x, id):
+		x.held, r.doubted = true, true
+		return Hold, nil
 	}
-	r.last, r.winner = id, a
+	r.left = r.left || (r.last >= 0 && id != r.last+1)
 	r.delivered++
+	if x.held {
+		x.held = false
+		r.delivered++
+	}
+	r.last, r.winner, r.doubted = id, a, false
 	return Deliver, r.closeOthers(a)
 }
 
-// mayLeaveOut reports whether the next event of an attempt may leave out numbers after the last one. Between events of two
-// attempts, nothing but the numbers of the stream so far says whether an event is missing.
-func (r *Race) mayLeaveOut(a Attempt) bool {
+// Holds reports whether an event of an attempt is held.
+func (r *Race) Holds(a Attempt) bool { return r.attempts[a-1].held }
+
+// advance records an event of the server and returns the one before it.
+func (x *runner) advance(id int64) (before int64) {
+	before = x.position
+	x.events++
+	if x.events == 1 {
+		x.position = id // a server may begin before the event after which it was asked to continue
+		return before
+	}
+	x.left = x.left || id > x.position+1
+	x.position = max(x.position, id)
+	return before
+}
+
+// mayFollow reports whether an event may follow the last one, which is the one before it in the answer of its server or the
+// one after which this was asked to continue. Within an answer the transport loses nothing, so its server has left out the
+// numbers. At the change to another server, earlier events must show that numbers are left out, or a second server.
+func (r *Race) mayFollow(x *runner, id int64) bool {
 	switch {
-	case r.left || r.gaps == Anywhere:
+	case r.last < 0 || id == r.last+1 || x.id == r.winner:
+		return true
+	case r.left || r.doubted || x.gaps == Anywhere:
 		return true
-	case r.gaps == AtFirst:
-		return r.delivered == 0 || (r.delivered == 1 && a == r.winner)
 	}
-	return false
+	return x.gaps == Unknown && r.delivered == 0
 }
 
-func (r *Race) closeOthers(a Attempt) (losers []Attempt) {
-	for _, x := range r.open {
-		if x != a {
-			losers = append(losers, x)
+func (r *Race) closeOthers(winner Attempt) (losers []Attempt) {
+	for _, x := range r.attempts {
+		if x.id != winner && r.Close(x.id) {
+			losers = append(losers, x.id)
 		}
 	}
-	r.open = []Attempt{a}
 	return losers
 }
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -179,7 +179,7 @@
 	if x.events > 0 {
 		return raw, nil
 	}
-	if x.continues {
+	if x.continues && !x.stream.race.Holds(x.id) {
 		x.foreign = x.foreign || !isComment(raw)
 		return nil, nil
 	}
--- a/node/entry/plainattempt.go
+++ b/node/entry/plainattempt.go
@@ -58,7 +58,7 @@
 
 func (h *Host) newPlainRequest(ctx context.Context, q *request) *plainRequest {
 	r := &plainRequest{
-		host: h, ctx: ctx, q: q, race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), -1, hedge.Nowhere),
+		host: h, ctx: ctx, q: q, race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), -1),
 		running: map[hedge.Attempt]*plainAttempt{}, tried: map[ident.BackendID]bool{},
 		ends: make(chan plainEnd), done: make(chan struct{}), silence: time.NewTimer(time.Hour),
 	}
@@ -144,7 +144,7 @@
 
 func (r *plainRequest) start(srv catalog.Server) {
 	r.tried[srv.ID] = true
-	x := &plainAttempt{id: r.race.Open(), server: srv, began: r.host.now()}
+	x := &plainAttempt{id: r.race.Open(hedge.Unknown), server: srv, began: r.host.now()}
 	r.running[x.id] = x
 	r.watch(r.host.serverTimeout(srv.ID))
 	go r.run(x)
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
@@ -16,8 +18,12 @@
 	switch verdict {
 	case hedge.Drop:
 		return nil, nil
+	case hedge.Hold:
+		x.lastProgress = st.host.now()
+		x.early = append(x.early, ev.raw...)
+		return nil, nil
 	case hedge.Gap:
-		return nil, Error.New("event %d follows event %d", ev.id, before)
+		return nil, errNoSuccessor.New("event %d follows event %d", ev.id, before)
 	}
 	st.cancelLosers(losers)
 	st.emptyEnd = nil
@@ -26,6 +32,10 @@
 	return raw, nil
 }
 
+// errNoSuccessor is the class of errors of an answer that does not go on right after the last event that the caller has. That
+// is no evidence against the server: it may put several tokens into an event.
+var errNoSuccessor = errs.Class("no successor")
+
 // recordEvent records the time of an event that is relayed.
 func (st *stream) recordEvent(x *engineAttempt) {
 	h, now := st.host, st.host.now()
@@ -94,9 +104,9 @@
 	if !x.proven && x.events > 0 {
 		x.recordAnswered(st.host.now())
 	}
-	if x.events > 1 {
+	if events, leftOut := st.race.Numbers(x.id); events > 1 {
 		st.host.state.mu.Lock()
-		st.host.state.numberingOf(st.q.service).Record(st.race.LeftOut())
+		st.host.state.numberings.Record(st.q.service, x.server.ID, leftOut)
 		st.host.state.mu.Unlock()
 	}
 	if len(x.early) > 0 {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -42,7 +42,7 @@
 	coldNews     []coldNews                        // that are not logged yet
 	openWaiters  map[string][]*request             // requests that wait for a server, in order, by service name
 	wake         map[*request]context.CancelFunc   // wakes the ones that sleep until a server takes requests
-	numbering    map[string]*hedge.Numbering       // of the streams' events, by service name
+	numberings   hedge.Numberings                  // of the streams' events
 	peers        *peers.Table
 	quarantine   *quarantine.Table
 	partNames    map[quarantine.Part]PromptPart // IDs of parts that were suspects, for the log
@@ -70,7 +70,6 @@
 		openWaiters:  map[string][]*request{},
 		wake:         map[*request]context.CancelFunc{},
 		freshness:    newFreshness(settings.MS(set.EvacuateMS)),
-		numbering:    map[string]*hedge.Numbering{},
 		peers:        peers.NewTable(),
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
 		partNames:    map[quarantine.Part]PromptPart{},
@@ -109,6 +108,7 @@
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
 	s.limits.Retain(keep)
+	s.numberings.Retain(keep)
 	s.syncCold(now)
 	s.holdAllCold(now, keep)
 	maps.DeleteFunc(s.limitHeard, func(id ident.BackendID, _ time.Duration) bool { return !keep(id) })
@@ -158,16 +158,6 @@
 	return q
 }
 
-// numberingOf returns the numbering of a service and creates it on first use.
-func (s *state) numberingOf(service string) *hedge.Numbering {
-	n := s.numbering[service]
-	if n == nil {
-		n = &hedge.Numbering{}
-		s.numbering[service] = n
-	}
-	return n
-}
-
 func (s *state) budget(service string) *retry.FleetBudget {
 	b := s.budgets[service]
 	if b == nil {
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -82,12 +82,9 @@
 	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
 		last = id
 	}
-	h.state.mu.Lock()
-	gaps := h.state.numberingOf(q.service).Gaps()
-	h.state.mu.Unlock()
 	st := &stream{
 		host: h, ctx: ctx, w: w, flush: http.NewResponseController(w), q: q,
-		race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), last, gaps), running: map[hedge.Attempt]*engineAttempt{},
+		race: hedge.NewRace(q.route.MaxAttempts, q.route.Repeatable(), last), running: map[hedge.Attempt]*engineAttempt{},
 		messages: make(chan attemptMessage), done: make(chan struct{}), failed: map[ident.BackendID]bool{},
 		silence: time.NewTimer(time.Hour),
 	}
@@ -135,7 +132,11 @@
 
 // start starts a placed attempt. It continues after the last event that the caller has.
 func (st *stream) start(a attempt) {
-	x := &engineAttempt{attempt: a, stream: st, id: st.race.Open(), began: st.host.now(), continues: st.headerWritten}
+	h := st.host
+	h.state.mu.Lock()
+	gaps := h.state.numberings.Gaps(st.q.service, a.server.ID)
+	h.state.mu.Unlock()
+	x := &engineAttempt{attempt: a, stream: st, id: st.race.Open(gaps), began: h.now(), continues: st.headerWritten}
 	if last := st.race.Last(); last >= 0 {
 		x.resumeAfter = strconv.FormatInt(last, 10)
 	} else {
@@ -223,6 +224,9 @@
 		st.race.Unsent()
 	}
 	q.attempts = st.race.Sent()
+	if end.isStream() && end.err == nil && st.race.Holds(x.id) {
+		end.err = errNoSuccessor.New("the answer ends after an event that does not follow event %d", st.race.Last())
+	}
 	if end.isStream() && end.err == nil {
 		end.err = httpcall.CheckStreamEnd(end.received.resp, x.events > 0)
 		if end.err == nil && x.events == 0 && x.foreign {
@@ -255,7 +259,7 @@
 	if end.invalid {
 		return h.invalidResponse(end.contextErr, id, end.err)
 	}
-	if end.contextErr == nil && !st.mayHaveEnded(end.err) {
+	if end.contextErr == nil && !st.mayHaveEnded(end.err) && !errNoSuccessor.Has(end.err) {
 		h.excludeServer(id, stepAnswer, end.err)
 	}
 	return backendError(stepAnswer, id, true, end.err)
