Count large events towards the memory for bodies

Other operators saw: a faulty server sends bytes that are no answer, without end, and the process that called it runs out of memory.

Cause: streams are bounded for each attempt alone, at 128 KiB for an event and as much before the first one.

Change: what exceeds 4 KiB of an event, or of what comes before the first one, counts towards the memory for bodies. Usual events are smaller, so sound streams go on while faulty ones take all of it. A stream that gets no memory does not count against its server.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -146,9 +146,12 @@
 
 // relay sends the stream complete events until the response ends.
 func (x *engineAttempt) relay(ctx context.Context, received backendResponse) error {
-	events := newEventReader(received.resp.Body)
+	events := newEventReader(received.resp.Body, x.stream.host.bodies)
 	for {
 		ev, err := events.next()
+		if err != nil {
+			ev.memory.release()
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -158,6 +161,7 @@
 		select {
 		case x.stream.messages <- attemptMessage{from: x, received: received, event: ev}:
 		case <-ctx.Done(): // cancelled, or the stream has ended
+			ev.memory.release()
 			return ctx.Err()
 		}
 	}
@@ -183,10 +187,19 @@
 		x.foreign = x.foreign || !isComment(raw)
 		return nil, nil
 	}
-	if x.early = append(x.early, raw...); len(x.early) > maxEvent {
-		return nil, Error.New("more than %d bytes before the first event", maxEvent)
+	return nil, x.keep(raw)
+}
+
+// keep adds bytes to those that are relayed with the next event. They count towards the memory of the request.
+func (x *engineAttempt) keep(raw []byte) error {
+	x.early = append(x.early, raw...)
+	switch over := len(x.early) - freeEventBytes; {
+	case len(x.early) > maxEvent:
+		return Error.New("more than %d bytes before the first event", maxEvent)
+	case over > 0:
+		return x.stream.q.memory.take(min(over, len(raw)))
 	}
-	return nil, nil
+	return nil
 }
 
 // attemptEndTime is how long a request waits for the ends of its attempts when its time is over or its caller has left.
--- a/node/entry/events.go
+++ b/node/entry/events.go
@@ -8,35 +8,55 @@
 	"strconv"
 )
 
-// maxEvent is the maximum size of a stream event in bytes.
-const maxEvent = 128 << 10
+const (
+	// maxEvent is the maximum size of a stream event in bytes.
+	maxEvent = 128 << 10
+	// freeEventBytes is the part of an event, and of what comes before the first one, that does not count towards the memory
+	// for bodies. Usual events are smaller, so streams of them go on while others take all of that memory.
+	freeEventBytes = 4 << 10
+)
 
 // eventReader reads a stream of server-sent events. It returns complete events only.
 type eventReader struct {
-	r *bufio.Reader
+	r      *bufio.Reader
+	bodies *bodyMemory
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 2<<10)} }
+func newEventReader(r io.Reader, bodies *bodyMemory) *eventReader {
+	return &eventReader{bufio.NewReaderSize(r, 2<<10), bodies}
+}
 
 // event is one event with its raw bytes, including the blank line that ends it.
 type event struct {
-	raw []byte
-	id  int64 // -1 if the event has none
+	raw    []byte
+	id     int64 // -1 if the event has none
+	memory share // of raw; the receiver releases it
+}
+
+// add appends a part of the event.
+func (e *event) add(part []byte) error {
+	e.raw = append(e.raw, part...)
+	switch over := len(e.raw) - freeEventBytes; {
+	case len(e.raw) > maxEvent:
+		return Error.New("event of more than %d bytes", maxEvent)
+	case over > 0:
+		return e.memory.take(min(over, len(part)))
+	}
+	return nil
 }
 
-// next returns the next event. It returns io.EOF if the stream ended after a complete event, and
+// next returns the next event, with an error what was read of it. It returns io.EOF if the stream ended after a complete event, and
 // io.ErrUnexpectedEOF if it ended inside one.
 func (x *eventReader) next() (event, error) {
-	ev := event{id: -1}
+	ev := event{id: -1, memory: share{memory: x.bodies}}
 	continued := false // the line began in an earlier buffer
 	for {
 		line, err := x.r.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		if err := ev.add(line); err != nil {
+			return ev, err
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.raw) > maxEvent {
-				return ev, Error.New("event of more than %d bytes", maxEvent)
-			}
 			continued = true
 			continue
 		case errors.Is(err, io.EOF) && len(ev.raw) > 0:
@@ -54,9 +74,6 @@
 			}
 		}
 		continued = false
-		if len(ev.raw) > maxEvent {
-			return ev, Error.New("event of more than %d bytes", maxEvent)
-		}
 	}
 }
 
--- a/node/entry/events_test.go
+++ b/node/entry/events_test.go
@@ -26,7 +26,7 @@
 		}
 		text := all.String()
 		cut := rapid.IntRange(0, len(text)).Draw(t, "cut")
-		r := newEventReader(iotest.OneByteReader(strings.NewReader(text[:cut])))
+		r := newEventReader(iotest.OneByteReader(strings.NewReader(text[:cut])), newBodyMemory(0))
 		var relayed bytes.Buffer
 		last := int64(-1)
 		for {
@@ -53,7 +53,7 @@
 // Guards against unbounded memory use by an event that never ends.
 func TestEventSizeIsBounded(t *testing.T) {
 	c := qt.New(t)
-	_, err := newEventReader(io.LimitReader(zeros{}, 2*maxEvent)).next()
+	_, err := newEventReader(io.LimitReader(zeros{}, 2*maxEvent), newBodyMemory(0)).next()
 	c.Assert(err, qt.ErrorMatches, ".*event of more than.*")
 }
 
@@ -72,10 +72,34 @@
 	for _, length := range []int{2046, 2047, 2048, 4094, 4096, 16384} {
 		for _, end := range []string{"\n", "\r\n"} {
 			text := strings.Repeat("x", length) + end + "id: 1" + end + end
-			ev, err := newEventReader(strings.NewReader(text)).next()
+			ev, err := newEventReader(strings.NewReader(text), newBodyMemory(0)).next()
 			c.Check(err, qt.IsNil)
 			c.Check(string(ev.raw), qt.Equals, text, qt.Commentf("line of %d bytes", length))
 			c.Check(ev.id, qt.Equals, int64(1))
 		}
 	}
 }
+
+// Guards against streams with large events that take the memory for bodies from each other for good, and against usual events
+// that fail while others take all of it.
+func TestEventsCountTowardsMemory(t *testing.T) {
+	c := qt.New(t)
+	bodies := newBodyMemory(0)
+	bodies.limit = 10_000
+	read := func(size int) (event, error) {
+		return newEventReader(strings.NewReader("data: "+strings.Repeat("x", size)+"\n\n"), bodies).next()
+	}
+	first, err := read(9_000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.memory.bytes, qt.Equals, int64(len(first.raw)-freeEventBytes))
+	second, err := read(9_000)
+	c.Assert(err, qt.IsNil)
+	third, err := read(9_000)
+	c.Assert(err, qt.Equals, errBodyMemory)
+	_, err = read(2_000)
+	c.Assert(err, qt.IsNil)
+	third.memory.release()
+	second.memory.release()
+	_, err = read(9_000)
+	c.Assert(err, qt.IsNil)
+}
--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -41,6 +41,16 @@
 // errBodyMemory when there is no memory left.
 func (s *share) body(b io.ReadCloser) io.ReadCloser { return &countedBody{b, s} }
 
+// take adds bytes to the share. It returns errBodyMemory if there is no memory left.
+func (s *share) take(n int) error {
+	s.bytes += int64(n)
+	if s.memory.used.Add(int64(n)) > s.memory.limit {
+		s.exhausted = true
+		return errBodyMemory
+	}
+	return nil
+}
+
 // absorb moves another share into this one.
 func (s *share) absorb(other share) { s.bytes += other.bytes }
 
@@ -61,10 +71,8 @@
 // Read implements io.Reader.
 func (c *countedBody) Read(p []byte) (int, error) {
 	n, err := c.ReadCloser.Read(p)
-	c.s.bytes += int64(n)
-	if c.s.memory.used.Add(int64(n)) > c.s.memory.limit {
-		c.s.exhausted = true
-		return 0, errBodyMemory
+	if err := c.s.take(n); err != nil {
+		return 0, err
 	}
 	return n, err
 }
--- a/node/entry/relay.go
+++ b/node/entry/relay.go
@@ -20,8 +20,7 @@
 		return nil, nil
 	case hedge.Hold:
 		x.lastProgress = st.host.now()
-		x.early = append(x.early, ev.raw...)
-		return nil, nil
+		return nil, x.keep(ev.raw)
 	case hedge.Gap:
 		return nil, errNoSuccessor.New("event %d follows event %d", ev.id, before)
 	}
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -155,6 +155,7 @@
 
 // handleEvent relays an event, or ends the attempt that sent it. ended is set if the caller can't be reached.
 func (st *stream) handleEvent(x *engineAttempt, received backendResponse, ev event) (e *outcome.Error, ended bool) {
+	defer ev.memory.release()
 	if !st.race.IsOpen(x.id) {
 		return nil, false // it has lost
 	}
@@ -259,7 +260,7 @@
 	if end.invalid {
 		return h.invalidResponse(end.contextErr, id, end.err)
 	}
-	if end.contextErr == nil && !st.mayHaveEnded(end.err) && !errNoSuccessor.Has(end.err) {
+	if end.contextErr == nil && st.isFault(end.err) {
 		h.excludeServer(id, stepAnswer, end.err)
 	}
 	return backendError(stepAnswer, id, true, end.err)
@@ -274,6 +275,11 @@
 	x.recordCrash(st.host.now())
 }
 
+// isFault reports whether the error of an answer is evidence against its server.
+func (st *stream) isFault(err error) bool {
+	return !st.mayHaveEnded(err) && !errNoSuccessor.Has(err) && !errors.Is(err, errBodyMemory)
+}
+
 // mayHaveEnded reports whether a stream that ended with its connection and without a new event may be whole: a resumed one
 // may have no event left. Its end is no evidence against the server.
 func (st *stream) mayHaveEnded(err error) bool {
