Choose routes by the path that servers get

Cause: the route was chosen by the decoded path, and the path was sent as it came. An encoded slash so chose any route below the right one, with its kind, attempts, service, time limit and need for a key. Evidence: two attempts for a path whose own route allows one.

Change: one function gives the path as it was received, for the route and for the request to the server, so both see the same bytes. The host counts without its port and the dot of the root. A path with characters that a URL may not hold was encoded on the way; it is sent as it came.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -48,6 +48,41 @@
 	c.Assert(tb.Route("b.example", ""), qt.IsNil)
 }
 
+// Guards against a request that goes to the route of a decoded path, which its server does not get, and against one that finds
+// no route because its host has a port or its prefix is encoded.
+func TestRouteOfPathAsSent(t *testing.T) {
+	c := qt.New(t)
+	tb := NewTable()
+	tb.Replace(0, Snapshot{Revision: 1, Config: config(1,
+		Route{Name: "outer", Host: "a.example", Prefix: "/x/"},
+		Route{Name: "inner", Host: "a.example", Prefix: "/x/y/"},
+		Route{Name: "space", Host: "a.example", Prefix: "/x y/ü/"},
+		Route{Name: "encoded", Host: "a.example", Prefix: "/z%2Fz/"},
+		Route{Name: "port", Host: "b.example:81", Prefix: "/"},
+		Route{Name: "no port", Host: "b.example", Prefix: "/"},
+	)})
+	for path, want := range map[string]string{
+		"/x/y%2F1": "outer", "/x/y%2f1": "outer", "/x/y/%2F1": "inner", "/x/%79/1": "outer", "/x//y/1": "outer", "/x/./y/1": "outer",
+		"/x/y/../1": "inner", "/x/y/;/1": "inner", "/x/y;/1": "outer", "/x/Y/1": "outer", "/x y/ü/1": "space", "/x%20y/%C3%BC/1": "space",
+		"/z%2Fz/1": "encoded",
+	} {
+		c.Check(tb.Route("a.example", path).Name, qt.Equals, want, qt.Commentf(path))
+	}
+	for _, path := range []string{"/x%2Fy/1", "/z/z/1", "/z%2fz/1", "//x/y/1", "x/y/1", "*"} {
+		c.Check(tb.Route("a.example", path), qt.IsNil, qt.Commentf(path))
+	}
+	for host, want := range map[string]string{
+		"a.example:80": "outer", "A.Example.": "outer", "a.example.:80": "outer", "b.example:81": "port", "b.example:82": "no port", "b.example": "no port",
+	} {
+		c.Check(tb.Route(host, "/x/1").Name, qt.Equals, want, qt.Commentf(host))
+	}
+	for _, host := range []string{"", "a.example:", "xa.example", "a.example.x", "[a.example]:80"} {
+		if r := tb.Route(host, "/x/1"); r != nil && r.Name != "outer" {
+			c.Errorf("host %q has route %s", host, r.Name)
+		}
+	}
+}
+
 // Guards against a return to an older configuration version that a stale read, a late watch event or a
 // lagging peer delivers.
 func TestConfigurationNeverFalls(t *testing.T) {
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -309,7 +309,8 @@
 // HasTeams reports whether the configuration names teams, so that routes need a key unless they are public.
 func (t *Table) HasTeams() bool { return t.config != nil && len(t.config.Teams) > 0 }
 
-// Route returns the route with the longest prefix that matches the path, nil when there is none. It is a copy: a request may
+// Route returns the route with the longest prefix that begins the path, nil when there is none. Both are compared as they are
+// sent: an encoded slash ends no segment. It is a copy: a request may
 // outlast its configuration, and must not keep all routes of it in memory.
 func (t *Table) Route(host, path string) *Route {
 	found := t.routes.find(host, path)
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -128,7 +128,10 @@
 		return e
 	}
 	q.config = c.Version
-	q.route = s.catalog.Route(q.http.Host, q.http.URL.Path)
+	if !isSendable(q.http.URL) {
+		return outcome.Refuse("route", outcome.BadRequest, "the path begins with two slashes and has characters that must be encoded")
+	}
+	q.route = s.catalog.Route(q.http.Host, requestPath(q.http.URL))
 	if q.route == nil {
 		return outcome.Refuse("route", outcome.UnknownModel, "no route for this host and path")
 	}
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -109,8 +109,7 @@
 	if err != nil {
 		return backendResponse{}, false, err
 	}
-	req.URL.Path, req.URL.RawPath = q.http.URL.Path, q.http.URL.RawPath
-	req.URL.RawQuery, req.URL.ForceQuery = q.http.URL.RawQuery, q.http.URL.ForceQuery
+	setTarget(req.URL, q.http.URL)
 	req.Host = q.http.Host
 	req.Header = q.http.Header.Clone()
 	removeHopHeaders(req.Header)
