--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -129,14 +129,16 @@
 	Lapsed bool
 }
 
-// Change is one change of the published state. Exactly one of Config, Server, Removed, Evacuated and TakenBack is set.
+// Change is one change of the published state. Exactly one of Config, Unreadable, Server, Removed, Evacuated and TakenBack is set.
 type Change struct {
-	Revision  uint64
-	Config    *Config
-	Server    *Server
-	Removed   ident.BackendID
-	Evacuated string // availability zone that takes no new work from now on
-	TakenBack string // availability zone whose evacuation has ended
+	Revision uint64
+	Config   *Config
+	// Unreadable says why a published configuration can't be read. The one before it stays in force.
+	Unreadable string
+	Server     *Server
+	Removed    ident.BackendID
+	Evacuated  string // availability zone that takes no new work from now on
+	TakenBack  string // availability zone whose evacuation has ended
 	// Lapsed marks a removal that an outage of the store may have caused.
 	Lapsed bool
 }
@@ -146,8 +148,10 @@
 type Snapshot struct {
 	Revision  uint64
 	ReadUntil uint64  // 0 if all of the snapshot is of Revision
-	Config    *Config // nil when none is published
-	Servers   []Server
+	Config    *Config // nil when none is published, or it can't be read
+	// Unreadable says why the published configuration can't be read. Empty if it can.
+	Unreadable string
+	Servers    []Server
 	// Evacuations holds the evacuated zones. Other zones are not evacuated. Hosts always send a list to each other, if an empty
 	// one, so that a state without one is known to be from a build that does not know evacuations.
 	Evacuations []Evacuation
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -109,6 +109,37 @@
 	})
 }
 
+// Guards against a host that does not know that its configuration is not the published one, and against one that takes that from
+// an old snapshot or after a newer version.
+func TestUnreadableConfiguration(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := NewTable(), NewTable()
+	reader.Replace(0, Snapshot{Revision: 1, Config: config(1)})
+	follower.Replace(0, Snapshot{Revision: 1, Config: config(1)})
+	reader.Apply(0, []Change{{Revision: 2, Unreadable: "odd"}})
+	c.Assert(reader.Unreadable(), qt.Equals, "odd")
+	c.Assert(reader.Config().Version, qt.Equals, ident.Version(1))
+	update(follower, reader)
+	c.Assert(follower.Unreadable(), qt.Equals, "odd")
+	starting := NewTable()
+	starting.Replace(0, reader.Snapshot())
+	c.Assert(starting.Unreadable(), qt.Equals, "odd")
+	c.Assert(starting.Config().Version, qt.Equals, ident.Version(1))
+
+	reader.Replace(0, Snapshot{Revision: 1, Config: config(1)})
+	reader.Apply(0, []Change{{Revision: 1, Config: config(1)}})
+	c.Assert(reader.Unreadable(), qt.Equals, "odd")
+	reader.Apply(0, []Change{{Revision: 3, Config: config(2)}})
+	c.Assert(reader.Unreadable(), qt.Equals, "")
+	reader.Apply(0, []Change{{Revision: 2, Unreadable: "odd"}})
+	c.Assert(reader.Unreadable(), qt.Equals, "")
+	update(follower, reader)
+	c.Assert(follower.Unreadable(), qt.Equals, "")
+	follower.Replace(0, Snapshot{Revision: 4, Unreadable: "odd again"})
+	c.Assert(follower.Unreadable(), qt.Equals, "odd again")
+	c.Assert(follower.Config().Version, qt.Equals, ident.Version(2))
+}
+
 // Guards against new requests for a server that is draining or removed.
 func TestLeavingServersGetNoWork(t *testing.T) {
 	c := qt.New(t)
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -25,13 +25,15 @@
 // again under the same entry unless the store publishes it as ready with a higher revision; an evacuation begins or ends
 // only by a higher revision than that of the last change of its zone.
 type Table struct {
-	config   *Config
-	routes   routeIndex
-	keys     map[string]*Team
-	services map[string]*Service
-	servers  map[ident.BackendID]*serverEntry
-	usable   map[string][]Server       // servers that take new work, by service and sorted by id
-	leaving  map[ident.BackendID]int64 // start of the lifetime in which a server has said that it leaves
+	config *Config
+	// unreadable says why the configuration that was published last is not in force, see Change.
+	unreadable string
+	routes     routeIndex
+	keys       map[string]*Team
+	services   map[string]*Service
+	servers    map[ident.BackendID]*serverEntry
+	usable     map[string][]Server       // servers that take new work, by service and sorted by id
+	leaving    map[ident.BackendID]int64 // start of the lifetime in which a server has said that it leaves
 	// evacuations are not leases: an outage of the store never ends one.
 	evacuations evacuations
 	revision    uint64
@@ -62,6 +64,10 @@
 // Config returns the current configuration, nil before the first one. It must not be changed.
 func (t *Table) Config() *Config { return t.config }
 
+// Unreadable says why the configuration that was published last can't be read, so that an older one is in force. It is empty if
+// there is no such one.
+func (t *Table) Unreadable() string { return t.unreadable }
+
 // Apply applies changes in the order of their revisions and skips those that it has already applied. It reports
 // whether it refused an older configuration.
 func (t *Table) Apply(now time.Duration, changes []Change) (refused bool) {
@@ -77,6 +83,9 @@
 				refused = true
 				continue
 			}
+			t.unreadable = ""
+		case c.Unreadable != "":
+			t.unreadable = c.Unreadable
 		case c.Server != nil:
 			t.put(now, *c.Server)
 		case c.Removed != "":
@@ -105,7 +114,7 @@
 	if s.Revision < t.revision {
 		return refused
 	}
-	t.revision = s.Revision
+	t.revision, t.unreadable = s.Revision, s.Unreadable
 	t.journal.restart(max(s.Revision, s.ReadUntil))
 	listed := make(map[ident.BackendID]bool, len(s.Servers))
 	for _, srv := range s.Servers {
@@ -124,7 +133,7 @@
 
 // Snapshot returns the whole state, for a peer that starts or has lost its connection.
 func (t *Table) Snapshot() Snapshot {
-	s := Snapshot{Revision: t.revision, Config: t.config, Evacuations: t.Evacuations()}
+	s := Snapshot{Revision: t.revision, Config: t.config, Unreadable: t.unreadable, Evacuations: t.Evacuations()}
 	if t.journal.start > t.revision {
 		s.ReadUntil = t.journal.start
 	}
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -207,6 +207,7 @@
 	revision := s.catalog.Revision()
 	h.setCallerLimits(s.catalog.Config())
 	s.mu.Unlock()
+	h.logUnreadable()
 	h.logEvacuations(before, after, revision, source)
 	h.logCatalog(refused, source)
 	h.logCold()
@@ -297,6 +298,30 @@
 	h.log.WithFields(f).Info("published state applied")
 }
 
+// unreadableInterval is the time between two log lines while a configuration can't be read.
+const unreadableInterval = 10 * time.Second
+
+// logUnreadable logs that the published configuration can't be read, at once and again while that lasts. The host stays ready: the
+// configuration before it is right for most requests, and all hosts are in the same situation.
+func (h *Host) logUnreadable() {
+	s := h.state
+	s.mu.Lock()
+	cause, revision, now := s.catalog.Unreadable(), s.catalog.Revision(), h.now()
+	due := cause != "" && (cause != s.unreadable || now >= s.unreadableLogAt)
+	s.unreadable = cause
+	if due {
+		s.unreadableLogAt = now + unreadableInterval
+	}
+	f := fields{"error": cause, "revision": revision}
+	if c := s.catalog.Config(); c != nil {
+		f["config"] = uint64(c.Version)
+	}
+	s.mu.Unlock()
+	if due {
+		h.log.WithFields(f).WithContext(obs.Essential).Error("published configuration can't be read, an older one is in force")
+	}
+}
+
 // logEvacuations logs which zones an update has evacuated or taken back. The revision of a zone that was taken back is the one
 // that the host has reached: its key no longer has one.
 func (h *Host) logEvacuations(before, after []catalog.Evacuation, reached uint64, source string) {
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -65,6 +65,13 @@
 		locked(func(s *state) int { return s.limits.Limited() }))
 	h.obs.Gauge("rosemaryhill_entry_evacuated_zones", "availability zones that are evacuated",
 		locked(func(s *state) int { return len(s.catalog.Evacuations()) }))
+	h.obs.Gauge("rosemaryhill_entry_config_unreadable", "1 while the published configuration can't be read, so that an older one is in force",
+		locked(func(s *state) int {
+			if s.catalog.Unreadable() != "" {
+				return 1
+			}
+			return 0
+		}))
 	h.obs.GaugeVec("rosemaryhill_entry_servers", "listed backend servers by service and eligibility for new work",
 		[]string{"service", "eligibility"}, h.observeServers)
 	h.obs.Gauge("rosemaryhill_entry_gossip_bytes_out", "bytes of membership and load reports sent since the start",
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -67,6 +67,7 @@
 		h.mayBeStale()
 		h.dropExpired()
 		h.logCold()
+		h.logUnreadable()
 		h.evaluateQuarantine()
 		if reason != reportOnChange {
 			h.refreshPeers()
