Wait for handlers in the test of the connection budget

Cause: a connection that the guard has accepted counts in no list until it is read. The test opened a fifth connection in that time, and the fourth one, which then had no request, was closed for it, as it may be. The trace is the order of accept and the first read in httpguard.go.

Change: the test waits until the handler of each request runs before it opens the next connection. Budget, order and statuses are checked as before.

--- a/node/internal/httpguard/httpguard_test.go
+++ b/node/internal/httpguard/httpguard_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	c       *qt.C
 	guard   *Guard
 	address string
+	holding atomic.Int64 // requests that wait for release
 }
 
 // newSite starts a server that answers with the length of the body. A request for /hold waits for release first.
@@ -34,6 +36,7 @@
 	s := &site{c: c, guard: New(cfg)}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/hold" {
+			s.holding.Add(1)
 			<-release
 		}
 		body, err := io.ReadAll(r.Body)
@@ -113,6 +116,17 @@
 	s.c.Fatalf("fresh, idle, heads, bodies are %v, not %v", got, want)
 }
 
+// awaitHolding waits until the handlers of n requests wait for release.
+func (s *site) awaitHolding(n int) {
+	s.c.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if s.holding.Load() == int64(n) {
+			return
+		}
+	}
+	s.c.Fatalf("%d requests wait, not %d", s.holding.Load(), n)
+}
+
 // head returns a request whose head has n bytes of header lines and a line of 100 bytes before them.
 func head(n int) string {
 	line := "GET /" + strings.Repeat("p", 84) + " HTTP/1.1\r\n"
@@ -198,6 +212,7 @@
 		c.Check(gone.status(), qt.Not(qt.Equals), http.StatusOK)
 		s.eventually(0, 0, max(0, 1-n), max(0, min(1, 2-n)))
 		requests = append(requests, next)
+		s.awaitHolding(len(requests)) // a connection that is accepted and not read yet counts as one without a request
 	}
 	c.Check(s.dial().get(), qt.Equals, 0) // each connection has a request in progress
 	close(release)
