Let the test of waiting requests receive its result without the lock

Cause: the goroutine of the request sent its result while it held the state, which the test needs for its next change before it receives: a deadlock of the test, not of the host.

Change: the channel has room for the result. The checks stay.

--- a/node/entry/evacuation_test.go
+++ b/node/entry/evacuation_test.go
@@ -145,7 +145,7 @@
 	h.state.pauses.Begin(h.now(), "a", time.Minute)
 	h.state.pauses.Begin(h.now(), "b", time.Minute)
 	q := &request{service: "s", route: &catalog.Route{Objective: time.Hour}, arrived: h.now(), deadline: h.now() + time.Hour}
-	refused := make(chan *outcome.Error)
+	refused := make(chan *outcome.Error, 1) // the sender holds the state, which the changes below need
 	go func() {
 		e := h.whenOpen(context.Background(), q, func(time.Duration) {})
 		h.state.mu.Lock()
