Share the counting of stream bytes and the server of transport tests

The limits for events and for what comes before them counted their bytes in two places, and two tests of the transport had the same server. Each is one function now.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -192,14 +192,10 @@
 
 // keep adds bytes to those that are relayed with the next event. They count towards the memory of the request.
 func (x *engineAttempt) keep(raw []byte) error {
-	x.early = append(x.early, raw...)
-	switch over := len(x.early) - freeEventBytes; {
-	case len(x.early) > maxEvent:
+	if x.early = append(x.early, raw...); len(x.early) > maxEvent {
 		return Error.New("more than %d bytes before the first event", maxEvent)
-	case over > 0:
-		return x.stream.q.memory.take(min(over, len(raw)))
 	}
-	return nil
+	return x.stream.q.memory.takeBeyondFree(len(x.early), len(raw))
 }
 
 // attemptEndTime is how long a request waits for the ends of its attempts when its time is over or its caller has left.
--- a/node/entry/events.go
+++ b/node/entry/events.go
@@ -35,12 +35,16 @@
 
 // add appends a part of the event.
 func (e *event) add(part []byte) error {
-	e.raw = append(e.raw, part...)
-	switch over := len(e.raw) - freeEventBytes; {
-	case len(e.raw) > maxEvent:
+	if e.raw = append(e.raw, part...); len(e.raw) > maxEvent {
 		return Error.New("event of more than %d bytes", maxEvent)
-	case over > 0:
-		return e.memory.take(min(over, len(part)))
+	}
+	return e.memory.takeBeyondFree(len(e.raw), len(part))
+}
+
+// takeBeyondFree adds those of the bytes that were added last to a number of bytes of a stream which exceed freeEventBytes.
+func (s *share) takeBeyondFree(total, added int) error {
+	if over := total - freeEventBytes; over > 0 {
+		return s.take(min(over, added))
 	}
 	return nil
 }
--- a/node/internal/httpcall/conn_test.go
+++ b/node/internal/httpcall/conn_test.go
@@ -94,26 +94,32 @@
 		{"HTTP/1.1 200 OK\r\nServer: sealHTTP/1.1 200", " OK\r\nContent-L", "ength: 0\r\n\r\nrest"},
 		{"HTTP/1.0 200 OK\r\nTransfer-Enc", "oding: chunked\r\nA: ", "b\r\n\r\n4\r\nrest\r\n0\r\n\r\n"},
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		go func() {
-			conn, err := ln.Accept()
-			if err != nil {
-				return // closed
-			}
-			defer conn.Close()
-			_, _ = http.ReadRequest(bufio.NewReader(conn)) // the request is not looked at
-			for _, part := range parts {
-				_, _ = io.WriteString(conn, part)
-				time.Sleep(20 * time.Millisecond) // each part is read by itself
-			}
-		}()
+		address := answerOnce(c, parts...)
 		client := &http.Client{Transport: &http.Transport{DialContext: DialContext(&net.Dialer{})}}
-		resp, err := client.Get("http://" + ln.Addr().String())
+		resp, err := client.Get("http://" + address)
 		if err == nil {
 			resp.Body.Close()
 		}
 		c.Check(err, qt.IsNotNil, qt.Commentf("%q", parts))
-		ln.Close()
 	}
 }
+
+// answerOnce starts a server that answers one request, whatever it is, in parts that are read each by itself.
+func answerOnce(c *qt.C, parts ...string) (address string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return // closed
+		}
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn)) // the request is not looked at
+		for _, part := range parts {
+			_, _ = io.WriteString(conn, part)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/node/internal/httpcall/transport_test.go
+++ b/node/internal/httpcall/transport_test.go
@@ -17,18 +17,8 @@
 	for status, valid := range map[string]bool{
 		"000": false, "099": false, "199": false, "200": true, "299": true, "599": true, "600": false, "999": false,
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		go func() {
-			conn, err := ln.Accept()
-			if err != nil {
-				return // closed
-			}
-			defer conn.Close()
-			_, _ = http.ReadRequest(bufio.NewReader(conn)) // the request is not looked at
-			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
-		}()
-		req, err := http.NewRequest("GET", "http://"+ln.Addr().String(), nil)
+		address := answerOnce(c, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
+		req, err := http.NewRequest("GET", "http://"+address, nil)
 		c.Assert(err, qt.IsNil)
 		resp, err := NewTransport(time.Second).RoundTrip(req)
 		if valid {
@@ -37,7 +27,6 @@
 		} else {
 			c.Check(err, qt.IsNotNil, qt.Commentf(status))
 		}
-		c.Check(ln.Close(), qt.IsNil)
 	}
 }
 
