--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -318,9 +318,9 @@
 // HasTeams reports whether the configuration names teams, so that routes need a key unless they are public.
 func (t *Table) HasTeams() bool { return t.config != nil && len(t.config.Teams) > 0 }
 
-// Route returns the route with the longest prefix that begins the path, nil when there is none. Both are compared as they are
-// sent: an encoded slash ends no segment. It is a copy: a request may
-// outlast its configuration, and must not keep all routes of it in memory.
+// Route returns the route with the longest prefix that begins the path, nil when there is none. The path is compared as it is sent:
+// an encoded slash ends no segment. The route is a copy, since a request may outlast its configuration and must not keep all
+// routes of it in memory.
 func (t *Table) Route(host, path string) *Route {
 	found := t.routes.find(host, path)
 	if found == nil {
