Play evacuations and cold servers after the bad part in the soak

None of the streams was refused for the bad part. Evacuated zones get no requests and cold servers no more than they bear, so the hosts have to refuse; the check can't judge the bad part then.

Change: in runs with a bad part, evacuations begin when its time is over, and so do cold servers, limits and notices where cold servers are played.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -126,6 +126,11 @@
 		}
 		rng := rand.New(rand.NewSource(r.cfg.Seed ^ x.seed))
 		running.Go(func() {
+			if r.hasBadPart() && (x.kind == evacuation || !r.leftOut(coldServer)) {
+				// Whatever hosts know of the bad part, they have to refuse most streams while zones are evacuated, and while
+				// limits and pauses of some engines come on top of others that are cold after a crash.
+				ctxSleep(ctx, badPartOver)
+			}
 			for ctx.Err() == nil {
 				x.inject(r, ctx, rng, &running)
 				r.countFault(x.kind)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -76,6 +76,11 @@
 		// the hosts rightly refuse most of them.
 		c.Run(fmt.Sprint("seed", seed), func(c *qt.C) { soakWith(c, program, seed, badPartOver, evacuation, coldServer) })
 	}
+	// Seeds 205 and 208: engines that were cold after their crashes came together with evacuated zones and with limits, pauses and
+	// coldness of the others, so that hosts rightly refused the streams by which the check judges the bad part.
+	for _, seed := range []int64{205, 208} {
+		c.Run(fmt.Sprint("seed", seed, "with cold engines"), func(c *qt.C) { soakWith(c, program, seed, badPartOver) })
+	}
 }
 
 // Guards against work for servers of evacuated zones, and against more requests at cold servers than they can handle.
