Bound the heads of answers in progress together

Other operators saw: a faulty server sends bytes that are no answer, without end, in a head, and the process that called it runs out of memory.

Cause: a head is bounded at 64 KiB for each answer alone, and net/http joins its lines in buffers that double, so that many slow heads take several times as much. The test of heads that come at once did not show it: they reach the bound one after the other.

Change: heads that are being read have a sixteenth of the memory limit together, of which the first 4 KiB of each are free. A head that gets no memory ends its answer, as one above 64 KiB does.

--- a/lab/hostile/servers_test.go
+++ b/lab/hostile/servers_test.go
@@ -19,10 +19,10 @@
 // enginePortFlag is below the ports of all other tests.
 var enginePortFlag = flag.Int("engines.port", 9_720, "first port of the host and its engines")
 
-// Guards against engines whose streams hold bytes that never become an event, and so make a host exceed the memory of its machine:
-// in an event that does not end, before the first event or after one, and in comments.
-func TestEndlessEventsFitTheHost(t *testing.T) {
-	// An engine takes 16 streams. In the time of the route it sends nearly as much as an event may have.
+// Guards against servers whose answers hold bytes that never become one, and so make a host exceed the memory of its machine: in a
+// head, in an event that does not end, before the first event or after one, and in comments.
+func TestEndlessAnswersFitTheHost(t *testing.T) {
+	// An engine takes 16 streams. In the time of the route it sends nearly as much as an event or a head may have.
 	const hostMB, engines, callers, pieces = 184, 50, 800, 31
 	const timeout = 3 * time.Second
 	program := filepath.Join(t.TempDir(), "rosemaryhill")
@@ -32,6 +32,9 @@
 	begun := standin.Chunk("id: 1\ndata: ")
 	text, comments := standin.Chunk(strings.Repeat("x", 4<<10)), standin.Chunk(strings.Repeat(": alive\n\n", 455))
 	for _, shape := range []standin.AnswerShape{
+		{Name: "line of a head", Script: standin.Endless(standin.OKHead+"X-Filler: ", strings.Repeat("x", 2000), timeout/pieces)},
+		{Name: "fields of a head", Script: standin.Endless(standin.OKHead, strings.Repeat("X-F: y\r\n", 250), timeout/pieces)},
+		{Name: "status line", Script: standin.Endless("HTTP/1.1 200 ", strings.Repeat("x", 2000), timeout/pieces)},
 		{Name: "event", Script: standin.Endless(head+begun, text, timeout/pieces)},
 		{Name: "comments", Script: standin.Endless(head, comments, timeout/pieces)},
 		{Name: "event after an event", Script: standin.Endless(head+standin.Chunk(standin.Event(0))+begun, text, timeout/pieces)},
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -110,7 +110,7 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.serving, h.endRequests = context.WithCancel(h.ctx)
-	h.client = newClient()
+	h.client = newClient(s.Entry.MemoryMB)
 	h.bodies = newBodyMemory(s.Entry.MemoryMB)
 	h.guard = httpguard.New(httpguard.Config{
 		Defaults: defaultCallerLimits, MaxDescriptors: s.Entry.MaxDescriptors, MemoryMB: s.Entry.MemoryMB, Obs: o,
--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -9,8 +9,12 @@
 	// bodyMemoryShare is the share of the process's memory limit that the bodies of all requests and answers in progress
 	// may take together. Reading a body takes up to twice its size while its buffers grow or are joined.
 	bodyMemoryShare = 0.125
-	// defaultBodyMemory is that limit in bytes for a process without a memory limit.
+	// headMemoryShare is the share that the heads of all answers in progress may take together. net/http holds up to three times
+	// the size of a head while it reads it.
+	headMemoryShare = 0.0625
+	// defaultBodyMemory and defaultHeadMemory are these limits in bytes for a process without a memory limit.
 	defaultBodyMemory = 64 << 20
+	defaultHeadMemory = 32 << 20
 )
 
 // errBodyMemory reports that the bodies in progress have used up the memory for them.
@@ -24,10 +28,15 @@
 }
 
 func newBodyMemory(limitMB int64) *bodyMemory {
+	return &bodyMemory{limit: shareOf(limitMB, bodyMemoryShare, defaultBodyMemory)}
+}
+
+// shareOf returns a share of a memory limit in bytes, or the default if there is no limit.
+func shareOf(limitMB int64, share float64, withoutLimit int64) int64 {
 	if limitMB <= 0 {
-		return &bodyMemory{limit: defaultBodyMemory}
+		return withoutLimit
 	}
-	return &bodyMemory{limit: int64(bodyMemoryShare * float64(limitMB<<20))}
+	return int64(share * float64(limitMB<<20))
 }
 
 // share is the part of the memory that one request, or an attempt of it, holds. It is used by one goroutine at a time.
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -33,11 +33,11 @@
 	userTimeout = 5 * time.Second
 )
 
-// newClient returns the HTTP client for requests and reservations.
+// newClient returns the HTTP client for requests and reservations of a process with a memory limit, zero for none.
 //
 // Each request gets a new connection. A reused connection may be dead without notice, may carry a late second
 // response, and makes net/http retry a request on its own. A new connection costs about 1 ms.
-func newClient() *http.Client {
+func newClient(memoryMB int64) *http.Client {
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -46,7 +46,8 @@
 		Control: setUserTimeout,
 	}
 	t := httpcall.NewTransport(dialTimeout)
-	t.DialContext = checkAfterDial(httpcall.DialContext(d))
+	heads := httpcall.NewHeadMemory(shareOf(memoryMB, headMemoryShare, defaultHeadMemory))
+	t.DialContext = checkAfterDial(heads.DialContext(d))
 	// Responses are relayed event by event, so small buffers suffice.
 	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/node/internal/httpcall/conn_test.go
+++ b/node/internal/httpcall/conn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,3 +124,34 @@
 	}()
 	return ln.Addr().String()
 }
+
+// Guards against heads that take the memory for heads for good after their connection has ended or their last line has come, and
+// against usual heads that fail while others take all of it.
+func TestHeadMemoryIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	heads := NewHeadMemory(10_000)
+	get := func(parts ...string) error {
+		client := &http.Client{Transport: &http.Transport{DialContext: heads.DialContext(&net.Dialer{}), DisableKeepAlives: true}}
+		resp, err := client.Get("http://" + answerOnce(c, parts...))
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		c.Check(heads.used.Load(), qt.Equals, int64(0))
+		_, err = io.ReadAll(resp.Body)
+		return err
+	}
+	status, end := "HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"
+	field := "X-Filler: " + strings.Repeat("x", 8_000) + "\r\n"
+	for range 3 {
+		c.Check(get(status, field, end), qt.IsNil)
+		c.Check(get(status, field), qt.IsNotNil) // ends inside the head
+		c.Check(get(status, field, field, field), qt.ErrorMatches, ".*"+ErrHeadMemory.Error())
+		c.Check(heads.used.Load(), qt.Equals, int64(0))
+	}
+	heads.used.Store(20_000)
+	c.Check(get(status, field, end), qt.ErrorMatches, ".*"+ErrHeadMemory.Error())
+	heads.used.Store(0)
+	body := strings.Repeat("y", 50_000)
+	c.Check(get(status, "Content-Length: 50000\r\n\r\n", body), qt.IsNil)
+}
