--- a/node/entry/events.go
+++ b/node/entry/events.go
@@ -41,7 +41,8 @@
 	return e.memory.takeBeyondFree(len(e.raw), len(part))
 }
 
-// takeBeyondFree adds those of the bytes that were added last to a number of bytes of a stream which exceed freeEventBytes.
+// takeBeyondFree counts the bytes that were added last to a part of a stream, as far as the part exceeds freeEventBytes. total is
+// its size with them.
 func (s *share) takeBeyondFree(total, added int) error {
 	if over := total - freeEventBytes; over > 0 {
 		return s.take(min(over, added))
@@ -49,7 +50,7 @@
 	return nil
 }
 
-// next returns the next event, with an error what was read of it. It returns io.EOF if the stream ended after a complete event, and
+// next returns the next event, or what was read of it with an error: io.EOF if the stream ended after a complete event, and
 // io.ErrUnexpectedEOF if it ended inside one.
 func (x *eventReader) next() (event, error) {
 	ev := event{id: -1, memory: share{memory: x.bodies}}
