--- /dev/null
+++ b/review/third/servers.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// arrival is a request that reached a server and was meant for it.
+type arrival struct {
+	id     string
+	server string
+	at     time.Time
+}
+
+// server is a stand-in for a plain backend server.
+type server struct {
+	id, service, zone, address string
+	born                       time.Time
+	work                       time.Duration
+	log                        *record
+	http                       *http.Server
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// startServer starts a server on an address.
+func startServer(id, service, zone, address string, work time.Duration, log *record) (*server, error) {
+	s := &server{id: id, service: service, zone: zone, address: address, born: time.Now(), work: work, log: log}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// entry returns what the server writes of itself into the store.
+func (s *server) entry(state string, sequence int) map[string]any {
+	return map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "1", "slots": 16, "state": state,
+		"cold_remaining_ms": 0, "sequence": sequence, "born": s.born.UnixMilli(),
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Instance-Id", s.id)
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.id {
+		s.log.line("server %s turns away id=%s meant for %s", s.id, id, want)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	a := arrival{id, s.id, time.Now()}
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, a)
+	s.mu.Unlock()
+	s.log.line("server %s runs id=%s path=%s tenant=%s", s.id, id, r.URL.Path, r.Header.Get("Tenant"))
+	time.Sleep(s.work)
+	body := "answer to " + id + "\n"
+	w.Header().Set("Server-Seal", "seal."+id)
+	w.Header().Set("Server-Load", "1,0,16")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	fmt.Fprint(w, body)
+}
+
+// since returns the requests that reached the server after a moment.
+func (s *server) since(t time.Time) (out []arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if a.at.After(t) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// exit ends the server at once.
+func (s *server) exit() {
+	s.log.line("server %s exits", s.id)
+	_ = s.http.Close()
+}
