Case 13: removals while the store cuts waiting watches

A server that has left starts again with a new born. The program ends its processes when it is told to stop.

--- a/review/third/main.go
+++ b/review/third/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -87,14 +89,26 @@
 	}
 	s := &system{log: log, store: newStore(log), ports: ports, trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir}
 	defer s.close()
-	timeout := time.AfterFunc(maxTime, func() {
-		s.close()
-		os.Exit(exitNotRun)
-	})
+	go s.closeOnSignal()
+	timeout := time.AfterFunc(maxTime, s.abort)
 	defer timeout.Stop()
 	return c(s)
 }
 
+// closeOnSignal ends the case with all of its processes when this program is told to stop.
+func (s *system) closeOnSignal() {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	<-stopped
+	s.abort()
+}
+
+func (s *system) abort() {
+	s.close()
+	_ = os.RemoveAll(s.dir)
+	os.Exit(exitNotRun)
+}
+
 func (s *system) close() {
 	for _, h := range s.hosts {
 		h.stop()
--- a/review/third/servers.go
+++ b/review/third/servers.go
@@ -85,8 +85,8 @@
 	return out
 }
 
-// exit ends the server at once.
-func (s *server) exit() {
-	s.log.line("server %s exits", s.id)
-	_ = s.http.Close()
+// startAgain begins a new lifetime of a server that has left, under the same id.
+func (s *server) startAgain() {
+	s.born = time.Now()
+	s.log.line("server %s starts again", s.id)
 }
--- a/review/third/store.go
+++ b/review/third/store.go
@@ -30,14 +30,15 @@
 
 // store is a stand-in for the platform's store. It keeps its whole history.
 type store struct {
-	mu      sync.Mutex
-	now     storeCopy
-	era     int
-	away    bool          // connections are closed without an answer
-	changed chan struct{} // closed at each change
-	cut     chan struct{} // closed when the waiting watches are cut
-	calls   int
-	log     *record
+	mu       sync.Mutex
+	now      storeCopy
+	era      int
+	away     bool          // connections are closed without an answer
+	changed  chan struct{} // closed at each change
+	cut      chan struct{} // closed when the waiting watches are cut
+	cutAfter time.Duration // watches that have waited for so long are cut; zero for none
+	calls    int
+	log      *record
 }
 
 func newStore(log *record) *store {
@@ -96,12 +97,22 @@
 	s.log.line("store is back at revision %d, era %d", s.now.revision, s.era)
 }
 
-// cutWatches closes the connections of the watches that wait.
-func (s *store) cutWatches() {
+// cutWatchesAfter makes the store close the connection of each watch that has waited for a time.
+func (s *store) cutWatchesAfter(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.log.line("store cuts the waiting watches")
-	s.cutLocked()
+	s.log.line("store cuts watches that wait for %s", d)
+	s.cutAfter = d
+}
+
+// waitLimit returns a channel that receives when a watch has waited for too long, nil if watches may wait as they ask.
+func (s *store) waitLimit() <-chan time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cutAfter == 0 {
+		return nil
+	}
+	return time.After(s.cutAfter)
 }
 
 func (s *store) cutLocked() {
@@ -168,7 +179,7 @@
 
 // serveWatch answers 410 to a watch from a revision that the store does not have.
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
-	end := time.After(wait)
+	end, tooLong := time.After(wait), s.waitLimit()
 	for {
 		s.mu.Lock()
 		at, changed, cut := s.now.revision, s.changed, s.cut
@@ -191,6 +202,9 @@
 		case <-changed:
 		case <-cut:
 			panic(http.ErrAbortHandler)
+		case <-tooLong:
+			s.log.line("store cuts a waiting watch")
+			panic(http.ErrAbortHandler)
 		case <-end:
 			wait = 0
 		case <-r.Context().Done():
