--- a/review/third/main.go
+++ b/review/third/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]caseFunc{
 	"copy-config": copyConfigCase,
 	"copy-drain":  copyDrainCase,
+	"seeds-away":  seedsAwayCase,
 	"watch-cut":   watchCutCase,
 }
 
--- /dev/null
+++ b/review/third/seedsaway.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	coldTime      = 3 * time.Second // cold_start_s
+	coldPerSecond = 26              // cold_per_s
+	coldBound     = 44              // cold_per_s x cold_overrun + cold_slack
+	// seedCount is the number of hosts that the settings name as seeds.
+	seedCount = 3
+	// seedAway is how long the machines of the seeds have no power.
+	seedAway = 3 * time.Second
+)
+
+// seedsAwayCase kills all hosts at once, of which those that the settings name as seeds stay away for seedAway, while the servers
+// have just started again and are cold.
+func seedsAwayCase(s *system) (broken int, err error) {
+	const rounds = 4
+	cold := config(7, 0, apiKey)
+	cold["services"] = []any{map[string]any{"name": ledger, "cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond}}
+	servers, err := s.beginWith(cold, 3, 9)
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(stableTime + time.Second)
+	l := startLoad(&system{hosts: s.hosts[seedCount:], log: s.log}, "a", apiKey, 3*time.Millisecond, "/lookup/2f", http.MethodGet)
+	time.Sleep(2 * time.Second)
+	for range rounds {
+		var starting sync.WaitGroup
+		if s.trouble {
+			for i, h := range s.hosts {
+				starting.Go(func() { s.killAndStart(h, i < seedCount) })
+			}
+		}
+		for _, srv := range servers {
+			srv.startAgain()
+			entry := srv.entry("ready", 1)
+			entry["cold_remaining_ms"] = coldTime.Milliseconds()
+			s.store.put("servers/"+srv.id, entry)
+		}
+		time.Sleep(coldTime)
+		for _, srv := range servers {
+			most := mostInASecond(srv.since(srv.born), srv.born.Add(coldTime))
+			s.log.result("most requests of a second at cold server %s: %d, bound %d", srv.id, most, coldBound)
+			if most > coldBound {
+				broken++
+			}
+		}
+		starting.Wait()
+		time.Sleep(stableTime + 2*time.Second)
+	}
+	s.log.result("answers by status: %v", countStatus(l.end()))
+	return broken, nil
+}
+
+// killAndStart kills a host, and starts it again after a short delay, or after seedAway if its machine has no power.
+func (s *system) killAndStart(h *host, power bool) {
+	s.log.line("%s is killed", h.name)
+	_ = h.cmd.Process.Signal(syscall.SIGKILL)
+	<-h.exited
+	delay := 300*time.Millisecond + rand.N(200*time.Millisecond)
+	if power {
+		delay = seedAway
+	}
+	time.Sleep(delay)
+	s.log.line("%s starts", h.name)
+	if err := h.start(s.root, s.dir); err != nil {
+		s.log.line("%s does not start: %v", h.name, err)
+	}
+}
+
+// mostInASecond returns the largest number of arrivals in a window of a second that ends before a time.
+func mostInASecond(list []arrival, end time.Time) (most int) {
+	first := 0
+	for i, a := range list {
+		if a.at.After(end) {
+			break
+		}
+		for a.at.Sub(list[first].at) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/review/third/system.go
+++ b/review/third/system.go
@@ -91,13 +91,18 @@
 	}
 }
 
-// begin starts the store, servers of the ledger and hosts, with a configuration.
-func (s *system) begin(servers, hosts int, keys ...string) (list []*server, err error) {
+// begin starts the store, servers of the ledger and hosts, with a configuration that has some keys.
+func (s *system) begin(servers, hosts int, keys ...string) ([]*server, error) {
+	return s.beginWith(config(7, 0, keys...), servers, hosts)
+}
+
+// beginWith is begin with any configuration.
+func (s *system) beginWith(config map[string]any, servers, hosts int) (list []*server, err error) {
 	store, err := s.startStore()
 	if err != nil {
 		return nil, err
 	}
-	s.store.put("op/config", config(7, 0, keys...))
+	s.store.put("op/config", config)
 	for n := 1; n <= servers; n++ {
 		srv, err := s.startLedger(n)
 		if err != nil {
