--- a/review/third/hosts.go
+++ b/review/third/hosts.go
@@ -56,7 +56,7 @@
 
 func portsFree(base int) bool {
 	for _, network := range []string{hostNet, serverNet, storeNet} {
-		for n := 1; n <= 12; n++ {
+		for n := 1; n <= 20; n++ {
 			for p := base; p < base+portsPerHost; p++ {
 				address := fmt.Sprintf("%s%d:%d", network, n, p)
 				ln, err := net.Listen("tcp", address)
--- a/review/third/seedsaway.go
+++ b/review/third/seedsaway.go
@@ -22,9 +22,10 @@
 // have just started again and are cold.
 func seedsAwayCase(s *system) (broken int, err error) {
 	const rounds = 4
+	const hosts = 20 // of which the seeds are less than 0.16
 	cold := config(7, 0, apiKey)
 	cold["services"] = []any{map[string]any{"name": ledger, "cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond}}
-	servers, err := s.beginWith(cold, 3, 9)
+	servers, err := s.beginWith(cold, 3, hosts)
 	if err != nil {
 		return 0, err
 	}
