--- a/review/third/storecopy.go
+++ b/review/third/storecopy.go
@@ -8,8 +8,8 @@
 // awayTime is how long the store is away before it comes back from a copy.
 const awayTime = time.Second
 
-// copyConfigCase lets the store come back from a copy that lacks the last configuration. The operator's next version, which takes
-// away a key, gets the revision that the lost one had.
+// copyConfigCase lets the store come back from a copy that lacks the last two configurations. The operator writes the last one
+// again and then its next one, which takes away a key and gets the revision that the last one had before.
 func copyConfigCase(s *system) (broken int, err error) {
 	const observed = 8 * time.Second
 	if _, err := s.begin(3, 3, apiKey, otherKey); err != nil {
@@ -19,16 +19,19 @@
 	dropped := startLoad(s, "d", otherKey, 30*time.Millisecond, "/lookup/2f", http.MethodGet)
 	time.Sleep(2 * time.Second)
 	was := s.store.copy()
-	s.store.put("op/config", config(10, 0, apiKey, otherKey))
-	time.Sleep(2 * time.Second)
+	for _, version := range []int{10, 13} {
+		s.store.put("op/config", config(version, 0, apiKey, otherKey))
+		time.Sleep(time.Second)
+	}
 	if s.trouble {
 		s.store.leave()
 	}
 	time.Sleep(awayTime)
 	if s.trouble {
 		s.store.returnFrom(was)
+		s.store.put("op/config", config(13, 0, apiKey, otherKey))
 	}
-	ack := s.store.put("op/config", config(13, 0, apiKey))
+	ack := s.store.put("op/config", config(16, 0, apiKey))
 	time.Sleep(stableTime + observed)
 	answers := dropped.end()
 	s.log.result("answers with the kept key by status: %v", countStatus(kept.end()))
