--- a/review/third/storecopy.go
+++ b/review/third/storecopy.go
@@ -58,12 +58,11 @@
 	time.Sleep(2 * time.Second)
 	was := s.store.copy()
 	version := 7
-	for range 20 {
+	for range 3 {
 		version += 3
 		s.store.put("op/config", config(version, 1, apiKey))
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(time.Second)
 	}
-	time.Sleep(300 * time.Millisecond)
 	if s.trouble {
 		s.store.leave()
 	}
