Case 14: a model service, as on the sheet

Looked at: the figures of the sheet, which are for its model; the script had them at a plain service, which no sheet does.

--- a/review/third/load.go
+++ b/review/third/load.go
@@ -83,6 +83,10 @@
 	if l.key != "" {
 		req.Header.Set("Authorization", "Token "+l.key)
 	}
+	if strings.HasPrefix(path, "/ask/") {
+		req.Header.Set("Model", "m")
+		req.Header.Set("Token-Usage", fmt.Sprintf("400,%d", engineTokens))
+	}
 	resp, err := directClient.Do(req)
 	if err == nil {
 		x.status, x.sealed = resp.StatusCode, resp.Header.Get("Server-Seal") != ""
--- a/review/third/seedsaway.go
+++ b/review/third/seedsaway.go
@@ -25,14 +25,12 @@
 func seedsAwayCase(s *system) (broken int, err error) {
 	const rounds = 4
 	const hosts = 20 // of which the seeds are less than 0.16
-	cold := config(7, 0, apiKey)
-	cold["services"] = []any{map[string]any{"name": ledger, "cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond}}
-	servers, err := s.beginWith(cold, 3, hosts)
+	servers, err := s.beginWith(engineConfig(), engines, 3, hosts)
 	if err != nil {
 		return 0, err
 	}
 	time.Sleep(stableTime + time.Second)
-	l := startLoad(&system{hosts: s.hosts[seedCount:], log: s.log}, "a", apiKey, 3*time.Millisecond, "/lookup/2f", http.MethodGet)
+	l := startLoad(&system{hosts: s.hosts[seedCount:], log: s.log}, "a", apiKey, 3*time.Millisecond, "/ask/2f", http.MethodPost)
 	time.Sleep(2 * time.Second)
 	for round := range rounds {
 		srv := servers[round%len(servers)]
@@ -44,10 +42,7 @@
 				starting.Go(func() { s.killAndStart(h, i < seedCount) })
 			}
 		}
-		srv.startAgain()
-		entry := srv.entry("ready", 1)
-		entry["cold_remaining_ms"] = coldTime.Milliseconds()
-		s.store.put("servers/"+srv.id, entry)
+		s.store.put("servers/"+srv.id, srv.startAgainCold(coldTime))
 		time.Sleep(coldTime)
 		most := mostInASecond(srv.since(srv.born), srv.born.Add(coldTime))
 		s.log.result("most requests of a second at cold server %s: %d, bound %d", srv.id, most, coldBound)
@@ -61,6 +56,24 @@
 	return broken, nil
 }
 
+// engineConfig returns a configuration with a model service whose servers start cold, with the figures of the sheet.
+func engineConfig() map[string]any {
+	c := config(7, 0, apiKey)
+	c["routes"] = []any{map[string]any{
+		"name": "ask", "host": routeHost, "prefix": "/ask/", "type": "streaming", "service": engines, "timeout_ms": 10000,
+		"aim_ms": 250, "max_attempts": 2, "priority": 0, "public": false, "resumable": true, "target_gap_ms": 250,
+	}}
+	c["services"] = []any{map[string]any{
+		"name": engines, "cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond,
+		"runtime": map[string]any{
+			"slots": 12, "kv_capacity": 267750, "step_count": 51, "step_ms": 0.85, "per_seq_ms": 0.00425, "context_per_k": 0.00285,
+			"read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048, "report_lag_ms": 200.0,
+			"usual": map[string]any{"prompt": 400, "answer": engineTokens},
+		},
+	}}
+	return c
+}
+
 // killAndStart kills a host, and starts it again after a short delay, or after seedAway if its machine has no power.
 func (s *system) killAndStart(h *host, power bool) {
 	s.log.line("%s is killed", h.name)
--- a/review/third/system.go
+++ b/review/third/system.go
@@ -19,10 +19,14 @@
 
 const (
 	ledger   = "ledger-app"
+	engines  = "assistant-pool"
 	apiKey   = "n2ctnfzs989anu6wsjnb"
 	otherKey = "k7wq0fzs431mnu6wsjtd"
 	tenant   = "hule930"
 	workTime = 10 * time.Millisecond
+	// engineTokens is the number of tokens of an engine's answer, engineTime the time that they take.
+	engineTokens = 8
+	engineTime   = 40 * time.Millisecond
 )
 
 // startStore serves the store and returns its address.
@@ -38,13 +42,16 @@
 	return address, nil
 }
 
-// startLedger starts server n of the ledger and registers it.
-func (s *system) startLedger(n int) (*server, error) {
+// startBackend starts server n of a service and registers it.
+func (s *system) startBackend(service string, n int) (*server, error) {
 	id := fmt.Sprintf("i-%04x", 0x7f30+n)
-	srv, err := startServer(id, ledger, zones[n%len(zones)], fmt.Sprintf("%s%d:%d", serverNet, n, s.ports), workTime, s.log)
+	srv, err := startServer(id, service, zones[n%len(zones)], fmt.Sprintf("%s%d:%d", serverNet, n, s.ports), workTime, s.log)
 	if err != nil {
 		return nil, err
 	}
+	if service == engines {
+		srv.work, srv.tokens = engineTime, engineTokens
+	}
 	s.closers = append(s.closers, func() { _ = srv.http.Close() })
 	s.store.put("servers/"+id, srv.entry("ready", 1))
 	return srv, nil
@@ -93,18 +100,18 @@
 
 // begin starts the store, servers of the ledger and hosts, with a configuration that has some keys.
 func (s *system) begin(servers, hosts int, keys ...string) ([]*server, error) {
-	return s.beginWith(config(7, 0, keys...), servers, hosts)
+	return s.beginWith(config(7, 0, keys...), ledger, servers, hosts)
 }
 
-// beginWith is begin with any configuration.
-func (s *system) beginWith(config map[string]any, servers, hosts int) (list []*server, err error) {
+// beginWith is begin with any configuration and service.
+func (s *system) beginWith(config map[string]any, service string, servers, hosts int) (list []*server, err error) {
 	store, err := s.startStore()
 	if err != nil {
 		return nil, err
 	}
 	s.store.put("op/config", config)
 	for n := 1; n <= servers; n++ {
-		srv, err := s.startLedger(n)
+		srv, err := s.startBackend(service, n)
 		if err != nil {
 			return nil, err
 		}
