Follow a store that comes back from an older copy

What callers saw: after the store had come back from a copy that was some seconds old, a key that the next configuration dropped went on working for good, and a server that drained went on getting requests.

Cause: a revision was a bare number, and the era of the store was read nowhere.

What the host knows from the lost seconds goes before what may be from the copy, until it is written again or for 10 s (core/catalog/restore.go). Coldness ends by an entry of its own era only. Hosts log the change with both revisions and show the era.

Why this works: every comparison goes by the era first, so that numbers of two histories can't be taken for each other on any of the paths.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -118,7 +118,7 @@
 	Zone     string // availability zone
 	Slots    int
 	State    ServerState
-	Revision uint64 // revision of the store at the entry's last change
+	Revision ident.Revision // revision of the store at the entry's last change
 	// Started is the time of the server's start in Unix ms, by which a server that starts again under its ID is told apart.
 	// Zero if it is not known.
 	Started int64
@@ -131,7 +131,7 @@
 
 // Change is one change of the published state. Exactly one of Config, Unreadable, Server, Removed, Evacuated and TakenBack is set.
 type Change struct {
-	Revision uint64
+	Revision ident.Revision
 	Config   *Config
 	// Unreadable says why a published configuration can't be read. The one before it stays in force.
 	Unreadable string
@@ -146,9 +146,9 @@
 // Snapshot is the whole published state. Its source is read in several calls, so it may be of several revisions: it
 // contains all changes up to Revision, any of those after it up to ReadUntil, and none after that.
 type Snapshot struct {
-	Revision  uint64
-	ReadUntil uint64  // 0 if all of the snapshot is of Revision
-	Config    *Config // nil when none is published, or it can't be read
+	Revision  ident.Revision
+	ReadUntil ident.Revision // 0 if all of the snapshot is of Revision
+	Config    *Config        // nil when none is published, or it can't be read
 	// Unreadable says why the published configuration can't be read. Empty if it can.
 	Unreadable string
 	Servers    []Server
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -16,7 +16,7 @@
 	return &Config{Version: ident.Version(version), Routes: routes, Services: []Service{{Name: "s"}}}
 }
 
-func server(id string, rev uint64) Server {
+func server(id string, rev ident.Revision) Server {
 	return Server{ID: ident.BackendID(id), Service: "s", Address: "10.0.0.1:1", Slots: 4, Revision: rev}
 }
 
@@ -91,7 +91,7 @@
 		highest := ident.Version(0)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			v := rapid.IntRange(1, 12).Draw(t, "version")
-			rev := rapid.Uint64Range(1, 20).Draw(t, "revision")
+			rev := drawRevision(t, 1, 20, "revision")
 			if rapid.Bool().Draw(t, "snapshot") {
 				tb.Replace(0, Snapshot{Revision: rev, Config: config(v)})
 				highest = max(highest, ident.Version(v))
@@ -161,7 +161,7 @@
 func TestLeavingIsOfOneLifetime(t *testing.T) {
 	c := qt.New(t)
 	tb := NewTable()
-	started := func(id string, rev uint64, at int64) Server {
+	started := func(id string, rev ident.Revision, at int64) Server {
 		s := server(id, rev)
 		s.Started = at
 		return s
@@ -244,7 +244,7 @@
 func TestFollowingAPeerGivesTheSameState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reader, follower := NewTable(), NewTable()
-		revision, version := uint64(1), 1
+		revision, version := ident.Revision(1), 1
 		reader.Replace(0, Snapshot{Revision: 1, Config: config(1), Servers: []Server{server("a", 1)}})
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -303,7 +303,7 @@
 	tb := NewTable()
 	tb.Replace(0, Snapshot{Revision: 1, Config: config(1)})
 	for i := range 3 * maxJournal {
-		s := server("a", uint64(i+2))
+		s := server("a", ident.Revision(i+2))
 		tb.Apply(0, []Change{{Revision: s.Revision, Server: &s}})
 	}
 	c.Assert(len(tb.journal.changes) <= maxJournal, qt.IsTrue)
--- a/core/catalog/evacuation.go
+++ b/core/catalog/evacuation.go
@@ -4,12 +4,14 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
 // Evacuation is an evacuated availability zone: its servers take no new work. The zone need not have any servers.
 type Evacuation struct {
 	Zone     string
-	Revision uint64 // revision of the store at which it was published
+	Revision ident.Revision // revision of the store at which it was published
 }
 
 // maxEnded bounds the ended evacuations that are remembered. Those that ended first are forgotten first.
@@ -21,13 +23,13 @@
 type evacuations map[string]*evacuation
 
 type evacuation struct {
-	revision uint64 // up to which changes of the zone are known
+	revision ident.Revision // up to which changes of the zone are known
 	ended    bool
 	endedAt  time.Duration
 }
 
 // begin puts an evacuation into force, unless it is older than what is known of the zone.
-func (e evacuations) begin(zone string, revision uint64) {
+func (e evacuations) begin(zone string, revision ident.Revision) {
 	if x := e[zone]; x != nil && revision <= x.revision {
 		return
 	}
@@ -35,7 +37,7 @@
 }
 
 // end records that a zone is not evacuated at a revision, unless that is older than what is known of the zone.
-func (e evacuations) end(now time.Duration, zone string, revision uint64) {
+func (e evacuations) end(now time.Duration, zone string, revision ident.Revision) {
 	x := e[zone]
 	switch {
 	case x == nil:
@@ -50,15 +52,29 @@
 	}
 }
 
-// replace makes the listed evacuations the ones in force, as published at a revision.
-func (e evacuations) replace(now time.Duration, listed []Evacuation, revision uint64) {
+// replace makes the listed evacuations the ones in force, as published at a revision. Those of earlier eras stay in force if
+// keepOlder is set: the store may have come back from a copy that lacks them.
+func (e evacuations) replace(now time.Duration, listed []Evacuation, revision ident.Revision, keepOlder bool) {
 	zones := make(map[string]bool, len(listed))
 	for _, x := range listed {
-		zones[x.Zone] = true
-		e.begin(x.Zone, x.Revision)
+		// One of an earlier era is kept by a peer whose transition to the new era has not ended yet. The store does not list it.
+		older := x.Revision.Era() < revision.Era()
+		if !older || keepOlder {
+			e.begin(x.Zone, x.Revision)
+		}
+		zones[x.Zone] = zones[x.Zone] || !older
+	}
+	for zone, x := range e {
+		if !zones[zone] && !x.ended && !(keepOlder && x.revision.Era() < revision.Era()) {
+			e.end(now, zone, revision)
+		}
 	}
+}
+
+// endOlder ends the evacuations of eras before that of a revision.
+func (e evacuations) endOlder(now time.Duration, revision ident.Revision) {
 	for zone, x := range e {
-		if !zones[zone] && !x.ended {
+		if !x.ended && x.revision.Era() < revision.Era() {
 			e.end(now, zone, revision)
 		}
 	}
--- a/core/catalog/evacuation_test.go
+++ b/core/catalog/evacuation_test.go
@@ -8,9 +8,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rosemaryhill/rosemaryhill/core/eligibility"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 )
 
-func serverIn(id, zone string, rev uint64) Server {
+func serverIn(id, zone string, rev ident.Revision) Server {
 	s := server(id, rev)
 	s.Zone = zone
 	return s
@@ -81,7 +82,7 @@
 	tb := NewTable()
 	tb.Apply(0, []Change{{Revision: 1, Evacuated: "kept"}})
 	for i := range 3 * maxEnded {
-		tb.Apply(time.Duration(i), []Change{{Revision: uint64(i + 2), TakenBack: fmt.Sprint(i)}})
+		tb.Apply(time.Duration(i), []Change{{Revision: ident.Revision(i + 2), TakenBack: fmt.Sprint(i)}})
 	}
 	c.Assert(len(tb.evacuations), qt.Equals, maxEnded+1)
 	c.Assert(tb.Evacuations(), qt.DeepEquals, []Evacuation{{"kept", 1}})
--- a/core/catalog/journal.go
+++ b/core/catalog/journal.go
@@ -16,11 +16,11 @@
 // most one configuration, the last one: each may have a megabyte, and a peer needs none but the last.
 type journal struct {
 	changes []Change
-	start   uint64
+	start   ident.Revision
 }
 
 // restart forgets all changes. The changes up to a revision are known only by their result.
-func (j *journal) restart(revision uint64) { j.changes, j.start = nil, revision }
+func (j *journal) restart(revision ident.Revision) { j.changes, j.start = nil, revision }
 
 func (j *journal) add(c Change) {
 	if c.Config != nil {
@@ -46,7 +46,7 @@
 
 // since returns the changes after a revision in order; of several configurations only the last one is set. ok is
 // false when the journal does not reach back that far.
-func (j *journal) since(revision uint64) (changes []Change, ok bool) {
+func (j *journal) since(revision ident.Revision) (changes []Change, ok bool) {
 	if revision < j.start {
 		return nil, false
 	}
@@ -60,11 +60,13 @@
 
 // Since returns the changes after a revision, for a peer that holds everything up to it. ok is false when
 // the peer needs a snapshot.
-func (t *Table) Since(revision uint64) (changes []Change, ok bool) { return t.journal.since(revision) }
+func (t *Table) Since(revision ident.Revision) (changes []Change, ok bool) {
+	return t.journal.since(revision)
+}
 
 // ForPeer returns what a peer lacks that holds everything up to a revision, and a configuration version, 0 for none: the
 // changes, or a snapshot if these are not known or do not contain a newer configuration.
-func (t *Table) ForPeer(revision uint64, config ident.Version) (snapshot *Snapshot, changes []Change) {
+func (t *Table) ForPeer(revision ident.Revision, config ident.Version) (snapshot *Snapshot, changes []Change) {
 	changes, ok := t.Since(revision)
 	if ok && config != 0 && (!t.hasNewerConfig(config) || slices.ContainsFunc(changes, isConfig)) {
 		return nil, changes
--- a/core/catalog/memory_test.go
+++ b/core/catalog/memory_test.go
@@ -31,13 +31,13 @@
 	for n := range 300 {
 		cfg := config(n + 2)
 		published = append(published, weak.Make(cfg))
-		added, revision := server("a", uint64(2*n+3)), uint64(2*n+2)
+		added, revision := server("a", ident.Revision(2*n+3)), ident.Revision(2*n+2)
 		table.Apply(0, []Change{{Revision: revision, Config: cfg}, {Revision: revision + 1, Server: &added}})
 	}
 	c.Check(countHeld(published), qt.Equals, 1)
 
 	// Peers at any revision still get the last version and all other changes.
-	for _, revision := range []uint64{1, 2, 300, 599} {
+	for _, revision := range []ident.Revision{1, 2, 300, 599} {
 		changes, ok := table.Since(revision)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(changes, qt.HasLen, int(601-revision))
@@ -63,7 +63,7 @@
 	for n := range 100 {
 		cfg := config(n+1, Route{Name: "r", Host: "a.example", Prefix: "/"}, Route{Name: "s", Host: "b.example", Prefix: "/"})
 		published = append(published, weak.Make(&cfg.Routes[0]))
-		table.Replace(0, Snapshot{Revision: uint64(n + 1), Config: cfg})
+		table.Replace(0, Snapshot{Revision: ident.Revision(n + 1), Config: cfg})
 		inProgress = append(inProgress, table.Route("b.example", "/x"))
 	}
 	c.Check(countHeld(published), qt.Equals, 1)
--- a/core/catalog/replicas_test.go
+++ b/core/catalog/replicas_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,9 +17,40 @@
 type publishedLog struct {
 	changes []Change
 	version int
+	era     uint64
 }
 
-func (l *publishedLog) revision() uint64 { return uint64(len(l.changes)) }
+func (l *publishedLog) revision() ident.Revision { return rev(l.era, uint64(len(l.changes))) }
+
+// restore brings a copy with the first n changes back, in the next era.
+func (l *publishedLog) restore(n int) {
+	l.changes = slices.Clone(l.changes[:n])
+	l.era++
+	for i := range l.changes {
+		c := &l.changes[i]
+		c.Revision = rev(l.era, uint64(i+1))
+		if c.Server != nil {
+			c.Server = c.Server.at(c.Revision)
+		}
+	}
+}
+
+// follow brings a table up to date with the log, as a reader of the store does it.
+func (l *publishedLog) follow(now time.Duration, x *Table) {
+	if x.Config() != nil && x.Revision().Era() == l.era {
+		x.Apply(now, l.changes[x.Revision().Number():])
+		return
+	}
+	s := Snapshot{Revision: l.revision()}
+	servers, cfg := l.at(l.revision())
+	s.Servers, s.Config = slices.Collect(maps.Values(servers)), cfg
+	for _, zone := range zoneNames {
+		if x := l.evacuatedAt(zone, l.revision()); x.Revision != 0 {
+			s.Evacuations = append(s.Evacuations, x)
+		}
+	}
+	x.Replace(now, s)
+}
 
 func (l *publishedLog) publish(c Change) {
 	c.Revision = l.revision() + 1
@@ -39,9 +72,9 @@
 }
 
 // at returns the state at a revision.
-func (l *publishedLog) at(revision uint64) (servers map[ident.BackendID]Server, cfg *Config) {
+func (l *publishedLog) at(revision ident.Revision) (servers map[ident.BackendID]Server, cfg *Config) {
 	servers = map[ident.BackendID]Server{}
-	for _, c := range l.changes[:revision] {
+	for _, c := range l.changes[:revision.Number()] {
 		switch {
 		case c.Config != nil:
 			cfg = c.Config
@@ -54,10 +87,14 @@
 	return servers, cfg
 }
 
+func drawRevision(t *rapid.T, from, to ident.Revision, label string) ident.Revision {
+	return ident.Revision(rapid.Uint64Range(uint64(from), uint64(to)).Draw(t, label))
+}
+
 // evacuatedAt returns the evacuation of a zone at a revision; its own revision is 0 if there is none.
-func (l *publishedLog) evacuatedAt(zone string, revision uint64) (x Evacuation) {
+func (l *publishedLog) evacuatedAt(zone string, revision ident.Revision) (x Evacuation) {
 	x.Zone = zone
-	for _, c := range l.changes[:revision] {
+	for _, c := range l.changes[:revision.Number()] {
 		switch zone {
 		case c.Evacuated:
 			x.Revision = c.Revision
@@ -70,19 +107,19 @@
 
 // read returns a snapshot: each server, the configuration, and then each zone, as of a revision between from and the latest
 // one.
-func (l *publishedLog) read(t *rapid.T, from uint64) Snapshot {
+func (l *publishedLog) read(t *rapid.T, from ident.Revision) Snapshot {
 	s := Snapshot{Revision: from, ReadUntil: from}
 	for _, id := range serverIDs {
-		s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
+		s.ReadUntil = drawRevision(t, s.ReadUntil, l.revision(), "page")
 		servers, _ := l.at(s.ReadUntil)
 		if srv, listed := servers[id]; listed {
 			s.Servers = append(s.Servers, srv)
 		}
 	}
-	s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
+	s.ReadUntil = drawRevision(t, s.ReadUntil, l.revision(), "page")
 	_, s.Config = l.at(s.ReadUntil)
 	for _, zone := range zoneNames {
-		s.ReadUntil = rapid.Uint64Range(s.ReadUntil, l.revision()).Draw(t, "page")
+		s.ReadUntil = drawRevision(t, s.ReadUntil, l.revision(), "page")
 		if x := l.evacuatedAt(zone, s.ReadUntil); x.Revision != 0 {
 			s.Evacuations = append(s.Evacuations, x)
 		}
@@ -96,14 +133,14 @@
 
 // heldEvacuations holds, for each zone, the latest evacuation that a table has held, and whether it has ended there.
 type heldEvacuations map[string]struct {
-	revision uint64
+	revision ident.Revision
 	ended    bool
 }
 
 // check fails the test if the evacuations of a table are not those of its revision or of later ones, if one has come back after
 // its end, or if one has ended that the store has not ended.
 func (h heldEvacuations) check(t *rapid.T, x *Table, l *publishedLog) {
-	held := map[string]uint64{}
+	held := map[string]ident.Revision{}
 	for _, e := range x.Evacuations() {
 		held[e.Zone] = e.Revision
 	}
@@ -163,10 +200,10 @@
 			case 3:
 				l.putConfig()
 			case 4:
-				x.Replace(0, l.read(t, rapid.Uint64Range(x.Revision(), l.revision()).Draw(t, "from")))
+				x.Replace(0, l.read(t, drawRevision(t, x.Revision(), l.revision(), "from")))
 			case 5:
 				if x.Config() != nil {
-					x.Apply(0, l.changes[x.Revision():rapid.Uint64Range(x.Revision(), l.revision()).Draw(t, "to")])
+					x.Apply(0, l.changes[x.Revision():drawRevision(t, x.Revision(), l.revision(), "to")])
 				}
 			case 6:
 				update(x, rapid.SampledFrom(tables).Draw(t, "peer"))
@@ -179,7 +216,7 @@
 				l.publish(Change{TakenBack: rapid.SampledFrom(zoneNames).Draw(t, "zone")})
 			case 10:
 				if x.Config() != nil { // an older snapshot
-					x.Replace(0, l.read(t, rapid.Uint64Range(0, x.Revision()).Draw(t, "from")))
+					x.Replace(0, l.read(t, drawRevision(t, 0, x.Revision(), "from")))
 				}
 			}
 			held[x].check(t, x, l)
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -23,7 +23,7 @@
 //
 // Invariants: the configuration version and the revision never decrease; a draining server never becomes ready
 // again under the same entry unless the store publishes it as ready with a higher revision; an evacuation begins or ends
-// only by a higher revision than that of the last change of its zone.
+// only by a higher revision than that of the last change of its zone, or at the end of a transition to a new era.
 type Table struct {
 	config *Config
 	// unreadable says why the configuration that was published last is not in force, see Change.
@@ -34,10 +34,12 @@
 	servers    map[ident.BackendID]*serverEntry
 	usable     map[string][]Server       // servers that take new work, by service and sorted by id
 	leaving    map[ident.BackendID]int64 // start of the lifetime in which a server has said that it leaves
+	removed    map[ident.BackendID]removal
 	// evacuations are not leases: an outage of the store never ends one.
 	evacuations evacuations
-	revision    uint64
+	revision    ident.Revision
 	journal     journal
+	restoration restoration
 
 	outage    bool
 	outageEnd time.Duration // end of the last outage
@@ -46,20 +48,21 @@
 
 type serverEntry struct {
 	Server
-	lapsing bool          // the entry is missing, but the server stays usable until the grace period ends
-	until   time.Duration // when a lapsing entry is dropped
+	listed  ident.Revision // of the same entry in a later era, in which it may not have been written; zero if there is none
+	lapsing bool           // the entry is missing, but the server stays usable until the grace period ends
+	until   time.Duration  // when a lapsing entry is dropped
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		servers: map[ident.BackendID]*serverEntry{}, usable: map[string][]Server{}, leaving: map[ident.BackendID]int64{},
-		evacuations: evacuations{},
+		removed: map[ident.BackendID]removal{}, evacuations: evacuations{},
 	}
 }
 
 // Revision returns the highest revision that was applied.
-func (t *Table) Revision() uint64 { return t.revision }
+func (t *Table) Revision() ident.Revision { return t.revision }
 
 // Config returns the current configuration, nil before the first one. It must not be changed.
 func (t *Table) Config() *Config { return t.config }
@@ -68,12 +71,12 @@
 // there is no such one.
 func (t *Table) Unreadable() string { return t.unreadable }
 
-// Apply applies changes in the order of their revisions and skips those that it has already applied. It reports
-// whether it refused an older configuration.
+// Apply applies changes in the order of their revisions and skips those that it has already applied, and those of a later era,
+// which begins with a snapshot. It reports whether it refused an older configuration.
 func (t *Table) Apply(now time.Duration, changes []Change) (refused bool) {
 	seen := t.revision
 	for _, c := range changes {
-		if c.Revision <= seen {
+		if c.Revision <= seen || c.Revision.Era() != seen.Era() {
 			continue
 		}
 		t.revision = max(t.revision, c.Revision)
@@ -87,8 +90,10 @@
 		case c.Unreadable != "":
 			t.unreadable = c.Unreadable
 		case c.Server != nil:
+			delete(t.restoration.disputed, c.Server.ID)
 			t.put(now, *c.Server)
 		case c.Removed != "":
+			delete(t.restoration.disputed, c.Removed)
 			c.Lapsed = c.Lapsed || t.isOutage(now)
 			t.remove(now, c.Removed, c.Revision, c.Lapsed)
 		case c.Evacuated != "":
@@ -102,11 +107,15 @@
 	return refused
 }
 
-// Advance records that there are no other changes up to a revision.
-func (t *Table) Advance(revision uint64) { t.revision = max(t.revision, revision) }
+// Advance records that there are no other changes up to a revision. It ignores one of a later era, which begins with a snapshot.
+func (t *Table) Advance(revision ident.Revision) {
+	if revision.Era() == t.revision.Era() {
+		t.revision = max(t.revision, revision)
+	}
+}
 
 // Replace applies a whole snapshot. Servers that are not in it are removed, and evacuations that are not in it end, unless
-// it is older than the table.
+// it is older than the table. A snapshot of a later era is from a store that came back from a copy, see restoration.
 func (t *Table) Replace(now time.Duration, s Snapshot) (refused bool) {
 	if s.Config != nil {
 		refused = !t.setConfig(s.Config)
@@ -114,34 +123,35 @@
 	if s.Revision < t.revision {
 		return refused
 	}
+	if s.Revision.Era() > t.revision.Era() {
+		t.beginEra(now, s)
+	}
+	t.restoration.disputed = nil
 	t.revision, t.unreadable = s.Revision, s.Unreadable
 	t.journal.restart(max(s.Revision, s.ReadUntil))
 	listed := make(map[ident.BackendID]bool, len(s.Servers))
 	for _, srv := range s.Servers {
 		listed[srv.ID] = true
-		t.put(now, srv)
+		t.list(now, srv)
 	}
 	for id := range t.servers {
 		if !listed[id] {
 			t.remove(now, id, s.Revision, t.isOutage(now))
 		}
 	}
-	t.evacuations.replace(now, s.Evacuations, s.Revision)
+	t.evacuations.replace(now, s.Evacuations, s.Revision, t.isRestoring(now))
 	t.index()
 	return refused
 }
 
 // Snapshot returns the whole state, for a peer that starts or has lost its connection.
 func (t *Table) Snapshot() Snapshot {
-	s := Snapshot{Revision: t.revision, Config: t.config, Unreadable: t.unreadable, Evacuations: t.Evacuations()}
+	s := Snapshot{
+		Revision: t.revision, Config: t.config, Unreadable: t.unreadable, Servers: t.listings(), Evacuations: t.Evacuations(),
+	}
 	if t.journal.start > t.revision {
 		s.ReadUntil = t.journal.start
 	}
-	for _, e := range t.servers {
-		srv := e.Server
-		srv.Lapsed = e.lapsing
-		s.Servers = append(s.Servers, srv)
-	}
 	slices.SortFunc(s.Servers, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return s
 }
@@ -158,19 +168,20 @@
 	}
 }
 
-// Tick drops lapsed servers whose grace period has ended, and reports whether there were any.
-func (t *Table) Tick(now time.Duration) (dropped bool) {
-	for id, e := range t.servers {
+// Tick drops lapsed servers whose grace period has ended, and ends a transition to a new era. It reports whether there is a change.
+func (t *Table) Tick(now time.Duration) (changed bool) {
+	for _, e := range t.servers {
 		if e.lapsing && now >= e.until {
-			delete(t.servers, id)
-			t.forgetLifetime(e.Server)
-			dropped = true
+			t.drop(now, e, t.revision)
+			changed = true
 		}
 	}
-	if dropped {
+	changed = t.endEra(now) || changed
+	t.forgetRemovals(now)
+	if changed {
 		t.index()
 	}
-	return dropped
+	return changed
 }
 
 // setConfig reports whether the configuration is the given one now.
@@ -199,6 +210,7 @@
 	if e != nil && (s.Revision < e.Revision || (s.Revision == e.Revision && e.lapsing == s.Lapsed)) {
 		return
 	}
+	delete(t.removed, s.ID)
 	lapsed := s.Lapsed
 	s.Lapsed = false
 	t.servers[s.ID] = &serverEntry{Server: s, lapsing: lapsed, until: now + LapseGracePeriod}
@@ -210,7 +222,7 @@
 }
 
 // remove drops an entry that has been removed at a revision, at once, or after LapseGracePeriod if it has lapsed.
-func (t *Table) remove(now time.Duration, id ident.BackendID, revision uint64, lapsed bool) {
+func (t *Table) remove(now time.Duration, id ident.BackendID, revision ident.Revision, lapsed bool) {
 	e := t.servers[id]
 	if e == nil || e.lapsing || e.Revision > revision {
 		return
@@ -220,8 +232,14 @@
 		e.until = now + LapseGracePeriod
 		return
 	}
-	delete(t.servers, id)
+	t.drop(now, e, revision)
+}
+
+// drop forgets an entry that is gone as of a revision.
+func (t *Table) drop(now time.Duration, e *serverEntry, revision ident.Revision) {
+	delete(t.servers, e.ID)
 	t.forgetLifetime(e.Server)
+	t.rememberRemoval(now, e.Server, revision)
 }
 
 // maxLeaving bounds the servers that are known to leave. Those without an entry are forgotten first.
--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -74,10 +74,10 @@
 	News      bool // the server has become cold or warm
 	Early     bool // it is warm because its entry says so
 	Source    Source
-	PerSecond float64       // requests a second that the server bears
-	Until     time.Duration // when it is warm
-	FirstHand time.Duration // the same as far as it is known other than from other hosts, 0 for not at all
-	AsOf      uint64        // revision of the published state as of which that holds
+	PerSecond float64        // requests a second that the server bears
+	Until     time.Duration  // when it is warm
+	FirstHand time.Duration  // the same as far as it is known other than from other hosts, 0 for not at all
+	AsOf      ident.Revision // revision of the published state as of which that holds
 }
 
 // Table holds the servers of a host that may be cold. It is not safe for concurrent use.
@@ -91,7 +91,7 @@
 
 type reason struct {
 	until time.Duration
-	asOf  uint64
+	asOf  ident.Revision
 }
 
 type server struct {
@@ -99,7 +99,7 @@
 	listed    bool // has an entry and belongs to a service with limits
 	known     bool // has had an entry
 	started   int64
-	revision  uint64
+	revision  ident.Revision
 	warm      bool // the entry says so
 	oldEntry  bool // the entry may have been written long before this host learned of it, so it is no news to others
 	zone      string
@@ -119,7 +119,7 @@
 }
 
 // Sync takes over the published state, which is of a revision. It lists the services whose cold servers are limited.
-func (t *Table) Sync(now time.Duration, revision uint64, zones Zones, services []Listed) {
+func (t *Table) Sync(now time.Duration, revision ident.Revision, zones Zones, services []Listed) {
 	if len(services) == 0 && len(t.services) == 0 {
 		t.synced = true
 		return
@@ -160,7 +160,7 @@
 	return s
 }
 
-func (t *Table) syncServer(now time.Duration, s *server, srv Server, cold catalog.Cold, revision uint64, zones Zones, baseline bool) {
+func (t *Table) syncServer(now time.Duration, s *server, srv Server, cold catalog.Cold, revision ident.Revision, zones Zones, baseline bool) {
 	s.perSecond = cold.PerSecond
 	isNew := !s.known || srv.Started != s.started
 	returned := !isNew && !baseline && s.lapsed && !srv.Lapsing
@@ -194,7 +194,7 @@
 
 // Answer takes over that a server, in the given lifetime, said with an answer for how long it is still cold. The revision is the
 // latest one that is known of any host.
-func (t *Table) Answer(now time.Duration, id ident.BackendID, started int64, left time.Duration, revision uint64) {
+func (t *Table) Answer(now time.Duration, id ident.BackendID, started int64, left time.Duration, revision ident.Revision) {
 	s := t.servers[id]
 	if s == nil || !s.listed || started != s.started || left <= 0 {
 		return
@@ -204,7 +204,7 @@
 
 // Hear takes over that another host knows for how long a server is still cold, as of a revision. The server may not be
 // listed yet.
-func (t *Table) Hear(now time.Duration, id ident.BackendID, started int64, left time.Duration, revision uint64) {
+func (t *Table) Hear(now time.Duration, id ident.BackendID, started int64, left time.Duration, revision ident.Revision) {
 	if left <= 0 || t.synced && len(t.services) == 0 {
 		return
 	}
@@ -240,7 +240,8 @@
 	x := Change{Server: s.id, Started: s.started, PerSecond: s.perSecond, Source: s.told.Source}
 	for source := range sources {
 		r := &s.reasons[source]
-		later := s.known && s.warm && s.revision > r.asOf && !(source == Peer && s.claimed > s.started)
+		// An entry of a later era may be from the copy that the store came back from, and so be older than the reason.
+		later := s.known && s.warm && s.revision > r.asOf && s.revision.Era() == r.asOf.Era() && !(source == Peer && s.claimed > s.started)
 		if now >= r.until || later {
 			x.Early = x.Early || now < r.until
 			*r = reason{}
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -22,7 +22,7 @@
 	table    *Table
 	cold     catalog.Cold
 	servers  map[ident.BackendID]Server
-	revision uint64
+	revision ident.Revision
 	zones    map[string]time.Duration
 }
 
@@ -240,3 +240,20 @@
 	w.table.Tick(late + 2*second)
 	qt.Check(t, w.table.servers, qt.HasLen, 1)
 }
+
+// Guards against a server that counts as warm because its entry in a store that came back from a copy, which has a higher revision
+// than the reason for its coldness, was written before it.
+func TestEntryOfAnotherEraEndsNoColdness(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.sync(late)
+	w.table.Answer(late, "a", 1, 2*second, w.revision+5)
+	w.revision, _ = ident.NewRevision(1, 1)
+	w.write("a", 1, 0)
+	w.sync(late)
+	c.Assert(w.left(late, "a"), qt.Equals, 2*second)
+	w.table.Answer(late+second, "a", 1, 2*second, w.revision)
+	w.write("a", 1, 0)
+	w.sync(late + second)
+	c.Assert(w.left(late+second, "a"), qt.Equals, time.Duration(0))
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -45,10 +45,10 @@
 	Incarnation    ident.Incarnation
 	Ready          bool // accepts new connections
 	Leaving        bool
-	StoreConnected bool          // has its own connection to the platform's store
-	Zone           uint32        // hash of the availability zone
-	Config         ident.Version // version in use
-	Revision       uint64        // latest store revision that the host has seen
+	StoreConnected bool           // has its own connection to the platform's store
+	Zone           uint32         // hash of the availability zone
+	Config         ident.Version  // version in use
+	Revision       ident.Revision // latest store revision that the host has seen
 }
 
 // Peer is another entry host.
@@ -223,7 +223,7 @@
 }
 
 // LatestRevision returns the highest revision of the published state that a peer has reported.
-func (t *Table) LatestRevision() (revision uint64) {
+func (t *Table) LatestRevision() (revision ident.Revision) {
 	for _, p := range t.peers {
 		revision = max(revision, p.Revision)
 	}
@@ -462,7 +462,7 @@
 
 // Ahead returns the live peers with newer platform state than the given one in no particular order, without those that are
 // leaving.
-func (t *Table) Ahead(now time.Duration, revision uint64, config ident.Version) (ahead []*Peer) {
+func (t *Table) Ahead(now time.Duration, revision ident.Revision, config ident.Version) (ahead []*Peer) {
 	for _, p := range t.peers {
 		if p.Alive(now) && !p.Leaving && (p.Revision > revision || p.Config > config) {
 			ahead = append(ahead, p)
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -233,7 +233,7 @@
 	x := NewTable()
 	x.Observe(0, "near", Report{Status: Status{Incarnation: 1, Revision: 7}, Validity: NearValidity})
 	x.Observe(0, "far", Report{Status: Status{Incarnation: 1, Revision: 5}, Validity: 3 * time.Second})
-	c.Check(x.LatestRevision(), qt.Equals, uint64(7))
+	c.Check(x.LatestRevision(), qt.Equals, ident.Revision(7))
 	c.Check(x.Fresh(ReportInterval), qt.Equals, 2)
 	c.Check(x.Fresh(2*ReportInterval), qt.Equals, 1)
 	c.Check(x.Fresh(2*time.Second), qt.Equals, 0)
--- a/core/serverlimit/published.go
+++ b/core/serverlimit/published.go
@@ -23,8 +23,8 @@
 	// FirstHand is until when this host knows of the limit other than from other hosts, 0 if it does not. Only that is told,
 	// since a time that is passed on would grow with each delay on its way.
 	FirstHand time.Duration
-	Started   int64  // lifetime of the server
-	AsOf      uint64 // revision of the published state up to which it is known that the limit holds
+	Started   int64          // lifetime of the server
+	AsOf      ident.Revision // revision of the published state up to which it is known that the limit holds
 }
 
 // PublishedUpdate is what a host tells of a server with a published limit. The fields of the same names have the meaning
@@ -37,7 +37,7 @@
 	Count    uint64
 	Level    float64
 	Left     time.Duration // for which the limit still holds, 0 if the sender knows it from others only
-	AsOf     uint64
+	AsOf     ident.Revision
 }
 
 func (s *server) isPublished() bool { return s.published.PerSecond > 0 }
--- a/lab/limitshare/cold.go
+++ b/lab/limitshare/cold.go
@@ -230,7 +230,7 @@
 // sync gives a host what it has read from the store.
 func (w *coldWorld) sync(h *coldHost) {
 	svc := &catalog.Service{Name: "s", Cold: catalog.Cold{Time: 3 * time.Second, PerSecond: coldPerSecond}}
-	revision := uint64(1)
+	revision := ident.Revision(1)
 	var coldFor time.Duration
 	if h.knows {
 		revision, coldFor = 2, coldTime
--- a/node/entry/coldservers.go
+++ b/node/entry/coldservers.go
@@ -41,7 +41,7 @@
 }
 
 // latestRevision returns the highest revision of the published state that is known of any host. The state must be locked.
-func (s *state) latestRevision() uint64 {
+func (s *state) latestRevision() ident.Revision {
 	return max(s.catalog.Revision(), s.peers.LatestRevision())
 }
 
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -106,7 +106,7 @@
 type Store interface {
 	// Snapshot reads the complete published state. It bounds the time that it waits for the store itself.
 	Snapshot(ctx context.Context) (catalog.Snapshot, error)
-	// Changes waits for changes after a revision. It returns none if the wait ends without any, and an error of
-	// class ErrCompacted if the store no longer holds the changes since that revision.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (changes []catalog.Change, at uint64, err error)
+	// Changes waits for changes after a revision. It returns none if the wait ends without any, an error of class ErrCompacted
+	// if the store no longer holds the changes since that revision, and one of class ErrRestored if it is in a later era.
+	Changes(ctx context.Context, after ident.Revision, wait time.Duration) (changes []catalog.Change, at ident.Revision, err error)
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -36,6 +36,8 @@
 	Error = errs.Class("entry")
 	// ErrCompacted reports that the requested changes have been compacted away by the store.
 	ErrCompacted = errs.Class("entry: store history compacted")
+	// ErrRestored is the class of errors of a watch that a store of a later era has answered: it has come back from a copy.
+	ErrRestored = errs.Class("entry: store restored from a copy")
 )
 
 type fields = logrus.Fields
--- a/node/entry/evacuation_test.go
+++ b/node/entry/evacuation_test.go
@@ -87,7 +87,7 @@
 	err   error
 }
 
-func (s *zoneStore) Changes(ctx context.Context, after uint64, _ time.Duration) ([]catalog.Change, uint64, error) {
+func (s *zoneStore) Changes(ctx context.Context, after ident.Revision, _ time.Duration) ([]catalog.Change, ident.Revision, error) {
 	time.Sleep(s.delay)
 	return []catalog.Change{{Revision: after + 1, Evacuated: "z"}}, after + 1, s.err
 }
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
@@ -61,8 +62,8 @@
 			h.setStoreConnected(true, nil)
 			synced, healthy = true, true
 			failures = 0
-		case ErrCompacted.Has(err):
-			h.log.Info("store history compacted, reading a snapshot")
+		case needsSnapshot(err):
+			h.log.WithField("cause", err.Error()).Info("reading a snapshot of the store")
 			synced = false
 		case h.takeWatchCancelled():
 			healthy = false
@@ -81,7 +82,7 @@
 // their reports are.
 func (h *Host) catchUp() {
 	err := h.readChanges(0, readTimeout)
-	if ErrCompacted.Has(err) {
+	if needsSnapshot(err) {
 		err = h.readSnapshot()
 	}
 	if err != nil {
@@ -89,6 +90,9 @@
 	}
 }
 
+// needsSnapshot reports whether the changes since the own revision can't be read from the store.
+func needsSnapshot(err error) bool { return ErrCompacted.Has(err) || ErrRestored.Has(err) }
+
 // retryPause returns the time to wait after a number of failed reads. The more hosts of the zone read before this one, the
 // longer it waits, so that the calls to a store that is down hardly grow with the fleet.
 func retryPause(failures, hostsBefore int) time.Duration {
@@ -185,6 +189,9 @@
 	if err != nil {
 		return err
 	}
+	if held := h.revision(); snapshot.Revision.Era() < held.Era() {
+		return Error.New("step=snapshot: revision %s of the store is of an era before that of %s", snapshot.Revision, held)
+	}
 	h.updateCatalog("snapshot", func(t *catalog.Table) bool { return t.Replace(h.now(), snapshot) })
 	h.confirmCatalog(began)
 	return nil
@@ -195,7 +202,7 @@
 func (h *Host) updateCatalog(source string, change func(*catalog.Table) (refused bool)) {
 	s := h.state
 	s.mu.Lock()
-	before := s.catalog.Evacuations()
+	before, held := s.catalog.Evacuations(), s.catalog.Revision()
 	refused := change(s.catalog)
 	after := s.catalog.Evacuations()
 	s.syncEngines(h.now())
@@ -207,6 +214,7 @@
 	revision := s.catalog.Revision()
 	h.setCallerLimits(s.catalog.Config())
 	s.mu.Unlock()
+	h.logRestored(held, revision, source)
 	h.logUnreadable()
 	h.logEvacuations(before, after, revision, source)
 	h.logCatalog(refused, source)
@@ -225,7 +233,7 @@
 }
 
 // advance records that there are no other changes up to a revision.
-func (h *Host) advance(revision uint64) {
+func (h *Host) advance(revision ident.Revision) {
 	h.state.mu.Lock()
 	defer h.state.mu.Unlock()
 	h.state.catalog.Advance(revision)
@@ -298,6 +306,15 @@
 	h.log.WithFields(f).Info("published state applied")
 }
 
+// logRestored logs that the store has come back from a copy, if the era has changed.
+func (h *Host) logRestored(before, after ident.Revision, source string) {
+	if before == 0 || before.Era() == after.Era() {
+		return
+	}
+	h.log.WithFields(fields{"revision": after, "before": before, "source": source}).WithContext(obs.Essential).
+		Warn("store came back from an older copy")
+}
+
 // unreadableInterval is the time between two log lines while a configuration can't be read.
 const unreadableInterval = 10 * time.Second
 
@@ -324,7 +341,7 @@
 
 // logEvacuations logs which zones an update has evacuated or taken back. The revision of a zone that was taken back is the one
 // that the host has reached: its key no longer has one.
-func (h *Host) logEvacuations(before, after []catalog.Evacuation, reached uint64, source string) {
+func (h *Host) logEvacuations(before, after []catalog.Evacuation, reached ident.Revision, source string) {
 	in := func(list []catalog.Evacuation, zone string) bool {
 		return slices.ContainsFunc(list, func(e catalog.Evacuation) bool { return e.Zone == zone })
 	}
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -131,19 +131,19 @@
 type burstStore struct {
 	Store
 	created time.Time
-	end     uint64 // revision of the last change
+	end     ident.Revision // revision of the last change
 	calls   atomic.Int64
 }
 
-func (s *burstStore) revision() uint64 {
-	return min(s.end, uint64(time.Since(s.created)/(10*time.Millisecond)))
+func (s *burstStore) revision() ident.Revision {
+	return min(s.end, ident.Revision(time.Since(s.created)/(10*time.Millisecond)))
 }
 
 func (s *burstStore) Snapshot(context.Context) (catalog.Snapshot, error) {
 	return catalog.Snapshot{Config: &catalog.Config{Version: 1}}, nil
 }
 
-func (s *burstStore) Changes(ctx context.Context, after uint64, _ time.Duration) (changes []catalog.Change, at uint64, err error) {
+func (s *burstStore) Changes(ctx context.Context, after ident.Revision, _ time.Duration) (changes []catalog.Change, at ident.Revision, err error) {
 	s.calls.Add(1)
 	for s.revision() <= after && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
@@ -194,7 +194,7 @@
 	address, req, ok := h.peerAheadIn(ownZone)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(address, qt.Equals, "10.0.0.4:83")
-	c.Assert(req.Revision, qt.Equals, uint64(10))
+	c.Assert(req.Revision, qt.Equals, ident.Revision(10))
 }
 
 // Guards against a fleet whose hosts all ask the same peer for a change, which then answers none of them in time.
@@ -205,7 +205,7 @@
 	h := testHost()
 	h.state.peers.SetSelf(addr(100), 7)
 	for i := range ahead {
-		h.observe(addr(i), peers.Status{Zone: 7, Revision: uint64(5 + i%3)}, time.Minute)
+		h.observe(addr(i), peers.Status{Zone: 7, Revision: ident.Revision(5 + i%3)}, time.Minute)
 	}
 	for range calls {
 		address, _, ok := h.peerAheadIn(ownZone)
@@ -234,7 +234,7 @@
 	c.Assert(ask(behind), qt.Equals, first)
 	c.Assert(ask(control.StateRequest{Revision: 10, Config: 3}).State, qt.IsNil)
 	h.state.catalog.Apply(0, []catalog.Change{{Revision: 11, Server: &catalog.Server{ID: "i-1", Service: "s", Revision: 11}}})
-	c.Assert(ask(behind).Revision, qt.Equals, uint64(11))
+	c.Assert(ask(behind).Revision, qt.Equals, ident.Revision(11))
 	c.Assert(ask(control.StateRequest{Revision: 10, Config: 3}).Changes, qt.HasLen, 1)
 }
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -65,6 +65,8 @@
 		locked(func(s *state) int { return s.limits.Limited() }))
 	h.obs.Gauge("rosemaryhill_entry_evacuated_zones", "availability zones that are evacuated",
 		locked(func(s *state) int { return len(s.catalog.Evacuations()) }))
+	h.obs.Gauge("rosemaryhill_entry_store_era", "era of the store, which rises when the store comes back from an older copy",
+		locked(func(s *state) int { return int(s.catalog.Revision().Era()) }))
 	h.obs.Gauge("rosemaryhill_entry_config_unreadable", "1 while the published configuration can't be read, so that an older one is in force",
 		locked(func(s *state) int {
 			if s.catalog.Unreadable() != "" {
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
 )
@@ -58,7 +59,7 @@
 }
 
 // revision returns the latest store revision that this host has seen.
-func (h *Host) revision() uint64 {
+func (h *Host) revision() ident.Revision {
 	h.state.mu.Lock()
 	defer h.state.mu.Unlock()
 	return h.state.catalog.Revision()
--- a/transport/control/fields.go
+++ b/transport/control/fields.go
@@ -48,7 +48,7 @@
 		encodeHosts(w, v)
 	case *StateRequest:
 		w.Array(2)
-		w.Uint(v.Revision)
+		w.Uint(uint64(v.Revision))
 		w.Uint(uint64(v.Config))
 	case *StateReply:
 		encodeState(w, v)
@@ -83,7 +83,7 @@
 		decodeHosts(r, v)
 	case *StateRequest:
 		r.Fields(2)
-		v.Revision = r.Uint(math.MaxUint64)
+		v.Revision = ident.Revision(r.Uint(math.MaxUint64))
 		v.Config = ident.Version(r.Uint(math.MaxUint64))
 	case *StateReply:
 		decodeState(r, v)
@@ -194,13 +194,13 @@
 	w.Array(3)
 	w.Bytes(v.encoded.state)
 	w.Bytes(v.encoded.changes)
-	w.Uint(v.Revision)
+	w.Uint(uint64(v.Revision))
 }
 
 func decodeState(r *pack.Reader, v *StateReply) {
 	r.Fields(3)
 	state, changes := r.Bytes(maxState), r.Bytes(maxState)
-	v.Revision = r.Uint(math.MaxUint64)
+	v.Revision = ident.Revision(r.Uint(math.MaxUint64))
 	if len(state) > 0 {
 		v.State = new(catalog.Snapshot)
 		if err := decompress(state, v.State); err != nil {
--- a/transport/control/messages.go
+++ b/transport/control/messages.go
@@ -59,7 +59,7 @@
 // StateRequest asks an entry host for its platform state.
 type StateRequest struct {
 	// Revision is the store revision that the caller holds. A host with nothing newer replies without a state.
-	Revision uint64
+	Revision ident.Revision
 	// Config is the configuration version that the caller holds.
 	Config ident.Version
 }
@@ -70,7 +70,7 @@
 	State   *catalog.Snapshot
 	Changes []catalog.Change
 	// Revision is the store revision of the host. The caller has reached it once it has applied the reply.
-	Revision uint64
+	Revision ident.Revision
 
 	encoded encodedState // set by Encode
 }
--- a/transport/gossip/limits.go
+++ b/transport/gossip/limits.go
@@ -83,7 +83,7 @@
 		w.Str(string(x.Server))
 		w.Int(x.Started)
 		w.Uint(ageMS(x.Left))
-		w.Uint(x.AsOf)
+		w.Uint(uint64(x.AsOf))
 		w.Uint(uint64(x.Series))
 		w.Uint(ageMS(x.Counting))
 		w.Uint(x.Count)
@@ -99,7 +99,7 @@
 	for range r.Array(maxList) {
 		r.Fields(publishedFields)
 		u.Published = append(u.Published, serverlimit.PublishedUpdate{
-			Server: ident.BackendID(r.Str(maxString)), Started: r.Int(), Left: min(readAge(r), maxLeft), AsOf: r.Uint(math.MaxUint64),
+			Server: ident.BackendID(r.Str(maxString)), Started: r.Int(), Left: min(readAge(r), maxLeft), AsOf: ident.Revision(r.Uint(math.MaxUint64)),
 			Series: uint32(r.Uint(math.MaxUint32)), Counting: readAge(r), Count: r.Uint(math.MaxUint64), Level: sanitizeFloat(r.Float()),
 		})
 	}
--- a/transport/gossip/limits_test.go
+++ b/transport/gossip/limits_test.go
@@ -19,7 +19,7 @@
 		incarnation := ident.Incarnation(rapid.Uint64().Draw(t, "incarnation"))
 		u := serverlimit.Update{Published: []serverlimit.PublishedUpdate{{
 			Server: ident.BackendID(rapid.StringN(0, -1, maxString).Draw(t, "server")), Started: rapid.Int64().Draw(t, "started"),
-			Left: time.Duration(rapid.IntRange(0, 600_000).Draw(t, "left")) * time.Millisecond, AsOf: rapid.Uint64().Draw(t, "as of"),
+			Left: time.Duration(rapid.IntRange(0, 600_000).Draw(t, "left")) * time.Millisecond, AsOf: ident.Revision(rapid.Uint64().Draw(t, "as of")),
 			Series: rapid.Uint32().Draw(t, "series"), Counting: time.Duration(rapid.IntRange(0, maxAgeMS).Draw(t, "counting")) * time.Millisecond,
 			Count: rapid.Uint64().Draw(t, "count"), Level: float64(rapid.Float32Range(-1e9, 1e9).Draw(t, "level")),
 		}}}
--- a/transport/gossip/load.go
+++ b/transport/gossip/load.go
@@ -80,7 +80,7 @@
 	w.Bool(r.StoreConnected)
 	w.Uint(uint64(r.Zone))
 	w.Uint(uint64(r.Config))
-	w.Uint(r.Revision)
+	w.Uint(uint64(r.Revision))
 	w.Uint(uint64(r.Validity.Milliseconds()))
 	w.Array(len(r.KnownAddrs))
 	for _, a := range r.KnownAddrs {
@@ -126,7 +126,7 @@
 	v.StoreConnected = r.Bool()
 	v.Zone = uint32(r.Uint(math.MaxUint32))
 	v.Config = ident.Version(r.Uint(math.MaxUint64))
-	v.Revision = r.Uint(math.MaxUint64)
+	v.Revision = ident.Revision(r.Uint(math.MaxUint64))
 	v.Validity = time.Duration(r.Uint(maxValidityMS)) * time.Millisecond
 	for range r.Array(maxList) {
 		v.KnownAddrs = append(v.KnownAddrs, member.Addr(r.Str(maxString)))
--- a/transport/gossip/load_test.go
+++ b/transport/gossip/load_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -45,7 +46,7 @@
 	for loads < 70 {
 		select {
 		case got := <-recorder.got:
-			c.Assert(got.Revision, qt.Equals, uint64(9))
+			c.Assert(got.Revision, qt.Equals, ident.Revision(9))
 			loads += len(got.Update.Loads)
 			prefills += len(got.Update.Prefills)
 		case <-time.After(5 * time.Second):
@@ -64,7 +65,7 @@
 	})
 	rapid.Check(t, func(t *rapid.T) {
 		r := LoadReport{
-			Status:   peers.Status{Incarnation: 1, Ready: rapid.Bool().Draw(t, "ready"), Revision: rapid.Uint64().Draw(t, "revision")},
+			Status:   peers.Status{Incarnation: 1, Ready: rapid.Bool().Draw(t, "ready"), Revision: ident.Revision(rapid.Uint64().Draw(t, "revision"))},
 			Validity: time.Duration(rapid.IntRange(0, maxValidityMS).Draw(t, "validity")) * time.Millisecond,
 		}
 		for range rapid.IntRange(0, 5).Draw(t, "loads") {
