Bound the rate at which a host reads the store

Cause: the loop that follows the store paused after a failure and after a change only.

Evidence: TestStoreIsReadWithPauses without the bound: 208,701 and 210,072 calls in 2 s where the history is always gone or the era always differs, 921,268 where watches end at once. The other three cases passed before, as they pause in other ways.

Change: a limiter before each read, 10 a second with 5 at once, whatever the reply.

Result: at most 40 calls in 2 s in all six cases.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/rosemaryhill/rosemaryhill/core/catalog"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
@@ -28,6 +29,9 @@
 	// burstTime is the time between a change and the next call. Servers often come and go together, and each change that is
 	// read alone costs every reader a call.
 	burstTime = 100 * time.Millisecond
+	// readInterval and readBurst bound the reads of the store, whatever it answers: a read for each interval, and some at once.
+	readInterval = burstTime
+	readBurst    = 5
 	// firstRetry and maxRetry bound the backoff after a failed read, for the hosts that read first.
 	firstRetry = 60 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
@@ -48,6 +52,7 @@
 func (h *Host) followStore() {
 	failures := 0
 	synced, healthy := false, true
+	reads := rate.NewLimiter(rate.Every(readInterval), readBurst)
 	for h.ctx.Err() == nil {
 		if h.hasConfig() && !h.isReader() {
 			if h.mayBeStale() {
@@ -56,6 +61,9 @@
 			h.standBy()
 			continue
 		}
+		if reads.Wait(h.ctx) != nil {
+			return
+		}
 		err := h.readStore(synced, healthy && !h.mayBeStale())
 		switch {
 		case err == nil:
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -127,6 +127,59 @@
 	c.Assert(many < 4*few, qt.IsTrue, qt.Commentf("%d calls of 5 hosts, %d of 40", few, many))
 }
 
+// oddStore answers each call at once, as given, and counts the calls.
+type oddStore struct {
+	calls    atomic.Int64
+	snapshot catalog.Snapshot
+	changes  func(after ident.Revision) ([]catalog.Change, ident.Revision, error)
+}
+
+func (s *oddStore) Snapshot(context.Context) (catalog.Snapshot, error) {
+	s.calls.Add(1)
+	return s.snapshot, nil
+}
+
+func (s *oddStore) Changes(_ context.Context, after ident.Revision, _ time.Duration) ([]catalog.Change, ident.Revision, error) {
+	s.calls.Add(1)
+	return s.changes(after)
+}
+
+// Guards against a host that calls the store again and again without a pause, because its answers do not bring the host further.
+func TestStoreIsReadWithPauses(t *testing.T) {
+	const maxCallsPerSecond, seconds = 20, 2
+	inEra := func(era uint64) ident.Revision { r, _ := ident.NewRevision(era, 9); return r }
+	for name, changes := range map[string]func(after ident.Revision) ([]catalog.Change, ident.Revision, error){
+		"the history is always gone": func(ident.Revision) ([]catalog.Change, ident.Revision, error) {
+			return nil, 0, ErrCompacted.New("410")
+		},
+		"the era always differs": func(ident.Revision) ([]catalog.Change, ident.Revision, error) {
+			return nil, 0, ErrRestored.New("era")
+		},
+		"watches end at once": func(after ident.Revision) ([]catalog.Change, ident.Revision, error) { return nil, after, nil },
+		"old changes": func(after ident.Revision) ([]catalog.Change, ident.Revision, error) {
+			return []catalog.Change{{Revision: 1, Evacuated: "z"}}, 1, nil
+		},
+		"changes of another era": func(after ident.Revision) ([]catalog.Change, ident.Revision, error) {
+			return []catalog.Change{{Revision: inEra(7), Evacuated: "z"}}, inEra(7), nil
+		},
+		"watches fail": func(ident.Revision) ([]catalog.Change, ident.Revision, error) { return nil, 0, io.ErrUnexpectedEOF },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := testHost()
+			ctx, stop := context.WithTimeout(context.Background(), seconds*time.Second)
+			defer stop()
+			h.ctx, h.peerAhead, h.resync = ctx, make(chan struct{}, 1), make(chan struct{}, 1)
+			store := &oddStore{snapshot: catalog.Snapshot{Revision: inEra(1), Config: &catalog.Config{Version: 1}}, changes: changes}
+			h.store = store
+			h.state.catalog.Replace(0, catalog.Snapshot{Revision: inEra(1) + 20, Config: &catalog.Config{Version: 1}})
+			h.followStore()
+			calls := store.calls.Load()
+			qt.Check(t, calls >= 2 && calls <= maxCallsPerSecond*seconds, qt.IsTrue, qt.Commentf("%d calls", calls))
+		})
+	}
+}
+
 // burstStore publishes a change every 10 ms from its creation until end, and then none.
 type burstStore struct {
 	Store
