Tell a cut watch from an outage of the store

What callers saw: while the store cut waiting watches, a server whose entry had been removed went on getting requests until 2.1 s after the ack.

Cause: one failed read counted as an outage of the store, of whatever it failed. A removal that is read in an outage or within 0.5 s of its end is taken for an entry that has expired, and its server stays usable for 1.9 s.

TestCutWatchIsNoOutage failed in three of seven cases (a cut, cuts of each watch, a call that is turned away).

Change: a read that fails other than by a timeout is an outage only if the next one, at most 60 ms later, fails too. A timeout is one at once, as before. A counter tells failures of the store by cause.

Why this works: an answer or the end of a connection shows that something runs at the store's address, and entries expire only after seconds of an outage, in which the second read fails too. The other four cases of the test guard the grace after real outages.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -76,7 +77,14 @@
 		case h.takeWatchCancelled():
 			healthy = false
 			h.fetchFromPeer(h.ctx, anyZone)
+		case failures == 0 && !isTimeout(err):
+			// The store may cut a watch, or turn a call away, while it is available. The next call tells an outage from that.
+			h.recordStoreFailure(err)
+			healthy = false
+			failures++
+			h.followPeers(h.jitter(firstRetry), anyZone)
 		default:
+			h.recordStoreFailure(err)
 			healthy = false
 			h.setStoreConnected(false, err)
 			h.fetchFromPeer(h.ctx, anyZone)
@@ -101,6 +109,22 @@
 // needsSnapshot reports whether the changes since the own revision can't be read from the store.
 func needsSnapshot(err error) bool { return ErrCompacted.Has(err) || ErrRestored.Has(err) }
 
+func (h *Host) recordStoreFailure(err error) {
+	cause := "other"
+	if isTimeout(err) {
+		cause = "timeout"
+	}
+	h.metrics.storeFailures.Add(1, cause)
+	h.log.WithFields(fields{"cause": cause, "error": err.Error()}).Debug("store read failed")
+}
+
+// isTimeout reports whether a read failed because nothing came from the store for too long, rather than by an answer or the end of
+// a connection, which show that something runs there.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // retryPause returns the time to wait after a number of failed reads. The more hosts of the zone read before this one, the
 // longer it waits, so that the calls to a store that is down hardly grow with the fleet.
 func retryPause(failures, hostsBefore int) time.Duration {
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -33,7 +33,7 @@
 	}
 	h := &Host{
 		guard: httpguard.New(httpguard.Config{Defaults: defaultCallerLimits, Obs: o, Counter: "closed"}),
-		obs:   o, log: o.Log, start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1))),
+		obs:   o, log: o.Log, metrics: newMetrics(o), start: time.Now().Add(-time.Minute), state: newState(settings.Default().Entry, rand.New(rand.NewSource(1))),
 		serving: context.Background(),
 	}
 	h.settings.HTTPAddress, h.settings.ControlAddress = "10.0.0.1:80", "10.0.0.1:83"
@@ -382,3 +382,62 @@
 func (f writerFunc) Write(p []byte) (int, error) { f(p); return len(p), nil }
 
 var _ io.Writer = writerFunc(nil)
+
+// scriptedStore answers reads of changes with the given errors in turn, and then with the removal of the server "a".
+type scriptedStore struct {
+	Store
+	failures []error // nil for an answer without changes
+	reads    int
+}
+
+func (s *scriptedStore) Snapshot(context.Context) (catalog.Snapshot, error) {
+	return catalog.Snapshot{Revision: 1, Config: &catalog.Config{Version: 1}, Servers: []catalog.Server{{ID: "a", Service: "s", Revision: 1}}}, nil
+}
+
+func (s *scriptedStore) Changes(ctx context.Context, after ident.Revision, wait time.Duration) ([]catalog.Change, ident.Revision, error) {
+	s.reads++
+	switch {
+	case s.reads <= len(s.failures):
+		return nil, after, s.failures[s.reads-1]
+	case s.reads == len(s.failures)+1:
+		return []catalog.Change{{Revision: after + 1, Removed: "a"}}, after + 1, nil
+	}
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+// Guards against a removed server that gets requests for the grace period of an outage, because the store has cut a watch or turned
+// a call away, and against sound servers that are dropped after an outage.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	cut, refused, silence := io.ErrUnexpectedEOF, Error.New("status 503"), fmt.Errorf("watch: %w", context.DeadlineExceeded)
+	for name, x := range map[string]struct {
+		failures []error
+		outage   bool
+	}{
+		"a cut":                 {[]error{cut}, false},
+		"cuts of each watch":    {[]error{cut, nil, cut, nil, cut}, false},
+		"a call is turned away": {[]error{refused}, false},
+		"calls are turned away": {[]error{refused, refused}, true},
+		"a cut and an outage":   {[]error{cut, cut}, true},
+		"silence":               {[]error{silence}, true},
+		"an outage, then a cut": {[]error{silence, nil, cut}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := testHost()
+			ctx, stop := context.WithCancel(context.Background())
+			h.ctx, h.peerAhead, h.resync = ctx, make(chan struct{}, 1), make(chan struct{}, 1)
+			h.store = &scriptedStore{failures: x.failures}
+			var running sync.WaitGroup
+			running.Go(h.followStore)
+			defer running.Wait()
+			defer stop()
+			for end := time.Now().Add(5 * time.Second); h.revision() < 2; time.Sleep(time.Millisecond) {
+				c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the removal is not read"))
+			}
+			h.state.mu.Lock()
+			defer h.state.mu.Unlock()
+			c.Check(len(h.state.catalog.Usable("s")), qt.Equals, map[bool]int{true: 1, false: 0}[x.outage])
+		})
+	}
+}
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -23,6 +23,8 @@
 	notices obs.Counter
 	// quarantines counts the changes of quarantined prompt parts, by kind.
 	quarantines obs.Counter
+	// storeFailures counts reads of the store that failed, by cause.
+	storeFailures obs.Counter
 }
 
 func newMetrics(o *obs.Obs) metrics {
@@ -35,6 +37,7 @@
 		attemptsFailed: o.Counter("rosemaryhill_entry_attempts_failed", "cause", "attempts at backend servers that gave no complete answer"),
 		silences:       o.Counter("rosemaryhill_entry_silent_servers", "action", "times that a backend server was silent for longer than its load explains, by what the host did"),
 		notices:        o.Counter("rosemaryhill_entry_server_notices", "notice", "times that a backend server said that it leaves or wants no requests for a time, or named another limit"),
+		storeFailures:  o.Counter("rosemaryhill_entry_store_failures", "cause", "reads of the store that failed, by timeout or otherwise"),
 		quarantines:    o.Counter("rosemaryhill_entry_prompt_parts", "change", "changes of the quarantine of prompt parts that crash servers"),
 	}
 }
