End the grace of a lapsed entry in time

Cause: lapsed entries were dropped by a tick every 250 ms, and nothing that looks a server up goes by the time.

Change: a goroutine with a timer for the next expiry in the catalog, which is set again with each change. It also ends the transition to a new era of the store.

Result: TestCatalogExpiresInTime passes, with 100 ms for the scheduling of goroutines.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -202,6 +202,7 @@
 
 	back := server("a", 10)
 	tb.Apply(11*time.Second, []Change{{Revision: 10, Server: &back}})
+	c.Assert(tb.NextExpiry(), qt.Equals, 10*time.Second+LapseGracePeriod)
 	c.Assert(tb.Tick(10*time.Second+LapseGracePeriod-1), qt.IsFalse)
 	c.Assert(ids(tb.Usable("s")), qt.DeepEquals, []string{"a", "b"})
 	c.Assert(tb.Tick(10*time.Second+LapseGracePeriod), qt.IsTrue)
--- a/core/catalog/restore.go
+++ b/core/catalog/restore.go
@@ -69,7 +69,7 @@
 		e.lapsing, e.listed = false, s.Revision
 		return
 	}
-	if t.isRestoring(now) && s.Revision <= t.restoration.first && t.contradicts(e, s) {
+	if t.isRestoring(now) && s.Revision <= t.restoration.first && t.contradicts(now, e, s) {
 		if t.restoration.disputed == nil {
 			t.restoration.disputed = map[ident.BackendID]Server{}
 		}
@@ -80,10 +80,10 @@
 }
 
 // contradicts reports whether what is known from an earlier era, e if the server is listed, is newer than an entry or forbids it.
-func (t *Table) contradicts(e *serverEntry, s Server) bool {
+func (t *Table) contradicts(now time.Duration, e *serverEntry, s Server) bool {
 	if e == nil {
 		r, removed := t.removed[s.ID]
-		return removed && r.revision.Era() < s.Revision.Era() && s.Started <= r.started && s.Revision.Number() <= r.revision.Number()
+		return removed && now-r.at < removalMemory && r.revision.Era() < s.Revision.Era() && s.Started <= r.started && s.Revision.Number() <= r.revision.Number()
 	}
 	switch {
 	case e.Revision.Era() >= s.Revision.Era() || s.Started > e.Started:
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -184,6 +185,20 @@
 	return changed
 }
 
+// NextExpiry returns when Tick has something to end next, the highest time if there is nothing.
+func (t *Table) NextExpiry() time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, e := range t.servers {
+		if e.lapsing {
+			next = min(next, e.until)
+		}
+	}
+	if t.restoration.until != 0 {
+		next = min(next, t.restoration.until)
+	}
+	return next
+}
+
 // setConfig reports whether the configuration is the given one now.
 func (t *Table) setConfig(c *Config) bool {
 	if t.config != nil && c.Version <= t.config.Version {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -79,6 +79,7 @@
 	loggedPartition [2]int
 	stateReplies    stateReplies
 	peerAhead       chan struct{}            // a peer reported a newer revision of the platform state
+	catalogChanged  chan struct{}            // requests that the next expiry in the catalog is computed again
 	queueNonEmpty   chan struct{}            // signals that requests wait for an engine
 	running         atomic.Int64             // requests and memory releases in progress
 	reservationSeq  atomic.Uint64            // last number used in a reservation ID
@@ -107,7 +108,7 @@
 	}
 	h := &Host{
 		cfg: cfg, settings: s.Entry, log: o.Log, obs: o, decisions: newDecisionLog(o.Log), metrics: newMetrics(o), start: time.Now(),
-		incarnation: ident.NewIncarnation(), reportNeeded: make(chan struct{}, 1), limitNews: make(chan struct{}, 1), resync: make(chan struct{}, 1), peerAhead: make(chan struct{}, 1),
+		incarnation: ident.NewIncarnation(), reportNeeded: make(chan struct{}, 1), limitNews: make(chan struct{}, 1), resync: make(chan struct{}, 1), peerAhead: make(chan struct{}, 1), catalogChanged: make(chan struct{}, 1),
 		queueNonEmpty: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
@@ -136,6 +137,7 @@
 	h.registerGauges()
 	go h.followStore()
 	go h.tick()
+	go h.expireCatalog()
 	go h.reportLimits()
 	go h.serveQueue()
 	h.log.WithFields(fields{
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -252,6 +252,7 @@
 	h.logCatalog(refused, source)
 	h.logCold()
 	h.requestReport()
+	signal(h.catalogChanged)
 }
 
 // setCallerLimits applies the limits of a configuration to what callers send.
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -383,6 +383,41 @@
 
 var _ io.Writer = writerFunc(nil)
 
+// Guards against a server whose entry has lapsed that gets requests for longer than the grace period, and against a transition to a
+// new era of the store that does not end.
+func TestCatalogExpiresInTime(t *testing.T) {
+	const slack = 100 * time.Millisecond // for the scheduling of goroutines; requests must end within 2 s
+	c := qt.New(t)
+	h := testHost()
+	ctx, stop := context.WithCancel(context.Background())
+	h.ctx, h.catalogChanged = ctx, make(chan struct{}, 1)
+	var running sync.WaitGroup
+	running.Go(h.expireCatalog)
+	defer running.Wait()
+	defer stop()
+	usable := func() int {
+		h.state.mu.Lock()
+		defer h.state.mu.Unlock()
+		return len(h.state.catalog.Usable("s"))
+	}
+	a := catalog.Server{ID: "a", Service: "s", Revision: 1}
+	h.updateCatalog("test", func(t *catalog.Table) bool {
+		return t.Replace(h.now(), catalog.Snapshot{Revision: 1, Config: &catalog.Config{Version: 1}, Servers: []catalog.Server{a}})
+	})
+	time.Sleep(slack) // the goroutine waits for the longest time
+	h.updateCatalog("test", func(t *catalog.Table) bool {
+		return t.Apply(h.now(), []catalog.Change{{Revision: 2, Removed: "a", Lapsed: true}})
+	})
+	lapsed := time.Now()
+	c.Assert(usable(), qt.Equals, 1)
+	time.Sleep(catalog.LapseGracePeriod - slack)
+	c.Assert(usable(), qt.Equals, 1)
+	for usable() > 0 && time.Since(lapsed) < 2*catalog.LapseGracePeriod {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(time.Since(lapsed) < catalog.LapseGracePeriod+slack, qt.IsTrue, qt.Commentf("%v", time.Since(lapsed)))
+}
+
 // scriptedStore answers reads of changes with the given errors in turn, and then with the removal of the server "a".
 type scriptedStore struct {
 	Store
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -87,15 +87,12 @@
 	h.state.limits.AfterPause(h.now())
 }
 
-// dropExpired drops servers whose store entries have lapsed, and pauses that have ended.
+// dropExpired drops pauses that have ended, and the coldness of servers that are warm.
 func (h *Host) dropExpired() {
 	now := h.now()
 	s := h.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.catalog.Tick(now) {
-		s.syncEngines(now)
-	}
 	s.pauses.Forget(now)
 	s.cold.Tick(now)
 	s.publishCold(now)
