Let the store come back from copies, and cut watches, in the soak

Cause: no run of several processes played a store that comes back older, or one that cuts watches that wait.

Change: two kinds of faults with schedules of their own.

The transition to a new era now lasts 5 s: entries of ended servers expire within three of their reports, 3.6 s.

--- a/core/catalog/restore.go
+++ b/core/catalog/restore.go
@@ -10,7 +10,7 @@
 const (
 	// RewritePeriod is how long after the return of a restored store the state known before goes before the restored copy. Until
 	// then the operator and the servers write again what the copy lacks, and entries of ended servers expire.
-	RewritePeriod = 10 * time.Second
+	RewritePeriod = 5 * time.Second
 	// removalMemory is how long removed servers are remembered, so that a copy from before the removal does not list them as new.
 	removalMemory = time.Minute
 	// maxRemovals bounds the removed servers that are remembered.
--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -99,7 +99,7 @@
 
 // FaultKinds returns the kinds of faults, which Config.Without may name.
 func FaultKinds() []string {
-	return append(slices.Clone(faultKinds), rawAnswers, badPart, serverNotice, serverLimit, evacuation, coldServer)
+	return append(slices.Clone(faultKinds), rawAnswers, badPart, serverNotice, serverLimit, evacuation, coldServer, restoredStore, cutWatches)
 }
 
 // independentFaults are the kinds of faults that draw from sources of their own, so that the schedule of the others does
@@ -114,6 +114,8 @@
 	{serverLimit, 0x6c696d74, minLimitGap, maxLimitGap, (*run).injectLimit},
 	{evacuation, 0x65766163, minEvacuationGap, maxEvacuationGap, (*run).injectEvacuation},
 	{coldServer, 0x636f6c64, minColdGap, maxColdGap, (*run).injectCold},
+	{restoredStore, 0x72657374, minRestoreGap, maxRestoreGap, (*run).injectRestore},
+	{cutWatches, 0x63757473, minCutGap, maxCutGap, (*run).injectCuts},
 }
 
 // injectIndependentFaults injects the independent kinds of faults until the context ends, and waits for the last ones.
