Name the parts of a revision alike, and pass beginEra what it uses

Cause: the read-through of the change.

Change: MaxNumber, and a revision as the parameter. A comment in list is split from the condition. No change of behaviour.

Result: the tests of core/catalog and core/ident pass.

--- a/core/catalog/restore.go
+++ b/core/catalog/restore.go
@@ -32,11 +32,10 @@
 	at       time.Duration
 }
 
-// beginEra begins the transition to the era of a snapshot, after the store has been away.
-func (t *Table) beginEra(now time.Duration, s Snapshot) {
-	known := t.revision != 0
-	t.restoration = restoration{first: s.Revision, until: now + RewritePeriod}
-	if known {
+// beginEra begins the transition to a new era, whose first snapshot is of a revision.
+func (t *Table) beginEra(now time.Duration, first ident.Revision) {
+	t.restoration = restoration{first: first, until: now + RewritePeriod}
+	if t.revision != 0 { // the store has been away
 		t.outage, t.hadOutage, t.outageEnd = false, true, now
 	}
 }
@@ -61,7 +60,8 @@
 // is known of the server from an earlier era, unless it is a newer lifetime or a restriction.
 func (t *Table) list(now time.Duration, s Server) {
 	e := t.servers[s.ID]
-	if e != nil && s.Lapsed && s.Revision < e.Revision { // missing as of the snapshot, in the words of a peer that kept an older revision
+	if e != nil && s.Lapsed && s.Revision < e.Revision {
+		// The entry is missing as of the snapshot. The peer that sent it has kept a revision of an earlier era.
 		t.remove(now, s.ID, t.revision, true)
 		return
 	}
@@ -83,7 +83,8 @@
 func (t *Table) contradicts(now time.Duration, e *serverEntry, s Server) bool {
 	if e == nil {
 		r, removed := t.removed[s.ID]
-		return removed && now-r.at < removalMemory && r.revision.Era() < s.Revision.Era() && s.Started <= r.started && s.Revision.Number() <= r.revision.Number()
+		return removed && now-r.at < removalMemory && r.revision.Era() < s.Revision.Era() &&
+			s.Started <= r.started && s.Revision.Number() <= r.revision.Number()
 	}
 	switch {
 	case e.Revision.Era() >= s.Revision.Era() || s.Started > e.Started:
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -125,7 +125,7 @@
 		return refused
 	}
 	if s.Revision.Era() > t.revision.Era() {
-		t.beginEra(now, s)
+		t.beginEra(now, s.Revision)
 	}
 	t.restoration.disputed = nil
 	t.revision, t.unreadable = s.Revision, s.Unreadable
--- a/core/ident/revision.go
+++ b/core/ident/revision.go
@@ -10,14 +10,14 @@
 
 // Limits of the parts of a Revision.
 const (
-	numberBits  = 44
-	MaxEra      = 1<<(64-numberBits) - 1
-	MaxRevision = 1<<numberBits - 1 // highest number in an era
+	numberBits = 44
+	MaxEra     = 1<<(64-numberBits) - 1
+	MaxNumber  = 1<<numberBits - 1 // of a change in an era
 )
 
 // NewRevision returns the revision of a change in an era. ok is false if a part is out of range.
 func NewRevision(era, number uint64) (r Revision, ok bool) {
-	if era > MaxEra || number > MaxRevision {
+	if era > MaxEra || number > MaxNumber {
 		return 0, false
 	}
 	return Revision(era<<numberBits | number), true
@@ -27,7 +27,7 @@
 func (r Revision) Era() uint64 { return uint64(r) >> numberBits }
 
 // Number returns the number of the change in its era.
-func (r Revision) Number() uint64 { return uint64(r) & MaxRevision }
+func (r Revision) Number() uint64 { return uint64(r) & MaxNumber }
 
 // String returns the number, after the era and a slash if the store has eras.
 func (r Revision) String() string {
--- a/core/ident/revision_test.go
+++ b/core/ident/revision_test.go
@@ -15,8 +15,8 @@
 		ok          bool
 		text        string
 	}{
-		{0, 0, true, "0"}, {0, MaxRevision, true, "17592186044415"}, {1, 0, true, "1/0"}, {MaxEra, MaxRevision, true, "1048575/17592186044415"},
-		{0, MaxRevision + 1, false, "0"}, {MaxEra + 1, 0, false, "0"}, {math.MaxUint64, math.MaxUint64, false, "0"},
+		{0, 0, true, "0"}, {0, MaxNumber, true, "17592186044415"}, {1, 0, true, "1/0"}, {MaxEra, MaxNumber, true, "1048575/17592186044415"},
+		{0, MaxNumber + 1, false, "0"}, {MaxEra + 1, 0, false, "0"}, {math.MaxUint64, math.MaxUint64, false, "0"},
 	} {
 		r, ok := NewRevision(x.era, x.number)
 		c.Check(ok, qt.Equals, x.ok)
@@ -25,7 +25,7 @@
 			c.Check([]uint64{r.Era(), r.Number()}, qt.DeepEquals, []uint64{x.era, x.number})
 		}
 	}
-	early, _ := NewRevision(1, MaxRevision)
+	early, _ := NewRevision(1, MaxNumber)
 	late, _ := NewRevision(2, 0)
 	c.Check(early < late, qt.IsTrue)
 }
