Let only connected hosts read twice before an outage

And a timeout inside an error that says nothing of it, as net/http wraps one that keep-alive probes have found, counted as the end of a connection.

Change: the second read before an outage is for hosts that are connected. isTimeout looks at each error of the chain.

TestCutWatchIsNoOutage has a row for a timeout found by probes, which failed before.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -77,7 +77,7 @@
 		case h.takeWatchCancelled():
 			healthy = false
 			h.fetchFromPeer(h.ctx, anyZone)
-		case failures == 0 && !isTimeout(err):
+		case failures == 0 && h.isStoreConnected() && !isTimeout(err):
 			// The store may cut a watch, or turn a call away, while it is available. The next call tells an outage from that.
 			h.recordStoreFailure(err)
 			healthy = false
@@ -121,8 +121,12 @@
 // isTimeout reports whether a read failed because nothing came from the store for too long, rather than by an answer or the end of
 // a connection, which show that something runs there.
 func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
+	for ; err != nil; err = errors.Unwrap(err) { // outer errors do not all pass on what the inner ones say
+		if t, ok := err.(interface{ Timeout() bool }); ok && t.Timeout() {
+			return true
+		}
+	}
+	return false
 }
 
 // retryPause returns the time to wait after a number of failed reads. The more hosts of the zone read before this one, the
@@ -390,6 +394,12 @@
 	}
 }
 
+func (h *Host) isStoreConnected() bool {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.state.storeConnected
+}
+
 // setStoreConnected records whether the store answers and logs a change.
 func (h *Host) setStoreConnected(connected bool, cause error) {
 	s := h.state
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"math/rand"
 	"net/http/httptest"
+	"net/url"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -444,6 +446,7 @@
 // Guards against a removed server that gets requests for the grace period of an outage, because the store has cut a watch or turned
 // a call away, and against sound servers that are dropped after an outage.
 func TestCutWatchIsNoOutage(t *testing.T) {
+	probes := &url.Error{Op: "Get", Err: fmt.Errorf("transport connection broken: %w", syscall.ETIMEDOUT)}
 	cut, refused, silence := io.ErrUnexpectedEOF, Error.New("status 503"), fmt.Errorf("watch: %w", context.DeadlineExceeded)
 	for name, x := range map[string]struct {
 		failures []error
@@ -455,6 +458,7 @@
 		"calls are turned away": {[]error{refused, refused}, true},
 		"a cut and an outage":   {[]error{cut, cut}, true},
 		"silence":               {[]error{silence}, true},
+		"silence, after probes": {[]error{probes}, true},
 		"an outage, then a cut": {[]error{silence, nil, cut}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
