Let the configuration of a host replace the dial to backend servers

The loopback network has no way to take single links away without rights on the machine. entry.Config.DialServer replaces the dial in newClient, within the time to connect, and its errors count as nothing sent, as those of net.Dialer do.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -49,8 +49,11 @@
 	Dialect      Dialect
 	// OpenStore returns a client of the platform's store.
 	OpenStore func(*logrus.Entry) Store
-	LogTo     io.Writer
-	LogAside  bool // see obs.Config
+	// DialServer replaces the dial of connections to backend servers; nil uses the network. Its context ends when the time to
+	// connect is over.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
+	LogTo      io.Writer
+	LogAside   bool // see obs.Config
 }
 
 // Host is a running entry host.
@@ -113,7 +116,7 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.serving, h.endRequests = context.WithCancel(h.ctx)
-	h.client = newClient(s.Entry.MemoryMB)
+	h.client = newClient(s.Entry.MemoryMB, cfg.DialServer)
 	h.bodies = newBodyMemory(s.Entry.MemoryMB)
 	h.guard = httpguard.New(httpguard.Config{
 		Defaults: defaultCallerLimits, MaxDescriptors: s.Entry.MaxDescriptors, MemoryMB: s.Entry.MemoryMB, Obs: o,
--- a/node/entry/evacuation_test.go
+++ b/node/entry/evacuation_test.go
@@ -45,7 +45,7 @@
 	var arrived atomic.Int64
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
 	c.Cleanup(srv.Close)
-	client := newClient(0)
+	client := newClient(0, nil)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		h.change(catalog.Change{Evacuated: "z"})
 		return new(net.Dialer).DialContext(ctx, network, address)
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -33,11 +33,12 @@
 	userTimeout = 5 * time.Second
 )
 
-// newClient returns the HTTP client for requests and reservations of a process with a memory limit, zero for none.
+// newClient returns the HTTP client for requests and reservations of a process with a memory limit, zero for none. dialServer
+// is Config.DialServer.
 //
 // Each request gets a new connection. A reused connection may be dead without notice, may carry a late second
 // response, and makes net/http retry a request on its own. A new connection costs about 1 ms.
-func newClient(memoryMB int64) *http.Client {
+func newClient(memoryMB int64, dialServer func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -47,13 +48,31 @@
 	}
 	t := httpcall.NewTransport(dialTimeout)
 	heads := httpcall.NewHeadMemory(shareOf(memoryMB, headMemoryShare, defaultHeadMemory))
-	t.DialContext = checkAfterDial(heads.DialContext(d))
+	dial := d.DialContext
+	if dialServer != nil {
+		dial = replacedDial(dialServer)
+	}
+	t.DialContext = checkAfterDial(heads.WrapDial(dial))
 	// Responses are relayed event by event, so small buffers suffice.
 	t.ReadBufferSize, t.WriteBufferSize = 2<<10, 2<<10
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
 
+// replacedDial returns a dial function that uses Config.DialServer within the time to connect. Its errors say like those of
+// net.Dialer that nothing has been sent.
+func replacedDial(dialServer func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := dialServer(ctx, network, address)
+		if err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+		}
+		return conn, nil
+	}
+}
+
 // sendCheckKey is the key of a context's check before a send.
 type sendCheckKey struct{}
 
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -54,7 +54,7 @@
 			defer ln.Close()
 			served := make(chan error, 1)
 			go func() { served <- serveWithCut(ln, test.body, test.before, test.cut) }()
-			resp, err := newClient(0).Post("http://"+ln.Addr().String(), "", strings.NewReader(strings.Repeat("x", test.body)))
+			resp, err := newClient(0, nil).Post("http://"+ln.Addr().String(), "", strings.NewReader(strings.Repeat("x", test.body)))
 			c.Assert(err, qt.IsNil)
 			defer resp.Body.Close()
 			body, err := io.ReadAll(resp.Body)
--- a/node/internal/httpcall/conn.go
+++ b/node/internal/httpcall/conn.go
@@ -33,8 +33,13 @@
 
 // DialContext is like the function DialContext, with the bound for heads.
 func (m *HeadMemory) DialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return m.WrapDial(d.DialContext)
+}
+
+// WrapDial is like DialContext, for connections that dial opens.
+func (m *HeadMemory) WrapDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
