Hand requests of isolated hosts on to peers that reach the servers

Cause: a host has no way to a server but its own links. Each request tried three servers and ended with 503, although the peers reached all of them.

Hosts tell each other which services they can't reach in a datagram of its own. A probe of one server at a time finds the way back. Requests for which no server could be connected to, and the rest of resumable streams, are handed on as well; what was sent to a server is not, unless it may be repeated.

Result: TestIsolatedHostServesFirstAttempts failed in all six rows before (0 of 30 and 0 of 3), and passes: 30 of 30 and 3 of 3 of each kind in each mode.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -58,6 +58,9 @@
 	lastReport time.Duration
 	validUntil time.Duration // the peer counts as alive until then
 	expired    bool          // its expiry has been returned by Expire
+	// unreachable are the services that it can't reach, as it said last, which holds until the given time.
+	unreachable      []uint32
+	unreachableUntil time.Duration
 }
 
 // Alive reports whether the last report of the peer is still valid.
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
+	"github.com/rosemaryhill/rosemaryhill/core/ident"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 )
@@ -247,6 +248,9 @@
 // does about it.
 func (h *Host) recordSilent(q *request, server string, silence time.Duration, taken string) {
 	h.metrics.silences.Add(1, taken)
+	if silence >= silenceIsFailure {
+		h.recordUnreached(q.service, ident.BackendID(server), h.now()-silence)
+	}
 	h.decisions.write(fields{
 		"request": q.call.ID, "server": server, "silent_ms": silence.Milliseconds(), "attempts": q.attempts, "action": taken,
 	}, "server silent")
--- a/node/entry/caller.go
+++ b/node/entry/caller.go
@@ -32,7 +32,11 @@
 func (h *Host) watchCaller(q *request, cancel context.CancelFunc) (stop func()) {
 	stopped := context.AfterFunc(q.http.Context(), func() {
 		q.caller.closedAt.Store(int64(h.now()))
-		time.AfterFunc(closedGrace, func() {
+		grace := closedGrace
+		if q.handover != nil { // the host that has handed it on closes the connection when it is no longer wanted
+			grace = 0
+		}
+		time.AfterFunc(grace, func() {
 			if q.caller.reads() {
 				return
 			}
--- a/node/entry/dialect.go
+++ b/node/entry/dialect.go
@@ -96,6 +96,8 @@
 	// was one.
 	Reserve(ctx context.Context, client *http.Client, engine Engine, r Reservation) (Notice, error)
 	Release(ctx context.Context, client *http.Client, engine Engine, id string) (Notice, error)
+	// Probe asks a server for any answer, which shows that it can be reached, without a request that it runs.
+	Probe(ctx context.Context, client *http.Client, server Engine) error
 	// Directory serves the addresses of entry hosts to callers, and Readiness serves the platform's readiness
 	// check.
 	Directory(addresses func() []string, ttl time.Duration) http.Handler
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -67,6 +67,7 @@
 	start          time.Time
 	incarnation    ident.Incarnation
 	client         *http.Client // for requests to backend servers
+	peerHTTP       *http.Client // for requests that are handed on to other hosts
 	state          *state
 	bodies         *bodyMemory
 	guard          *httpguard.Guard
@@ -83,7 +84,9 @@
 	stateReplies    stateReplies
 	peerAhead       chan struct{}            // a peer reported a newer revision of the platform state
 	catalogChanged  chan struct{}            // requests that the next expiry in the catalog is computed again
+	serviceLost     chan struct{}            // a service has become unreachable
 	queueNonEmpty   chan struct{}            // signals that requests wait for an engine
+	handoversTaken  atomic.Int64             // requests of other hosts in progress
 	running         atomic.Int64             // requests and memory releases in progress
 	reservationSeq  atomic.Uint64            // last number used in a reservation ID
 	stop            atomic.Pointer[stopPlan] // nil until the host shuts down
@@ -112,11 +115,12 @@
 	h := &Host{
 		cfg: cfg, settings: s.Entry, log: o.Log, obs: o, decisions: newDecisionLog(o.Log), metrics: newMetrics(o), start: time.Now(),
 		incarnation: ident.NewIncarnation(), reportNeeded: make(chan struct{}, 1), limitNews: make(chan struct{}, 1), resync: make(chan struct{}, 1), peerAhead: make(chan struct{}, 1), catalogChanged: make(chan struct{}, 1),
-		queueNonEmpty: make(chan struct{}, 1),
+		queueNonEmpty: make(chan struct{}, 1), serviceLost: make(chan struct{}, 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.serving, h.endRequests = context.WithCancel(h.ctx)
 	h.client = newClient(s.Entry.MemoryMB, cfg.DialServer)
+	h.peerHTTP = newClient(s.Entry.MemoryMB, nil)
 	h.bodies = newBodyMemory(s.Entry.MemoryMB)
 	h.guard = httpguard.New(httpguard.Config{
 		Defaults: defaultCallerLimits, MaxDescriptors: s.Entry.MaxDescriptors, MemoryMB: s.Entry.MemoryMB, Obs: o,
@@ -143,6 +147,7 @@
 	go h.expireCatalog()
 	go h.reportLimits()
 	go h.serveQueue()
+	go h.probeServices()
 	h.log.WithFields(fields{
 		"incarnation": h.incarnation.String(), "address": s.Entry.HTTPAddress, "peers": len(s.Entry.Peers),
 		"retry_ratio": s.Entry.RetryRatio, "retry_slack": s.Entry.RetrySlack, "shutdown_ms": s.Entry.ShutdownMS,
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -57,6 +57,8 @@
 	report   gossip.LoadReport
 	evidence quarantine.Update
 	limits   serverlimit.Update // for hosts that have just started
+	// unreachable are the services that this host can't reach, which go with the reports that are due after an interval.
+	unreachable []uint32
 }
 
 // report sends a load report.
@@ -69,6 +71,9 @@
 		h.gossip.SendLoad(o.to, o.report)
 		h.gossip.SendEvidence(o.to, o.evidence)
 		h.gossip.SendLimits(o.to, h.incarnation, o.limits)
+		if len(o.unreachable) > 0 {
+			h.gossip.SendReach(o.to, h.incarnation, peers.Reach{Unreachable: o.unreachable, Validity: o.report.Validity})
+		}
 	}
 }
 
@@ -92,7 +97,14 @@
 	far := gossip.LoadReport{Status: status, Validity: targets.FarValidity}
 	now := h.now()
 	evidence := s.quarantine.TakeUpdate(now, reason != reportOnChange)
-	out := []outgoing{{to: targets.Near, report: near, evidence: evidence}, {to: targets.Far, report: far, evidence: evidence}}
+	var unreachable []uint32
+	if reason != reportOnChange {
+		unreachable = s.unreachableHashes()
+	}
+	out := []outgoing{
+		{to: targets.Near, report: near, evidence: evidence, unreachable: unreachable},
+		{to: targets.Far, report: far, evidence: evidence, unreachable: unreachable},
+	}
 	for part, update := range shared {
 		report := far
 		report.Update = update
@@ -102,7 +114,7 @@
 		introduction := far
 		introduction.Update.Loads = s.engines.OwnLoads()
 		introduction.KnownAddrs = s.peers.Sample(gossip.MaxKnownAddrs)
-		out = append(out, outgoing{to: started, report: introduction, evidence: s.quarantine.Whole(now), limits: s.limits.Whole(now)})
+		out = append(out, outgoing{to: started, report: introduction, evidence: s.quarantine.Whole(now), limits: s.limits.Whole(now), unreachable: s.unreachableHashes()})
 	}
 	return out
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -25,6 +25,8 @@
 	quarantines obs.Counter
 	// storeFailures counts reads of the store that failed, by cause.
 	storeFailures obs.Counter
+	// handovers counts the requests that were handed on to other hosts, by result.
+	handovers obs.Counter
 }
 
 func newMetrics(o *obs.Obs) metrics {
@@ -38,6 +40,7 @@
 		silences:       o.Counter("rosemaryhill_entry_silent_servers", "action", "times that a backend server was silent for longer than its load explains, by what the host did"),
 		notices:        o.Counter("rosemaryhill_entry_server_notices", "notice", "times that a backend server said that it leaves or wants no requests for a time, or named another limit"),
 		storeFailures:  o.Counter("rosemaryhill_entry_store_failures", "cause", "reads of the store that failed, by timeout or otherwise"),
+		handovers:      o.Counter("rosemaryhill_entry_handovers", "result", "requests that were handed on to other hosts, by result"),
 		quarantines:    o.Counter("rosemaryhill_entry_prompt_parts", "change", "changes of the quarantine of prompt parts that crash servers"),
 	}
 }
@@ -66,6 +69,10 @@
 		locked(func(s *state) int { return s.peers.Partition() }))
 	h.obs.Gauge("rosemaryhill_entry_limited_servers", "backend servers that name a request limit",
 		locked(func(s *state) int { return s.limits.Limited() }))
+	h.obs.Gauge("rosemaryhill_entry_unreachable_services", "services whose backend servers this host can't reach",
+		locked(func(s *state) int { return len(s.isolation.All()) }))
+	h.obs.Gauge("rosemaryhill_entry_handovers_taken", "requests of other hosts in progress here",
+		func() float64 { return float64(h.handoversTaken.Load()) })
 	h.obs.Gauge("rosemaryhill_entry_evacuated_zones", "availability zones that are evacuated",
 		locked(func(s *state) int { return len(s.catalog.Evacuations()) }))
 	h.obs.Gauge("rosemaryhill_entry_store_era", "era of the store, which rises when the store comes back from an older copy",
--- a/node/entry/plain.go
+++ b/node/entry/plain.go
@@ -40,6 +40,11 @@
 		h.writeResponse(w, a)
 		return nil
 	}
+	if h.mayHandOn(ctx, q, last) {
+		if e, done := h.handOn(ctx, w, q, -1); done {
+			return e
+		}
+	}
 	return h.finalError(ctx, q, last)
 }
 
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -54,6 +54,8 @@
 	queueTime   time.Duration  // time spent waiting for an engine; streams only
 	placement   placementStats // statistics of the last placement; streams only
 	caller      callerState
+	handover    *handover // what the host says that has handed it on, nil for a request of a caller
+	handedTo    string    // peer whose answer the caller gets
 }
 
 // placementStats compares a placement's prediction with the observed timing.
@@ -78,11 +80,19 @@
 func (q *request) timeLeft(now time.Duration) time.Duration { return q.deadline - now }
 
 // ServeHTTP implements http.Handler for callers.
-func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serveRequest(w, r, nil) }
+
+// serveRequest serves a request of a caller, or of another host that has handed it on.
+func (h *Host) serveRequest(w http.ResponseWriter, r *http.Request, from *handover) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	h.closeWhenStopping(w)
-	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now(), memory: share{memory: h.bodies}}
+	q := &request{http: r, call: h.cfg.Dialect.Call(r), arrived: h.now(), memory: share{memory: h.bodies}, handover: from}
+	if from != nil {
+		h.handoversTaken.Add(1)
+		defer h.handoversTaken.Add(-1)
+		q.takeOver(*from)
+	}
 	defer q.memory.release()
 	ctx, span := h.startRequestSpan(q)
 	// The span ends with this error when a panic aborts a stream that has already begun.
@@ -95,6 +105,14 @@
 	h.recordEnd(q, outcome.Answered.String(), "", nil)
 }
 
+// takeOver makes the request one that has begun at another host.
+func (q *request) takeOver(from handover) {
+	q.arrived -= from.elapsed
+	if from.resume >= 0 {
+		q.call.ResumeAfter = strconv.FormatInt(from.resume, 10)
+	}
+}
+
 // handle admits a request and serves it. If it returns an error, nothing has been sent to the caller yet.
 func (h *Host) handle(ctx context.Context, w http.ResponseWriter, q *request) *outcome.Error {
 	if e := h.admit(q); e != nil {
@@ -110,6 +128,11 @@
 	defer cancel()
 	defer context.AfterFunc(h.serving, cancel)()
 	defer h.watchCaller(q, cancel)()
+	if h.isUnreachable(q.service) && h.mayHandOn(ctx, q, nil) {
+		if e, done := h.handOn(ctx, w, q, -1); done {
+			return e
+		}
+	}
 	if q.route.Kind == catalog.Streaming {
 		return h.serveStream(ctx, w, q)
 	}
@@ -128,6 +151,9 @@
 		return e
 	}
 	q.config = c.Version
+	if e := h.admitHandover(q, c.Version); e != nil {
+		return e
+	}
 	if !isSendable(q.http.URL) {
 		return outcome.Refuse("route", outcome.BadRequest, "the path begins with two slashes and has characters that must be encoded")
 	}
@@ -146,6 +172,11 @@
 			q.priority = team.Priority
 		}
 	}
+	if q.handover != nil && q.handover.attempts > 0 {
+		rest := *q.route
+		rest.MaxAttempts = max(1, rest.MaxAttempts-q.handover.attempts)
+		q.route = &rest
+	}
 	q.service = q.route.Pick(s.rng.Float64())
 	q.parts = partKeys(q.service, q.call.SharedParts)
 	limit := defaultTimeout
@@ -174,7 +205,9 @@
 	if e := h.admitToStopping(q); e != nil {
 		return e
 	}
-	s.budget(q.service).RecordRequest(q.arrived)
+	if q.handover == nil { // the host that has handed it on has counted it
+		s.budget(q.service).RecordRequest(q.arrived)
+	}
 	return nil
 }
 
@@ -209,6 +242,9 @@
 	h.explainPlacement(q, e)
 	h.recordEnd(q, e.Kind.String(), string(e.Reason), e)
 	h.closeWhenStopping(w)
+	if x, ok := w.(*handoverWriter); ok {
+		x.end = peerEnd{e.Kind, e.Reason, e.Step}
+	}
 	// The caller may only have closed its side of the connection. Without a response net/http would send an empty success.
 	httpend.WriteError(w, e, fractionalSeconds)
 }
@@ -232,6 +268,7 @@
 		f["engine"], f["helpers"], f["loss"] = p.engine, p.helpers, math.Round(p.loss*1000)/1000
 		f["predicted_ms"], f["first_ms"], f["pause_ms"] = p.predictedFirstEvent.Milliseconds(), p.firstEvent.Milliseconds(), p.longestPause.Milliseconds()
 	}
+	q.logHandover(f)
 	if cause == nil {
 		h.decisions.write(f, "request answered")
 		return
--- a/node/entry/send.go
+++ b/node/entry/send.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -125,21 +123,10 @@
 	if err := check(); err != nil {
 		return backendResponse{}, false, err
 	}
-	req, err := http.NewRequestWithContext(withSendCheck(ctx, check), q.http.Method, "http://"+srv.Address, nil)
+	req, err := newForwardRequest(withSendCheck(ctx, check), q, srv.Address)
 	if err != nil {
 		return backendResponse{}, false, err
 	}
-	setTarget(req.URL, q.http.URL)
-	req.Host = q.http.Host
-	req.Header = q.http.Header.Clone()
-	removeHopHeaders(req.Header)
-	if _, named := req.Header["User-Agent"]; !named {
-		req.Header["User-Agent"] = nil // keeps net/http from adding its own
-	}
-	if len(q.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(q.body))
-		req.ContentLength = int64(len(q.body))
-	}
 	sentAt := h.now()
 	f.TimeLeft = q.timeLeft(sentAt)
 	f.Server = srv.ID
@@ -147,6 +134,7 @@
 	h.cfg.Dialect.Forward(req.Header, f)
 	h.metrics.recordSent(srv.Zone == h.cfg.Settings.AvailabilityZone)
 	resp, err := h.client.Do(req)
+	h.recordReach(ctx, q.service, srv.ID, sentAt, err)
 	if err != nil {
 		var op *net.OpError
 		var notSent ineligibleError
--- a/node/entry/servers.go
+++ b/node/entry/servers.go
@@ -20,6 +20,7 @@
 	portDirectory = "directory"
 	portReadiness = "readiness"
 	portMetrics   = "metrics"
+	portHandover  = "handover"
 )
 
 func (h *Host) startServers() error {
@@ -38,6 +39,7 @@
 	if _, err = h.serve(readiness, portReadiness, h.settings.ReadyAddress); err != nil {
 		return err
 	}
+	h.startHandover()
 	h.startMetrics()
 	return nil
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -13,6 +13,8 @@
 	"github.com/rosemaryhill/rosemaryhill/core/health"
 	"github.com/rosemaryhill/rosemaryhill/core/hedge"
 	"github.com/rosemaryhill/rosemaryhill/core/ident"
+	"github.com/rosemaryhill/rosemaryhill/core/isolation"
+	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/partition"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
 	"github.com/rosemaryhill/rosemaryhill/core/placement"
@@ -45,6 +47,8 @@
 	numberings   hedge.Numberings                  // of the streams' events
 	peers        *peers.Table
 	quarantine   *quarantine.Table
+	isolation    *isolation.Tracker             // of the services that this host can't reach
+	handovers    map[member.Addr]int            // requests that peers answer for this host, by peer
 	partNames    map[quarantine.Part]PromptPart // IDs of parts that were suspects, for the log
 	// fullReportNeeded is set when the next load report has to carry the full load.
 	fullReportNeeded bool
@@ -74,6 +78,8 @@
 		wake:         map[*request]context.CancelFunc{},
 		freshness:    newFreshness(settings.MS(set.EvacuateMS)),
 		peers:        peers.NewTable(),
+		isolation:    isolation.NewTracker(),
+		handovers:    map[member.Addr]int{},
 		quarantine:   quarantine.NewTable(0, quarantine.Config{}),
 		partNames:    map[quarantine.Part]PromptPart{},
 	}
@@ -111,6 +117,7 @@
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
 	s.limits.Retain(keep)
+	s.isolation.Retain(func(name string) bool { return s.catalog.Service(name) != nil })
 	s.numberings.Retain(keep)
 	s.syncCold(now)
 	s.holdAllCold(now, keep)
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -69,6 +69,11 @@
 		h.writeResponse(w, st.otherResponse)
 		return nil
 	}
+	if st.mayHandOn(last) {
+		if e, done := h.handOn(ctx, w, q, st.resumePoint()); done {
+			return e
+		}
+	}
 	last = h.finalError(ctx, q, last)
 	if st.headerWritten {
 		h.recordEnd(q, last.Kind.String(), string(last.Reason), last)
@@ -77,6 +82,19 @@
 	return last
 }
 
+// mayHandOn reports whether the rest of the stream may come from a peer. One that has begun needs an event to go on after.
+func (st *stream) mayHandOn(last *outcome.Error) bool {
+	return (!st.headerWritten || st.race.Last() >= 0) && st.host.mayHandOn(st.ctx, st.q, last)
+}
+
+// resumePoint returns the last event that the caller has of a stream that has begun, else -1.
+func (st *stream) resumePoint() int64 {
+	if !st.headerWritten {
+		return -1
+	}
+	return st.race.Last()
+}
+
 func (h *Host) newStream(ctx context.Context, w http.ResponseWriter, q *request) *stream {
 	last := int64(-1)
 	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -99,7 +99,8 @@
 	DirectoryAddress string `toml:"directory_address"`
 	// ControlAddress is the IP address and TCP port for calls from other entry hosts. Required for the role.
 	ControlAddress string `toml:"control_address"`
-	// GossipPort is the UDP port for membership and load. Required for the role.
+	// GossipPort is the UDP port for membership and load, and the TCP port for requests that hosts hand on to each other. Required
+	// for the role.
 	GossipPort int `toml:"gossip_port"`
 	// AdminPort is the TCP port of the metrics endpoint. Zero disables it.
 	AdminPort int `toml:"admin_port"`
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -160,6 +160,10 @@
 		s.handleLimits(member.Addr(c.RemoteAddr().String()), b[1:], decodePublished)
 		return gnet.None
 	}
+	if len(b) > 0 && b[0] == reachTag {
+		s.handleReach(member.Addr(c.RemoteAddr().String()), b[1:])
+		return gnet.None
+	}
 	msg, err := s.decoder.decode(b)
 	if err != nil {
 		s.undecodable.Add(1)
