Notice silent watches within the bound of versions

Seen: callers got answers by an old version, and a removed server requests, for up to 5.46 s after the store's ack (bound 2.0 s), with 1, 3 and 7 hosts, when all watches that waited fell silent on connections that stayed open.

Cause: a watch counted as lost 3.7 s after its begin, no host was ahead of the others until then, and the removal counted as that of an outage, which held the server for 1.9 s more.

Change: the first reader of all hosts, by rank, has its watch answered every 1.0 s and cancels it when it is overdue by 0.4 s; the other readers hear of the change from its report and cancel theirs after peerAheadGrace, as before. A reader that becomes the first one meanwhile cancels an old watch too. An overdue watch is no outage by itself: the read that follows, on a new connection and bounded by readTimeout, tells a slow store or a silent connection from one that is lost. An outage that lasts is noticed 2.6 s after the begin of the watch in place of 3.7 s.

Weighed: a wait of 1 s for all readers costs three times the calls in every zone; a second connection of each reader costs twice the calls and does not find out sooner; staggered waits of a zone's two readers need the phase of the other one, which reports do not carry, and leave a lone host at 3.7 s.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -23,8 +23,13 @@
 	// the store has recovered, also when it has dropped a watch without an error. A shorter wait costs more
 	// calls.
 	watchWait = 3 * time.Second
-	// watchGrace is the time beyond watchWait after which a watch counts as lost.
+	// watchGrace is the time beyond watchWait after which a watch is overdue.
 	watchGrace = 700 * time.Millisecond
+	// firstWatchWait is watchWait for the first reader of all hosts. Connections may fall silent together, and the others hear of
+	// changes from it then: within 2 s of a change, overdueGrace, the read and peerAheadGrace included.
+	firstWatchWait = time.Second
+	// firstWatchGrace is watchGrace for the first reader.
+	firstWatchGrace = 400 * time.Millisecond
 	// readTimeout bounds a read of changes that does not wait for any. A healthy store answers within a few ms.
 	readTimeout = 1200 * time.Millisecond
 	// burstTime is the time between a change and the next call. Servers often come and go together, and each change that is
@@ -145,7 +150,11 @@
 	case !synced:
 		return h.readSnapshot()
 	case healthy:
-		return h.readChanges(watchWait, watchWait+watchGrace)
+		wait := watchWait
+		if h.isFirstReader() {
+			wait = firstWatchWait
+		}
+		return h.readChanges(wait, watchWait+watchGrace+readTimeout)
 	default:
 		return h.readChanges(0, readTimeout)
 	}
@@ -201,6 +210,14 @@
 	return h.countHigherRanked(func(p *peers.Peer) bool { return p.StoreConnected }) < readersPerZone
 }
 
+// isFirstReader reports whether no host of any zone that reads the store ranks higher.
+func (h *Host) isFirstReader() bool {
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.CountHigherRanked(h.now(), readerRank, func(p *peers.Peer) bool { return p.StoreConnected }) == 0
+}
+
 // hostsBefore returns the number of hosts of the own zone that read the store before this one.
 func (h *Host) hostsBefore() int {
 	return h.countHigherRanked(func(*peers.Peer) bool { return true })
@@ -279,7 +296,7 @@
 func (h *Host) readChanges(wait, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
-	defer h.cancelOnResync(ctx, cancel)()
+	defer h.cancelOnResync(ctx, cancel, wait > 0)()
 	began := h.now()
 	changes, at, err := h.store.Changes(ctx, h.revision(), wait)
 	if err != nil {
@@ -296,13 +313,25 @@
 	return nil
 }
 
-// cancelOnResync cancels a watch whose connection may be dead: after the process was paused, or when peers have
-// had a newer revision for longer than updates take to arrive. The returned function stops the monitoring.
-func (h *Host) cancelOnResync(ctx context.Context, cancel context.CancelFunc) func() {
+// cancelOnResync cancels a read whose connection may be dead: after the process was paused, when peers have
+// had a newer revision for longer than updates take to arrive, or when it is a watch and overdue. An overdue watch is no outage,
+// since the store may only be slow or the connection silent: the next read tells. The returned function stops the monitoring.
+func (h *Host) cancelOnResync(ctx context.Context, cancel context.CancelFunc, watch bool) func() {
 	done := make(chan struct{})
 	go func() {
+		var overdue <-chan time.Time
+		if watch {
+			overdue = time.After(firstWatchWait + firstWatchGrace)
+		}
+		began := h.now()
 		for {
 			select {
+			case <-overdue:
+				if h.now()-began < watchWait+watchGrace && !h.isFirstReader() {
+					overdue = time.After(standByInterval)
+					continue
+				}
+				h.log.Info("watch overdue and cancelled")
 			case <-h.resync:
 			case <-h.peerAhead:
 				ctxtime.Sleep(ctx, peerAheadGrace)
