Forget the failures of a service that has no servers left

A service whose servers have all gone counted as unreachable for good, since no server was left to answer a probe, and while one service is unreachable a single failure is enough for the others. Found by reading; its failures are dropped with its last server now.

--- a/core/isolation/isolation.go
+++ b/core/isolation/isolation.go
@@ -133,7 +133,7 @@
 	return names
 }
 
-// Retain drops the services that are no longer listed.
-func (t *Tracker) Retain(listed func(name string) bool) {
-	maps.DeleteFunc(t.services, func(name string, _ *service) bool { return !listed(name) })
+// Retain drops the services that have no servers any more: nothing could show that they can be reached again.
+func (t *Tracker) Retain(hasServers func(name string) bool) {
+	maps.DeleteFunc(t.services, func(name string, _ *service) bool { return !hasServers(name) })
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -117,7 +117,7 @@
 	s.health.Retain(keep)
 	s.loadBalancer.Retain(keep)
 	s.limits.Retain(keep)
-	s.isolation.Retain(func(name string) bool { return s.catalog.Service(name) != nil })
+	s.isolation.Retain(func(name string) bool { return len(s.catalog.Usable(name)) > 0 })
 	s.numberings.Retain(keep)
 	s.syncCold(now)
 	s.holdAllCold(now, keep)
