Let peers wait for the version of a request that is handed on

What callers saw: an isolated host that got a version some ms before its peers refused requests in between, since no peer had reported the version.

Change: a peer that lags is asked as well, after the others, and waits up to 0.3 s for the version before it declines.

Result: TestConfigurationChangesAtIsolatedHost (30 versions in 3 s) failed with some requests refused in the rows refuse and refuse new, and passes.

--- a/core/peers/reach.go
+++ b/core/peers/reach.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,20 +28,34 @@
 	return now >= p.unreachableUntil || !slices.Contains(p.unreachable, service)
 }
 
-// Reaching returns the live peers that take requests for a service: they are ready, reach its servers, and have the given
-// version of the configuration or a newer one. Those of the own availability zone come first, else the order is random.
+// Reaching returns the live peers that take requests for a service: they are ready and reach its servers. Those that have
+// reported the given version of the configuration or a newer one come first, among these those of the own availability zone, else
+// the order is random.
 func (t *Table) Reaching(now time.Duration, service uint32, config ident.Version) []*Peer {
-	var near, far []*Peer
+	var out []*Peer
 	for _, p := range t.peers {
-		switch {
-		case !p.Alive(now) || !p.Ready || p.Leaving || p.Config < config || !p.reaches(now, service):
-		case p.Zone == t.zone:
-			near = append(near, p)
-		default:
-			far = append(far, p)
+		if p.Alive(now) && p.Ready && !p.Leaving && p.reaches(now, service) {
+			out = append(out, p)
 		}
 	}
-	return append(near, far...)
+	slices.SortFunc(out, func(a, b *Peer) int { return cmp.Compare(t.handoverRank(a, config), t.handoverRank(b, config)) })
+	return out
+}
+
+// handoverRank orders peers by how well they suit a request, from 0.
+func (t *Table) handoverRank(p *Peer, config ident.Version) (rank int) {
+	if p.Config < config {
+		rank += 2
+	}
+	if p.Zone != t.zone {
+		rank++
+	}
+	return rank
+}
+
+// SameRank reports whether two peers suit a request equally well.
+func (t *Table) SameRank(a, b *Peer, config ident.Version) bool {
+	return t.handoverRank(a, config) == t.handoverRank(b, config)
 }
 
 // AllTargets returns all known hosts as the receivers of a report.
--- a/core/peers/reach_test.go
+++ b/core/peers/reach_test.go
@@ -33,17 +33,22 @@
 	tb.ObserveReach(0, "isolated", 1, Reach{Unreachable: []uint32{other, service}, Validity: time.Second})
 	tb.ObserveReach(0, "other", 1, Reach{Unreachable: []uint32{other}, Validity: time.Second})
 	tb.ObserveReach(0, "restarted", 1, Reach{Unreachable: []uint32{service}, Validity: time.Second})
-	reaching := func(now time.Duration) (near []string, last member.Addr) {
-		list := tb.Reaching(now, service, 5)
-		for _, p := range list[:len(list)-1] {
-			near = append(near, string(p.Addr))
+	for at, want := range map[time.Duration][][]string{
+		time.Second / 2: {{"near", "new", "other", "restarted"}, {"far"}, {"old"}},
+		time.Second:     {{"isolated", "near", "new", "other", "restarted"}, {"far"}, {"old"}},
+	} {
+		var got [][]string // by rank
+		var last *Peer
+		for _, p := range tb.Reaching(at, service, 5) {
+			if last == nil || !tb.SameRank(last, p, 5) {
+				got = append(got, nil)
+			}
+			got[len(got)-1] = append(got[len(got)-1], string(p.Addr))
+			last = p
+		}
+		for _, names := range got {
+			slices.Sort(names)
 		}
-		slices.Sort(near)
-		return near, list[len(list)-1].Addr
+		c.Check(got, qt.DeepEquals, want, qt.Commentf("at %v", at))
 	}
-	near, last := reaching(time.Second / 2)
-	c.Check(near, qt.DeepEquals, []string{"near", "new", "other", "restarted"})
-	c.Check(last, qt.Equals, member.Addr("far"))
-	near, _ = reaching(time.Second)
-	c.Check(near, qt.Contains, "isolated")
 }
--- a/node/entry/handover.go
+++ b/node/entry/handover.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpend"
 )
@@ -36,6 +37,10 @@
 	maxUnreachedPeers = 2
 	// handoverShare is the share of the connections for callers that a host uses for requests of other hosts.
 	handoverShare = 0.25
+	// versionWait is how long a peer waits for a version of the configuration that another host has: hosts get it within some ms
+	// of each other. versionPoll is the interval at which it looks.
+	versionWait = 300 * time.Millisecond
+	versionPoll = 5 * time.Millisecond
 	// relayBuffer is the size of the reads of an answer that is passed on while it arrives. Events are smaller.
 	relayBuffer = 16 << 10
 )
@@ -110,8 +115,8 @@
 	return e, false
 }
 
-// beginHandover chooses a peer for a request: in the own availability zone if there is one, and among these one with the fewest
-// requests of this host.
+// beginHandover chooses a peer for a request: one that has the version of the request if there is one, in the own availability zone
+// if possible, and among these one with the fewest requests of this host.
 func (h *Host) beginHandover(q *request, tried []member.Addr) (peer member.Addr, ok bool) {
 	s := h.state
 	s.mu.Lock()
@@ -120,7 +125,7 @@
 	for _, p := range s.peers.Reaching(h.now(), serviceHash(q.service), q.config) {
 		switch {
 		case slices.Contains(tried, p.Addr):
-		case best == nil, p.Zone == best.Zone && s.handovers[p.Addr] < s.handovers[best.Addr]:
+		case best == nil, s.peers.SameRank(p, best, q.config) && s.handovers[p.Addr] < s.handovers[best.Addr]:
 			best = p
 		}
 	}
@@ -365,9 +370,23 @@
 		httpend.WriteError(answer, refuseHandover(outcome.NotReady, "not from a known host"), fractionalSeconds)
 		return
 	}
+	h.awaitVersion(r.Context(), mark.config)
 	h.serveRequest(answer, r, &mark)
 }
 
+// awaitVersion waits until a version of the configuration or a newer one is in force, or versionWait has passed.
+func (h *Host) awaitVersion(ctx context.Context, config ident.Version) {
+	for end := h.now() + versionWait; h.configVersion() < config && h.now() < end && ctx.Err() == nil; {
+		ctxtime.Sleep(ctx, versionPoll)
+	}
+}
+
+func (h *Host) configVersion() ident.Version {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.state.stateHeld().Config
+}
+
 // isPeer reports whether a request comes from a live process of a host that reports. Callers do not know its incarnation.
 func (h *Host) isPeer(mark handover) bool {
 	h.state.mu.Lock()
