Test a host that follows peers which never answer

Peers report a newer version, accept connections and never answer: the host asks one after the other and never the store.

--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -1,13 +1,16 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -480,3 +483,37 @@
 		})
 	}
 }
+
+// Guards against a host that works by an old version because it asks only peers that accept connections and never answer.
+func TestHostFollowsThoughPeersAreSilent(t *testing.T) {
+	const bound = 2 * time.Second
+	c := qt.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer silent.Close()
+	h := testHost()
+	h.settings.ControlAddress = silent.Addr().String()
+	h.peerClient, err = control.NewClient(control.Config{DialTimeout: peerTimeout, CallTimeout: peerTimeout})
+	c.Assert(err, qt.IsNil)
+	defer h.peerClient.Close()
+	var hosts []member.Addr
+	for port := range 5 {
+		hosts = append(hosts, member.Addr(fmt.Sprint("127.0.0.1:", 7340+port)))
+	}
+	slices.SortFunc(hosts, func(a, b member.Addr) int { return cmp.Compare(readerRank(a), readerRank(b)) })
+	h.state.peers.SetSelf(hosts[0], 7)
+	for _, a := range hosts[1:] {
+		h.observe(a, peers.Status{Zone: 7, StoreConnected: true, Revision: 2, Config: 2}, time.Minute)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), bound)
+	defer stop()
+	h.ctx, h.peerAhead, h.resync = ctx, make(chan struct{}, 1), make(chan struct{}, 1)
+	store := &oddStore{changes: func(ident.Revision) ([]catalog.Change, ident.Revision, error) {
+		return []catalog.Change{{Revision: 2, Config: &catalog.Config{Version: 2}}}, 2, nil
+	}}
+	h.store = store
+	h.state.catalog.Replace(0, catalog.Snapshot{Revision: 1, Config: &catalog.Config{Version: 1}})
+	h.followStore()
+	c.Check(h.stateHeld(), qt.Equals, control.StateRequest{Revision: 2, Config: 2})
+	c.Check(store.calls.Load(), qt.Equals, int64(1))
+}
