Read the store when calls to peers fail

Seen: a host that follows its peers worked by an old version for up to 2.9 s where 3 of 6 peers accepted connections and did not answer, and for more than 8 s where none answered (7 hosts in two zones, bound 2.0 s).

Cause: it chose among the peers that are ahead at random, each time anew, and waited 0.4 s for each. While readers reported, it never asked the store.

Change: the peer whose call has failed last is asked only if there is no other, and after two failures in a row the host reads the store once. A single peer that has just died costs no call of the store.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -61,7 +61,7 @@
 	reads := rate.NewLimiter(rate.Every(readInterval), readBurst)
 	for h.ctx.Err() == nil {
 		if h.hasConfig() && !h.isReader() {
-			if h.mayBeStale() {
+			if h.mayBeStale() || h.peersFail() {
 				h.catchUp()
 			}
 			h.standBy()
@@ -99,15 +99,16 @@
 	}
 }
 
-// catchUp reads the store once after a pause of the process, for a host that follows its peers otherwise: it can't tell how old
-// their reports are.
+// catchUp reads the store once, for a host that follows its peers otherwise: after a pause of the process, since it can't tell how
+// old their reports are, or when calls to them fail.
 func (h *Host) catchUp() {
+	h.resetPeerCalls()
 	err := h.readChanges(0, readTimeout)
 	if needsSnapshot(err) {
 		err = h.readSnapshot()
 	}
 	if err != nil {
-		h.log.WithField("error", err.Error()).Warn("store not read after a pause of the process")
+		h.log.WithField("error", err.Error()).Warn("store not read while following peers")
 	}
 }
 
@@ -195,6 +196,9 @@
 		select {
 		case <-h.peerAhead:
 			h.fetchFromPeer(h.ctx, scope)
+			if scope == ownZone && h.peersFail() {
+				return // a host that reads the store goes on waiting
+			}
 		case <-end.C:
 			h.fetchFromPeer(h.ctx, anyZone)
 			return
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -55,6 +55,7 @@
 	// storeConnected is set while this host reads the store itself and the store answers.
 	storeConnected bool
 	freshness      freshness
+	peerCalls      peerCalls
 	// unreadable is the cause of the last log line on an unreadable configuration, unreadableLogAt the time of the next one.
 	unreadable      string
 	unreadableLogAt time.Duration
--- a/node/entry/statetransfer.go
+++ b/node/entry/statetransfer.go
@@ -115,6 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	reply, err := h.peerClient.State(ctx, addr, &req)
+	h.recordPeerCall(addr, err == nil)
 	if err != nil {
 		h.log.WithFields(fields{"peer": addr, "error": err.Error()}).Warn("peer state not read")
 		return
@@ -122,6 +123,42 @@
 	h.applyReply(addr, req, reply)
 }
 
+// maxPeerFailures is the number of calls to peers in a row that may fail before a host that follows them reads the store. One fails
+// where a peer has just died: if that were enough, the calls to the store would grow with the fleet.
+const maxPeerFailures = 2
+
+// peerCalls holds the outcome of the last calls to peers for their state.
+type peerCalls struct {
+	failures int    // in a row
+	failed   string // control address of the peer whose call has failed last
+}
+
+func (h *Host) recordPeerCall(addr string, ok bool) {
+	s := h.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok {
+		s.peerCalls = peerCalls{}
+		return
+	}
+	s.peerCalls.failures++
+	s.peerCalls.failed = addr
+}
+
+// resetPeerCalls lets peers be asked again before the store is.
+func (h *Host) resetPeerCalls() {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	h.state.peerCalls = peerCalls{}
+}
+
+// peersFail reports whether the store has to be read since calls to peers fail.
+func (h *Host) peersFail() bool {
+	h.state.mu.Lock()
+	defer h.state.mu.Unlock()
+	return h.state.peerCalls.failures >= maxPeerFailures
+}
+
 // applyReply applies a peer's reply to a request of this host.
 func (h *Host) applyReply(addr string, req control.StateRequest, reply *control.StateReply) {
 	if reply.State == nil && len(reply.Changes) == 0 {
@@ -146,8 +183,8 @@
 }
 
 // peerAheadIn returns the control address of a peer with newer platform state than this host's, and the request to
-// send. It chooses at random, so that a fleet that lacks the same change does not ask one peer. ok is false if there is
-// none.
+// send. It chooses at random, so that a fleet that lacks the same change does not ask one peer, and the one whose call has failed
+// last only if there is no other. ok is false if there is none.
 func (h *Host) peerAheadIn(scope peerScope) (address string, req control.StateRequest, ok bool) {
 	now := h.now()
 	s := h.state
@@ -161,6 +198,11 @@
 	if len(ahead) == 0 {
 		return "", req, false
 	}
-	p := ahead[s.rng.Intn(len(ahead))]
-	return withPort(string(p.Addr), h.settings.ControlAddress), req, true
+	at := s.rng.Intn(len(ahead))
+	address = withPort(string(ahead[at].Addr), h.settings.ControlAddress)
+	if address == s.peerCalls.failed && len(ahead) > 1 {
+		next := ahead[(at+1+s.rng.Intn(len(ahead)-1))%len(ahead)]
+		address = withPort(string(next.Addr), h.settings.ControlAddress)
+	}
+	return address, req, true
 }
