Hold the open connections of a link

A host's connections to the store can fall silent for good while new ones work. The proxy could hold all connections of a link or reset the open ones, but not hold the open ones alone.

HoldOpen stops forwarding on the connections that are open, until they are closed. TestHoldOpen checks that a held connection times out rather than ends, and that a new one is answered; go test ./lab/netfault passes.

--- a/lab/netfault/proxy.go
+++ b/lab/netfault/proxy.go
@@ -39,7 +39,9 @@
 // pair holds a client connection and the matching connection to the target.
 type pair struct {
 	client, target *net.TCPConn
-	closed         bool // guarded by Proxy.mu
+	// The fields below are guarded by Proxy.mu.
+	closed bool
+	held   bool // nothing is forwarded any more
 }
 
 // Listen starts a proxy that listens on an address and connects to a target.
@@ -90,6 +92,16 @@
 	p.changed.Broadcast()
 }
 
+// HoldOpen stops forwarding on the connections that are open, in both directions, until they are closed. New connections are not
+// affected.
+func (p *Proxy) HoldOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for x := range p.pairs {
+		x.held = true
+	}
+}
+
 // Reset resets all open connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -193,7 +205,7 @@
 // closed meanwhile.
 func (p *Proxy) waitWhileHeld(x *pair, held func(Fault) bool) bool {
 	p.mu.Lock()
-	for held(p.fault) && !x.closed {
+	for (x.held || held(p.fault)) && !x.closed {
 		p.changed.Wait()
 	}
 	delay, open := p.fault.Delay, !x.closed
--- a/lab/netfault/proxy_test.go
+++ b/lab/netfault/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -116,3 +117,18 @@
 	_, err = connect(c, p).roundTrip(time.Second)
 	c.Assert(err, qt.IsNil)
 }
+
+// Guards against a proxy that resets the connections it is to hold, goes on with them, or holds new ones as well.
+func TestHoldOpen(t *testing.T) {
+	c := qt.New(t)
+	p := startEchoServer(c)
+	x := connect(c, p)
+	_, err := x.roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+	p.HoldOpen()
+	_, err = x.roundTrip(100 * time.Millisecond)
+	var silent net.Error
+	c.Assert(errors.As(err, &silent) && silent.Timeout(), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = connect(c, p).roundTrip(time.Second)
+	c.Assert(err, qt.IsNil)
+}
