rosectl trail: how long hosts trail behind the store under a fault

The soak checks promises to callers and does not measure how far a host is behind, nor compare two builds under the same fault.

Change: lab/trail runs 1 to 12 entry hosts of any build as processes against the stand-in store and servers. Each version moves a route to another service, adds a route and a key and drops those of the version before the last, and servers come, drain and go, while one of 17 faults or several at once are injected. A request tells by which version it was handled: by the service that ran it, or by the route or key that was taken or refused. Times run from the store's ack; "calm" counts a host from 3.0 s after its last fault.

--- a/cmd/rosectl/command.go
+++ b/cmd/rosectl/command.go
@@ -68,7 +68,7 @@
 func commands() []*command {
 	return []*command{
 		standinCommand(), configCommand(), loadCommand(), reportCommand(), explainCommand(), policyCommand(), placementCommand(), quarantineCommand(),
-		limitsCommand(), soakCommand(), rolloutCommand(), isolationCommand(), demoCommand(),
+		limitsCommand(), soakCommand(), rolloutCommand(), isolationCommand(), trailCommand(), demoCommand(),
 	}
 }
 
