rosectl trail: let hosts read between the changes after a restored store

Callers see some hosts of a zone stay a version behind while others have it.

store-copy-apart writes the next version up to 0.5 s before the rest, so that hosts whose next try comes earlier read it and the others find their old revision given out again.

--- a/lab/trail/fault.go
+++ b/lab/trail/fault.go
@@ -29,6 +29,8 @@
 	minAge, maxAge = time.Second, 8 * time.Second
 	// maxRewrite is the greatest time until what a copy lacks is written again.
 	maxRewrite = 2 * time.Second
+	// maxApart lets some hosts read between two changes while others wait for their next try, which is at most 0.7 s away.
+	maxApart = 500 * time.Millisecond
 	// maxCopies is the greatest number of copies in a row.
 	maxCopies = 4
 
@@ -69,8 +71,9 @@
 
 var faults = []fault{
 	{"none", func(*run, context.Context, *rand.Rand) {}},
-	{"store-copy", func(r *run, ctx context.Context, rng *rand.Rand) { r.restoreStore(ctx, rng, 1) }},
-	{"store-copies", func(r *run, ctx context.Context, rng *rand.Rand) { r.restoreStore(ctx, rng, maxCopies) }},
+	{"store-copy", func(r *run, ctx context.Context, rng *rand.Rand) { r.restoreStore(ctx, rng, 1, 0) }},
+	{"store-copy-apart", func(r *run, ctx context.Context, rng *rand.Rand) { r.restoreStore(ctx, rng, 1, maxApart) }},
+	{"store-copies", func(r *run, ctx context.Context, rng *rand.Rand) { r.restoreStore(ctx, rng, maxCopies, 0) }},
 	{"cut-watches", (*run).cutWatches},
 	{"silent-connections-one", func(r *run, ctx context.Context, rng *rand.Rand) { r.silenceConnections(ctx, rng, false) }},
 	{"silent-connections-all", func(r *run, ctx context.Context, rng *rand.Rand) { r.silenceConnections(ctx, rng, true) }},
@@ -114,8 +117,9 @@
 }
 
 // restoreStore lets the store come back from copies, up to a number of them in a row. In the seconds that are lost a version is
-// published, a server drains and the entry of another one is removed.
-func (r *run) restoreStore(ctx context.Context, rng *rand.Rand, most int) {
+// published, a server drains and the entry of another one is removed. The next version is written up to a time apart from what is
+// written again.
+func (r *run) restoreStore(ctx context.Context, rng *rand.Rand, most int, apart time.Duration) {
 	type copied struct {
 		at    time.Time
 		state standin.Copy
@@ -154,6 +158,11 @@
 		r.writing.Lock()
 		if rng.Intn(3) > 0 {
 			r.writeNews() // before the rest, so that it gets revisions that hosts have seen before
+			if apart > 0 {
+				r.writing.Unlock()
+				sleep(ctx, between(rng, 0, apart))
+				r.writing.Lock()
+			}
 		}
 		r.fleet.Store.Rewrite()
 		r.writing.Unlock()
