Do not cancel reads of the store for reports of peers

What callers saw: answers by an old version without a bound, at a host that trails, can't fetch from the peer that is ahead, and whose store takes more than 0.25 s for an answer.

Cause: peerAheadGrace is for watches, which may wait on a dead connection. It also ended reads that do not wait, which readTimeout bounds already: each report of the peer cancelled the next one, and the one after it had to connect anew.

Change: only watches are cancelled for what peers report.

Result: TestReportsDoNotCancelReads (answers after 0.5 s, peer's port closed) got no version in 2.0 s before, and gets it now. Found by a review of the trace of hosts that stay a version behind.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -26,7 +26,7 @@
 	// watchGrace is the time beyond watchWait after which a watch is overdue.
 	watchGrace = 700 * time.Millisecond
 	// firstWatchWait is watchWait for the first reader of all hosts. Connections may fall silent together, and the others hear of
-	// changes from it then: within 2 s of a change, overdueGrace, the read and peerAheadGrace included.
+	// changes from it then: within 2 s of a change, firstWatchGrace, the read and peerAheadGrace included.
 	firstWatchWait = time.Second
 	// firstWatchGrace is watchGrace for the first reader.
 	firstWatchGrace = 400 * time.Millisecond
@@ -317,15 +317,15 @@
 	return nil
 }
 
-// cancelOnResync cancels a read whose connection may be dead: after the process was paused, when peers have
-// had a newer revision for longer than updates take to arrive, or when it is a watch and overdue. An overdue watch is no outage,
-// since the store may only be slow or the connection silent: the next read tells. The returned function stops the monitoring.
+// cancelOnResync cancels a read whose connection may be dead: after the process was paused, and a watch also when peers have
+// had a newer revision for longer than updates take to arrive, or when it is overdue. An overdue watch is no outage, since the store may only be slow or the connection silent: the next read tells. The returned function stops the monitoring.
 func (h *Host) cancelOnResync(ctx context.Context, cancel context.CancelFunc, watch bool) func() {
 	done := make(chan struct{})
 	go func() {
 		var overdue <-chan time.Time
+		var peerAhead <-chan struct{} // a read that does not wait brings the news itself
 		if watch {
-			overdue = time.After(firstWatchWait + firstWatchGrace)
+			overdue, peerAhead = time.After(firstWatchWait+firstWatchGrace), h.peerAhead
 		}
 		began := h.now()
 		for {
@@ -337,7 +337,7 @@
 				}
 				h.log.Info("watch overdue and cancelled")
 			case <-h.resync:
-			case <-h.peerAhead:
+			case <-peerAhead:
 				ctxtime.Sleep(ctx, peerAheadGrace)
 				if _, _, behind := h.peerAheadIn(anyZone); !behind || ctx.Err() != nil {
 					continue
--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -25,6 +25,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
+	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpguard"
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
@@ -517,3 +518,42 @@
 	c.Check(h.stateHeld(), qt.Equals, control.StateRequest{Revision: 2, Config: 2})
 	c.Check(store.calls.Load(), qt.Equals, int64(1))
 }
+
+// slowStore answers calls that do not wait after a time, with a version that the host lacks.
+type slowStore struct{ answerTime time.Duration }
+
+func (s *slowStore) Snapshot(context.Context) (catalog.Snapshot, error) {
+	return catalog.Snapshot{Revision: 1, Config: &catalog.Config{Version: 1}}, nil
+}
+
+func (s *slowStore) Changes(ctx context.Context, _ ident.Revision, wait time.Duration) ([]catalog.Change, ident.Revision, error) {
+	if ctxtime.Sleep(ctx, wait+s.answerTime); ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
+	return []catalog.Change{{Revision: 2, Config: &catalog.Config{Version: 2}}}, 2, nil
+}
+
+// Guards against a reader that cancels each read of a slow store at the next report of a peer whose state it can't get.
+func TestReportsDoNotCancelReads(t *testing.T) {
+	const bound = 2 * time.Second
+	c := qt.New(t)
+	h := testHost()
+	h.settings.ControlAddress = "127.0.0.1:1" // refuses connections
+	var err error
+	h.peerClient, err = control.NewClient(control.Config{DialTimeout: peerTimeout, CallTimeout: peerTimeout})
+	c.Assert(err, qt.IsNil)
+	defer h.peerClient.Close()
+	h.state.peers.SetSelf("127.0.0.1:7340", 7)
+	h.observe("127.0.0.1:7341", peers.Status{Zone: 7, StoreConnected: true, Revision: 2, Config: 2}, time.Minute)
+	ctx, stop := context.WithTimeout(context.Background(), bound)
+	defer stop()
+	h.ctx, h.peerAhead, h.resync, h.store = ctx, make(chan struct{}, 1), make(chan struct{}, 1), &slowStore{answerTime: 500 * time.Millisecond}
+	go func() {
+		for ctx.Err() == nil {
+			signal(h.peerAhead)
+			ctxtime.Sleep(ctx, peers.ReportInterval)
+		}
+	}()
+	h.followStore()
+	c.Check(h.stateHeld(), qt.Equals, control.StateRequest{Revision: 2, Config: 2})
+}
