Take a newer configuration of the same revision for news

Cause: a load report woke a host only for a higher revision, although peers that are ahead are chosen by revision or configuration. A host that follows peers asked for it at the end of each stand-by; a reader of the store, whose state may lack a configuration that peers have kept over a return of the store from a copy, never did until the next change.

Result: TestConfigurationOfSameRevisionIsNews failed before. Found by a review of the trace of hosts that stay a version behind.

--- a/node/entry/follow_test.go
+++ b/node/entry/follow_test.go
@@ -30,6 +30,7 @@
 	"github.com/rosemaryhill/rosemaryhill/node/obs"
 	"github.com/rosemaryhill/rosemaryhill/node/settings"
 	"github.com/rosemaryhill/rosemaryhill/transport/control"
+	"github.com/rosemaryhill/rosemaryhill/transport/gossip"
 )
 
 func testHost() *Host {
@@ -557,3 +558,17 @@
 	h.followStore()
 	c.Check(h.stateHeld(), qt.Equals, control.StateRequest{Revision: 2, Config: 2})
 }
+
+// Guards against a reader that never asks for a newer configuration of a peer that has seen the same revision.
+func TestConfigurationOfSameRevisionIsNews(t *testing.T) {
+	c := qt.New(t)
+	h := testHost()
+	h.peerAhead = make(chan struct{}, 1)
+	h.state.catalog.Replace(0, catalog.Snapshot{Revision: 2, Config: &catalog.Config{Version: 1}})
+	(*gossipHandler)(h).OnLoad(addr(1), gossip.LoadReport{Status: peers.Status{Revision: 2, Config: 2}, Validity: time.Minute})
+	select {
+	case <-h.peerAhead:
+	default:
+		c.Error("the report is no news")
+	}
+}
--- a/node/entry/loadreports.go
+++ b/node/entry/loadreports.go
@@ -34,7 +34,7 @@
 		h.requestReport()
 	}
 	s.engines.ApplyPeerUpdate(now, owner, r.Update)
-	if r.Revision > s.catalog.Revision() {
+	if held := s.stateHeld(); r.Revision > held.Revision || r.Config > held.Config {
 		signal(h.peerAhead)
 	}
 }
