Cut a stream whose rest a peer has lost, and log a peer's refusal as one

Cause: when a peer gave no answer for the rest of a stream that had begun, the error response was written into the stream, which then ended as if it were whole. And the refusal of a peer was passed on as if a server had answered, so the log of the first host said that the request was answered.

Change: such a stream is cut, as after any other failure in it. The first host takes a refusal or failure for the end of the request and writes the same status itself. Found by reading the change; no test plays a peer that dies at that moment.

--- a/node/entry/handover.go
+++ b/node/entry/handover.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryhill/rosemaryhill/core/member"
 	"github.com/rosemaryhill/rosemaryhill/core/outcome"
 	"github.com/rosemaryhill/rosemaryhill/core/peers"
+	"github.com/rosemaryhill/rosemaryhill/core/retry"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/ctxtime"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpcall"
 	"github.com/rosemaryhill/rosemaryhill/node/internal/httpend"
@@ -93,7 +94,7 @@
 }
 
 // handOn hands a request on and relays the answer. resume is the last event that the caller has of a stream whose header has been
-// written, -1 for none. done is false if no peer has taken the request, so that this host may still try its servers.
+// written, -1 for none. With an error nothing more has been written. done is false if no peer has taken the request, so that this host may still try its servers.
 func (h *Host) handOn(ctx context.Context, w http.ResponseWriter, q *request, resume int64) (e *outcome.Error, done bool) {
 	var tried []member.Addr
 	for unreached := 0; len(tried) < maxHandoverPeers && unreached < maxUnreachedPeers && ctx.Err() == nil; {
@@ -190,6 +191,12 @@
 	q.handedTo = string(peer)
 	q.mayHaveRun = q.mayHaveRun || said.kind != outcome.NotRun
 	result = handoverRelayed
+	if said.kind != outcome.Answered && resume < 0 {
+		return &outcome.Error{
+			Kind: said.kind, Reason: said.reason, Step: said.step, Peer: string(peer), RetryAfter: retry.ParseDelay(resp.Header.Get("Retry-After")),
+			Detail: "the peer's word",
+		}, true
+	}
 	return h.relayAnswer(ctx, w, q, peer, resp, resume >= 0), true
 }
 
--- a/node/entry/stream.go
+++ b/node/entry/stream.go
@@ -70,9 +70,13 @@
 		return nil
 	}
 	if st.mayHandOn(last) {
-		if e, done := h.handOn(ctx, w, q, st.resumePoint()); done {
+		e, done := h.handOn(ctx, w, q, st.resumePoint())
+		if done && (e == nil || !st.headerWritten) {
 			return e
 		}
+		if done {
+			last = e
+		}
 	}
 	last = h.finalError(ctx, q, last)
 	if st.headerWritten {
