--- a/node/entry/handover.go
+++ b/node/entry/handover.go
@@ -181,7 +181,7 @@
 	if !ok {
 		q.mayHaveRun = true
 		q.attempts++
-		return outcome.Fail(stepHandover, string(peer), outcome.BackendLost, Error.New("status %d without the word of the peer", resp.StatusCode)), false
+		return outcome.Fail(stepHandover, string(peer), outcome.BackendLost, Error.New("status %d without the header of a peer", resp.StatusCode)), false
 	}
 	if said.declined() {
 		result = handoverDeclined
@@ -196,7 +196,7 @@
 	if said.kind != outcome.Answered && resume < 0 {
 		return &outcome.Error{
 			Kind: said.kind, Reason: said.reason, Step: said.step, Peer: string(peer), RetryAfter: retry.ParseDelay(resp.Header.Get("Retry-After")),
-			Detail: "the peer's word",
+			Detail: "said by the peer to which the request was handed on",
 		}, true
 	}
 	if said.server != "" {
@@ -355,7 +355,7 @@
 	return fmt.Sprintf("%s %s %s", x.kind, x.reason, x.step)
 }
 
-// parsePeerEnd parses the word of a peer. ok is false if there is none.
+// parsePeerEnd parses what a peer says of the end of a request. ok is false if it says nothing.
 func parsePeerEnd(value string) (x peerEnd, ok bool) {
 	words := append(strings.Fields(value), "", "", "")
 	x.kind = outcome.ParseKind(words[0])
