Soak: a request may fail with the peer that it was handed on to

Cause: the check for streams that are cut knew the faults of the caller's host only.

Change: a failure whose answer names the peer is allowed if that peer was killed, stopped or paused meanwhile; any other failure of a peer still counts.

--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -188,6 +189,7 @@
 //   - if the whole timeout had passed;
 //   - if the process of the host was killed, stopped or paused, or the link from its callers had a fault, during the
 //     request or shortly before. Reloads and configurations excuse nothing.
+//   - if the host names a peer that it has handed the request on to, and the process of that peer was killed, stopped or paused.
 //
 // A request that the host says may have run began, also if no server has read it: then a server was silent on accept.
 func (r *run) cutWithoutCause(c *call, arrivals []standin.Arrival) bool {
@@ -196,6 +198,9 @@
 	if c.Served() || !began || c.Took >= streamTimeout || c.host.cutAllowed.overlap(c.sentAt, end) {
 		return false
 	}
+	if r.peerFailed(c) {
+		return false
+	}
 	for _, a := range arrivals {
 		if a.Failure != standin.NoFailure || r.crashed(a.Server, c.sentAt, end) {
 			return false
@@ -214,6 +219,14 @@
 	return true
 }
 
+// peerFailed reports whether a request has failed at a peer whose process was killed, stopped or paused meanwhile.
+func (r *run) peerFailed(c *call) bool {
+	return slices.ContainsFunc(r.hosts, func(h *host) bool {
+		ip, _, _ := strings.Cut(h.Settings.Entry.HTTPAddress, ":")
+		return strings.Contains(c.Body, `"step":"handover","peer":"`+ip+`:`) && h.cutAllowed.overlap(c.sentAt, c.endedAt)
+	})
+}
+
 // checkBudget checks that in every window all hosts together retry no more often than the settings allow.
 func (r *run) checkBudget() {
 	set := r.hosts[0].Settings.Entry
