Count the reaching peers only when a service becomes unreachable

Cause: each failed attempt at a server sorted all peers for a figure that only the log line of the change needs.

Change: it is computed for the change alone. Behaviour and log are the same; the tests of node/entry pass (28 s). Found by reading the change.

--- a/node/entry/isolation.go
+++ b/node/entry/isolation.go
@@ -46,7 +46,10 @@
 		}
 	}
 	change, changed := s.isolation.Failed(now, began, service, failed, servers)
-	reaching := len(s.peers.Reaching(now, serviceHash(service), 0))
+	reaching := 0
+	if changed {
+		reaching = len(s.peers.Reaching(now, serviceHash(service), 0))
+	}
 	s.mu.Unlock()
 	if !changed {
 		return
